--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,78 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+import localRules from './tools/eslint-rules.js';
+
+const codeFiles = ['packages/*/src/**/*.ts', 'bench/src/**/*.ts'];
+const testFiles = ['packages/*/test/**/*.ts', 'bench/test/**/*.ts'];
+
+export default [
+  { ignores: ['**/dist/**', '**/node_modules/**', 'vitest.config.ts'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.node.recommended,
+  ...configs.base.typescript,
+  {
+    files: ['**/*.ts', '**/*.js'],
+    plugins: { local: localRules },
+    rules: {
+      // Prettier decides layout.
+      '@stylistic/max-len': 'off',
+      '@stylistic/indent': 'off',
+      '@stylistic/operator-linebreak': 'off',
+      '@stylistic/implicit-arrow-linebreak': 'off',
+      '@stylistic/function-paren-newline': 'off',
+      '@stylistic/object-curly-newline': 'off',
+      '@stylistic/no-confusing-arrow': 'off',
+      '@stylistic/no-mixed-operators': 'off',
+      '@stylistic/newline-per-chained-call': 'off',
+      '@stylistic/quotes': 'off',
+      '@stylistic/lines-between-class-members': 'off',
+      '@stylistic/nonblock-statement-body-position': 'off',
+      '@stylistic/generator-star-spacing': 'off',
+      '@stylistic/wrap-iife': 'off',
+      '@stylistic/comma-dangle': 'off',
+      '@stylistic/space-before-function-paren': 'off',
+      '@stylistic/arrow-parens': 'off',
+      '@stylistic/semi': 'off',
+      '@stylistic/no-extra-parens': 'off',
+      '@stylistic/member-delimiter-style': 'off',
+      // The house style asks for `for of` loops with early exits and named exports.
+      'no-restricted-syntax': 'off',
+      'no-continue': 'off',
+      'no-await-in-loop': 'off',
+      'no-plusplus': 'off',
+      'no-bitwise': 'off',
+      'no-void': 'off',
+      'import-x/prefer-default-export': 'off',
+      'import-x/extensions': 'off',
+      'import-x/no-unresolved': 'off',
+      'import-x/no-extraneous-dependencies': 'off',
+      'import-x/no-rename-default': 'off',
+      'import-x/no-cycle': 'off',
+      'no-redeclare': 'off',
+      '@typescript-eslint/no-redeclare': 'off',
+      'no-use-before-define': 'off',
+      '@typescript-eslint/no-use-before-define': 'off',
+      'class-methods-use-this': 'off',
+      '@typescript-eslint/class-methods-use-this': 'off',
+      'no-underscore-dangle': 'off',
+      curly: ['error', 'multi-line'],
+      'n/no-sync': 'off',
+      'func-names': 'off',
+      'n/no-process-exit': 'off',
+      'n/no-unsupported-features/node-builtins': 'off',
+      'n/prefer-global/process': 'off',
+      'n/prefer-global/buffer': 'off',
+    },
+  },
+  {
+    files: codeFiles,
+    rules: { 'local/verb-first': 'error', 'local/one-export': 'error' },
+  },
+  {
+    files: testFiles,
+    rules: { 'no-empty-function': 'off', '@typescript-eslint/no-empty-function': 'off' },
+  },
+];
--- /dev/null
+++ b/packages/core/src/admission/LoadReport.ts
@@ -0,0 +1,24 @@
+import { z } from 'zod';
+import { TargetId } from '../ids/TargetId.js';
+import { Incarnation } from '../ids/Incarnation.js';
+import { AdmissionState } from './AdmissionState.js';
+
+/** What an agent says about its target on every answer. */
+export const LoadReport = z.object({
+  target: TargetId,
+  incarnation: Incarnation,
+  state: AdmissionState,
+  inFlight: z.number(),
+  /** Concurrency that the agent grants now: the least of ramp, adaptive limit and document. */
+  limit: z.number(),
+  queued: z.number(),
+  queueDelayMs: z.number(),
+  stepTimeMs: z.number(),
+  tokensInFlight: z.number(),
+  queuedPromptTokens: z.number(),
+  /** Free share of KV memory, 0 to 1. */
+  kvFree: z.number(),
+  configRevision: z.number(),
+});
+
+export type LoadReport = z.infer<typeof LoadReport>;
--- /dev/null
+++ b/packages/core/src/answer/Attempt.ts
@@ -0,0 +1,38 @@
+import { z } from 'zod';
+import { Incarnation } from '../ids/Incarnation.js';
+import { RequestId } from '../ids/RequestId.js';
+import { ServiceName } from '../ids/ServiceName.js';
+import { TargetId } from '../ids/TargetId.js';
+import { Workspace } from '../ids/Workspace.js';
+import { Priority } from '../admission/Priority.js';
+import { Header } from './Header.js';
+
+/** One attempt of a request, as an entry sends it to an agent. */
+export const Attempt = z.object({
+  requestId: RequestId,
+  attempt: z.number().int().min(1),
+  service: ServiceName,
+  target: TargetId,
+  /** Incarnation that the entry knows; 0 accepts any. */
+  incarnation: Incarnation,
+  workspace: Workspace,
+  priority: Priority,
+  /** Milliseconds left when the entry sent the attempt. */
+  deadlineMs: z.number().positive(),
+  repeatable: z.boolean(),
+  /** Empty when the caller gave none. */
+  idempotencyKey: z.string().max(255),
+  /** Issue time of the key, Unix milliseconds; 0 when not given. */
+  keyTimeMs: z.number().nonnegative(),
+  method: z.string(),
+  path: z.string(),
+  headers: z.array(Header),
+  body: z.instanceof(Uint8Array),
+  /** Tokens of the answer that the caller has already received. */
+  resumeFrom: z.number().int().nonnegative(),
+  promptTokens: z.number().int().nonnegative(),
+  maxTokens: z.number().int().nonnegative(),
+  configRevision: z.number().nonnegative(),
+});
+
+export type Attempt = z.infer<typeof Attempt>;
--- /dev/null
+++ b/packages/core/src/document/RouteRule.ts
@@ -0,0 +1,10 @@
+import { z } from 'zod';
+
+/** One line of the `[routes]` section: whether calls below a path may be repeated. */
+export const RouteRule = z.strictObject({
+  method: z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']),
+  pathPrefix: z.string().startsWith('/'),
+  repeat: z.enum(['repeatable', 'once']),
+});
+
+export type RouteRule = z.infer<typeof RouteRule>;
--- /dev/null
+++ b/packages/core/src/document/VersionedDocument.ts
@@ -0,0 +1,15 @@
+import { z } from 'zod';
+import { Revision } from '../ids/Revision.js';
+import { ServiceName } from '../ids/ServiceName.js';
+import { ServiceDocument } from './ServiceDocument.js';
+
+/** A document with the store revision of its last change; `document` is null after a deletion. */
+export const VersionedDocument = z.object({
+  name: ServiceName,
+  revision: Revision,
+  /** Id of the accept that wrote it; settles an accept whose answer was lost. */
+  operationId: z.string(),
+  document: ServiceDocument.nullable(),
+});
+
+export type VersionedDocument = z.infer<typeof VersionedDocument>;
--- /dev/null
+++ b/packages/core/src/membership/InstanceRecord.ts
@@ -0,0 +1,20 @@
+import { z } from 'zod';
+import { InstanceId } from '../ids/InstanceId.js';
+import { TargetId } from '../ids/TargetId.js';
+import { Zone } from '../ids/Zone.js';
+
+/** One line of the platform's instance list. The list lags behind reality. */
+export const InstanceRecord = z.object({
+  id: InstanceId,
+  role: z.enum(['entry', 'agent']),
+  zone: Zone,
+  /** `IP:PORT` of the process's gRPC server. */
+  address: z.string(),
+  /** Base URL for callers; entries only. */
+  callerUrl: z.string().optional(),
+  /** The target beside the agent; agents only. */
+  target: TargetId.optional(),
+  state: z.enum(['live', 'leaving']),
+});
+
+export type InstanceRecord = z.infer<typeof InstanceRecord>;
--- /dev/null
+++ b/packages/runtime/src/log/formatFields.ts
@@ -0,0 +1,9 @@
+/** Formats the fields of a log line as ` name=value` pairs. */
+export function formatFields(fields: Record<string, unknown> | undefined): string {
+  if (fields === undefined) return '';
+  let text = '';
+  for (const [name, value] of Object.entries(fields)) {
+    text += ` ${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`;
+  }
+  return text;
+}
--- /dev/null
+++ b/packages/runtime/src/metrics/MetricRegistry.ts
@@ -0,0 +1,52 @@
+import { build, type Histogram } from 'hdr-histogram-js';
+
+const SIGNIFICANT_DIGITS = 2;
+const QUANTILES = [50, 95, 99, 99.9];
+
+/** Counters, gauges and latency histograms of one process. */
+export class MetricRegistry {
+  readonly #counters = new Map<string, number>();
+
+  readonly #gauges = new Map<string, () => number>();
+
+  readonly #histograms = new Map<string, Histogram>();
+
+  /** Adds `amount` to a counter. @param name metric name with labels, as printed */
+  increase(name: string, amount = 1): void {
+    this.#counters.set(name, (this.#counters.get(name) ?? 0) + amount);
+  }
+
+  /** Registers a gauge that is read when the metrics are printed. */
+  register(name: string, read: () => number): void {
+    this.#gauges.set(name, read);
+  }
+
+  /** Records a value in a histogram. @param value non-negative whole number */
+  record(name: string, value: number): void {
+    let histogram = this.#histograms.get(name);
+    if (histogram === undefined) {
+      histogram = build({
+        bitBucketSize: 32,
+        autoResize: true,
+        numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+      });
+      this.#histograms.set(name, histogram);
+    }
+    histogram.recordValue(Math.max(0, Math.round(value)));
+  }
+
+  /** Prints all metrics, one `name value` pair a line. */
+  format(): string {
+    const lines: string[] = [];
+    for (const [name, value] of this.#counters) lines.push(`${name} ${value}`);
+    for (const [name, read] of this.#gauges) lines.push(`${name} ${read()}`);
+    for (const [name, histogram] of this.#histograms) {
+      for (const quantile of QUANTILES) {
+        const value = histogram.getValueAtPercentile(quantile);
+        lines.push(`${name}{quantile="${quantile / 100}"} ${value}`);
+      }
+      lines.push(`${name}_count ${histogram.totalCount}`);
+    }
+    return `${lines.join('\n')}\n`;
+  }
+}
--- /dev/null
+++ b/tools/sync-index.js
@@ -0,0 +1,40 @@
+/* Rewrites `src/index.ts` of the named packages so that it hands on every module's export. */
+import { readdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { basename, join, relative } from 'node:path';
+
+const SKIPPED = new Set(['index.ts', 'main.ts']);
+
+function listModules(folder) {
+  const files = [];
+  for (const entry of readdirSync(folder, { withFileTypes: true })) {
+    const path = join(folder, entry.name);
+    if (entry.isDirectory()) files.push(...listModules(path));
+    else if (entry.name.endsWith('.ts') && !SKIPPED.has(entry.name)) files.push(path);
+  }
+  return files.sort();
+}
+
+function describeExport(root, file) {
+  const text = readFileSync(file, 'utf8');
+  const path = `./${relative(root, file).replace(/\.ts$/, '.js')}`;
+  const group = /^export const \{ ([^}]+) \}/m.exec(text);
+  if (group) return `export { ${group[1]} } from '${path}';`;
+  const name = basename(file, '.ts');
+  const isValue = new RegExp(
+    `^export (const|class|abstract class|(async )?function\\*?) ${name}\\b`,
+    'm',
+  );
+  const isType = new RegExp(`^export (interface|type) ${name}\\b`, 'm');
+  if (isValue.test(text)) return `export { ${name} } from '${path}';`;
+  if (isType.test(text)) return `export type { ${name} } from '${path}';`;
+  return null;
+}
+
+for (const name of process.argv.slice(2)) {
+  const root = join('packages', name, 'src');
+  const lines = listModules(root)
+    .map((file) => describeExport(root, file))
+    .filter(Boolean);
+  if (name === 'core') lines.push("export type { Result } from 'ts-results';");
+  writeFileSync(join(root, 'index.ts'), `${lines.join('\n')}\n`);
+}
