Add the dispatch protocol, target clients, callers' HTTP and the engine and service stand-ins

Change: rpc (dispatch client and server with frame codecs), targets (HTTP by undici, SSE by eventsource-parser, complete only with the end mark), callers (request parsing, error answers, broken streams visible), stand-ins.

--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -1,1 +1,11 @@
-export {};
+export type { CallerAnswer } from './answer/CallerAnswer.js';
+export { HttpCallerAnswer } from './answer/HttpCallerAnswer.js';
+export { toErrorBody } from './answer/toErrorBody.js';
+export type { CallerRequest } from './request/CallerRequest.js';
+export { ChatBody } from './request/ChatBody.js';
+export { parseRequest } from './request/parseRequest.js';
+export { readCallerHeaders } from './request/readCallerHeaders.js';
+export type { CallerHandler } from './server/CallerHandler.js';
+export type { CallerServer } from './server/CallerServer.js';
+export { readBody } from './server/readBody.js';
+export { startCallerServer } from './server/startCallerServer.js';
--- /dev/null
+++ b/packages/rpc/src/channel/channelOptions.ts
@@ -0,0 +1,19 @@
+import type { ChannelOptions } from '@grpc/grpc-js';
+
+const KEEPALIVE_MS = 2000;
+
+/** Options of every channel between limpetbay processes. */
+export const channelOptions: ChannelOptions = {
+  // Retries are decided by the entry, which knows whether a request may be repeated.
+  'grpc.enable_retries': 0,
+  // A replaced channel must open a connection of its own.
+  'grpc.use_local_subchannel_pool': 1,
+  'grpc.keepalive_time_ms': KEEPALIVE_MS,
+  'grpc.keepalive_timeout_ms': KEEPALIVE_MS,
+  'grpc.keepalive_permit_without_calls': 0,
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 2000,
+  'grpc.service_config_disable_resolution': 1,
+  'grpc.max_receive_message_length': -1,
+  'grpc.max_send_message_length': -1,
+};
--- /dev/null
+++ b/packages/rpc/src/dispatch/encodeFrame.ts
@@ -0,0 +1,13 @@
+import type { AnswerFrame } from '@limpetbay/core';
+import type { WireFrame } from './WireFrame.js';
+
+/** Encodes a frame for the wire. */
+export function encodeFrame(frame: AnswerFrame): WireFrame {
+  const { type, ...part } = frame.part;
+  return {
+    requestId: frame.requestId,
+    attempt: frame.attempt,
+    incarnation: frame.incarnation,
+    [type]: part,
+  };
+}
--- a/packages/rpc/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+export type { RunningServer } from './channel/RunningServer.js';
+export { channelOptions } from './channel/channelOptions.js';
+export { loadService } from './channel/loadService.js';
+export { startServer } from './channel/startServer.js';
+export { DispatchClient } from './dispatch/DispatchClient.js';
+export type { DispatchHandler } from './dispatch/DispatchHandler.js';
+export type { DispatchListener } from './dispatch/DispatchListener.js';
+export type { WireFrame } from './dispatch/WireFrame.js';
+export { createDispatchService } from './dispatch/createDispatchService.js';
+export { decodeFrame } from './dispatch/decodeFrame.js';
+export { dispatchService } from './dispatch/dispatchService.js';
+export { encodeFrame } from './dispatch/encodeFrame.js';
--- /dev/null
+++ b/packages/standins/src/http/sendJson.ts
@@ -0,0 +1,7 @@
+import type { ServerResponse } from 'node:http';
+
+/** Sends a JSON answer. */
+export function sendJson(response: ServerResponse, status: number, body: object): void {
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(body));
+}
