--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export { Header } from './answer/Header.js';
 export type { Clock } from './clock/Clock.js';
 export { ManualClock } from './clock/ManualClock.js';
+export type { ConfigSource } from './config/ConfigSource.js';
 export { RouteRule } from './document/RouteRule.js';
 export { ServiceDocument } from './document/ServiceDocument.js';
 export { VersionedDocument } from './document/VersionedDocument.js';
