--- /dev/null
+++ b/packages/core/src/admission/RefusedItem.ts
@@ -0,0 +1,8 @@
+import type { Failure } from '../errors/Failure.js';
+import type { AdmissionItem } from './AdmissionItem.js';
+
+/** An item that was queued and is now refused; it was not run. */
+export interface RefusedItem {
+  readonly item: AdmissionItem;
+  readonly failure: Failure;
+}
--- /dev/null
+++ b/packages/core/src/ramp/PaceTracker.ts
@@ -0,0 +1,118 @@
+import { computeMedian } from './computeMedian.js';
+import { paceLimits } from './paceLimits.js';
+
+interface PaceClass {
+  warmMs: number | null;
+  window: number[];
+}
+
+/** A service has few routes and cost bands; more classes than this are not compared. */
+const MAX_CLASSES = 64;
+const MAX_WINDOW = 64;
+/** One slow request must not restart a ramp; the median of five needs three. */
+const RECENT = 5;
+/** Weight of a faster window: a lower pace is proof that the target can do it. */
+const FALL_WEIGHT = 0.5;
+/** Weight of a slower window at light load; small, so that a slow decline stays visible. */
+const RISE_WEIGHT = 0.1;
+/** Steady windows after which a slower pace becomes the new warm value (changed model). */
+const RELEARN_WINDOWS = 30;
+
+/**
+ * Learns the warm pace of a target by class of request and compares samples with it. The values
+ * outlive restarts of the engine, so that a cold engine is compared with its warm self.
+ */
+export class PaceTracker {
+  readonly #classes = new Map<string, PaceClass>();
+
+  #recent: number[] = [];
+
+  #steadyWindows = 0;
+
+  #lastRatio: number | null = null;
+
+  /** Sets the warm pace of a class from outside, such as from other targets of the service. */
+  setWarm(name: string, paceMs: number): void {
+    this.#getClass(name).warmMs = paceMs;
+  }
+
+  getWarm(name: string): number | null {
+    return this.#classes.get(name)?.warmMs ?? null;
+  }
+
+  /** @returns the pace over the warm pace, or null when that is not known yet */
+  record(name: string, paceMs: number): number | null {
+    if (!this.#classes.has(name) && this.#classes.size >= MAX_CLASSES) return null;
+    const paceClass = this.#getClass(name);
+    if (paceClass.window.length < MAX_WINDOW) paceClass.window.push(paceMs);
+    if (paceClass.warmMs === null || paceClass.warmMs <= 0) return null;
+    const ratio = paceMs / paceClass.warmMs;
+    this.#recent.push(ratio);
+    if (this.#recent.length > RECENT) this.#recent.shift();
+    return ratio;
+  }
+
+  /** Tells whether the last few samples are several times the warm value. */
+  isCold(): boolean {
+    if (this.#recent.length < RECENT) return false;
+    return (computeMedian(this.#recent) ?? 0) >= paceLimits.cold;
+  }
+
+  /** Forgets recent samples, as they belong to the time before a restart. */
+  clearRecent(): void {
+    this.#recent = [];
+    this.#steadyWindows = 0;
+    this.#lastRatio = null;
+    for (const paceClass of this.#classes.values()) paceClass.window = [];
+  }
+
+  /**
+   * Learns from the window that ends now.
+   *
+   * @param ratio median ratio of the window
+   * @param atLimit whether the target was used at its limit: a slower pace is then load
+   * @param errors whether requests failed
+   */
+  closeWindow(ratio: number | null, atLimit: boolean, errors: boolean): void {
+    const relearn = this.#checkSteady(ratio, errors);
+    for (const paceClass of this.#classes.values()) {
+      const median = computeMedian(paceClass.window);
+      if (median === null) continue;
+      paceClass.window = [];
+      if (paceClass.warmMs === null || relearn) paceClass.warmMs = median;
+      else if (median < paceClass.warmMs) {
+        paceClass.warmMs += FALL_WEIGHT * (median - paceClass.warmMs);
+      } else if (!atLimit && median <= paceLimits.near * paceClass.warmMs) {
+        paceClass.warmMs += RISE_WEIGHT * (median - paceClass.warmMs);
+      }
+    }
+  }
+
+  /** Counts windows of steady slow pace; true when the pace has to be taken as the warm one. */
+  #checkSteady(ratio: number | null, errors: boolean): boolean {
+    const last = this.#lastRatio;
+    this.#lastRatio = ratio;
+    if (ratio === null || last === null || errors || ratio <= paceLimits.near) {
+      this.#steadyWindows = 0;
+      return false;
+    }
+    const change = ratio / last;
+    if (change < paceLimits.improving || change > 1 / paceLimits.improving) {
+      this.#steadyWindows = 0;
+      return false;
+    }
+    this.#steadyWindows += 1;
+    if (this.#steadyWindows < RELEARN_WINDOWS) return false;
+    this.#steadyWindows = 0;
+    this.#recent = [];
+    return true;
+  }
+
+  #getClass(name: string): PaceClass {
+    const known = this.#classes.get(name);
+    if (known !== undefined) return known;
+    const created: PaceClass = { warmMs: null, window: [] };
+    this.#classes.set(name, created);
+    return created;
+  }
+}
