--- /dev/null
+++ b/packages/core/src/routing/TargetView.ts
@@ -0,0 +1,166 @@
+import type { AdmissionState } from '../admission/AdmissionState.js';
+import type { LoadReport } from '../admission/LoadReport.js';
+import type { Incarnation } from '../ids/Incarnation.js';
+import type { TargetId } from '../ids/TargetId.js';
+import type { Zone } from '../ids/Zone.js';
+import type { RandomSource } from '../random/RandomSource.js';
+import type { RequestCost } from './RequestCost.js';
+import type { RouterSettings } from './RouterSettings.js';
+import { CircuitBreaker } from './CircuitBreaker.js';
+import { PrefixHints } from './PrefixHints.js';
+
+/**
+ * Time for which a reported state keeps new work away. After it, one request asks again, because a
+ * target that gets no work sends no reports. A target that leaves or whose zone is out normally
+ * changes through the instance list or the document.
+ */
+const HOLD_MS: Readonly<Record<AdmissionState, number>> = {
+  serving: 0,
+  not_ready: 3000,
+  isolated: 3000,
+  zone_out: 60_000,
+  leaving: 60_000,
+};
+
+interface Send {
+  readonly atMs: number;
+  readonly tokens: number;
+}
+
+/** What an entry knows about one target: its last report, own sends since then, and failures. */
+export class TargetView {
+  readonly id: TargetId;
+
+  readonly breaker: CircuitBreaker;
+
+  readonly hints: PrefixHints;
+
+  zone: Zone;
+
+  report: LoadReport | null = null;
+
+  /** Own attempts that have not finished. */
+  ownInFlight = 0;
+
+  #reportAtMs = -Infinity;
+
+  #heldUntilMs = -Infinity;
+
+  /** Sends that the last report may not contain, oldest first. */
+  #unreported: Send[] = [];
+
+  #lastFrameMs = -Infinity;
+
+  /** First send after the last frame. */
+  #unansweredMs: number | null = null;
+
+  readonly #settings: RouterSettings;
+
+  constructor(id: TargetId, zone: Zone, settings: RouterSettings, random: RandomSource) {
+    this.id = id;
+    this.zone = zone;
+    this.#settings = settings;
+    this.breaker = new CircuitBreaker(settings, random);
+    this.hints = new PrefixHints(settings.hintsPerTarget);
+  }
+
+  /** @returns whether the report is from the present incarnation or a newer one, and was taken */
+  acceptReport(report: LoadReport, nowMs: number): boolean {
+    if (this.report !== null && report.incarnation < this.report.incarnation) return false;
+    this.report = report;
+    this.#reportAtMs = nowMs;
+    this.#heldUntilMs = nowMs + HOLD_MS[report.state];
+    const shownMs = nowMs - this.#settings.reportLagMs;
+    while (this.#unreported[0] !== undefined && this.#unreported[0].atMs <= shownMs) {
+      this.#unreported.shift();
+    }
+    this.recordFrame(nowMs);
+    return true;
+  }
+
+  /** Forgets the load, for a target that comes back after an absence and is probably cold. */
+  forgetLoad(): void {
+    if (this.report !== null) this.report = { ...this.report, limit: 1, state: 'serving' };
+    this.#reportAtMs = -Infinity;
+    this.#heldUntilMs = -Infinity;
+  }
+
+  recordFrame(nowMs: number): void {
+    this.#lastFrameMs = nowMs;
+    this.#unansweredMs = null;
+  }
+
+  recordSend(cost: RequestCost, nowMs: number): void {
+    this.ownInFlight += 1;
+    this.#unansweredMs ??= nowMs;
+    this.#unreported.push({ atMs: nowMs, tokens: cost.promptTokens + cost.maxTokens / 2 });
+  }
+
+  recordFinish(): void {
+    this.ownInFlight = Math.max(0, this.ownInFlight - 1);
+  }
+
+  getIncarnation(): Incarnation {
+    return this.report?.incarnation ?? (0 as Incarnation);
+  }
+
+  /** Whether the last report says that the target takes no new work. */
+  isHeld(nowMs: number): boolean {
+    return nowMs < this.#heldUntilMs;
+  }
+
+  /** Keeps new work away for a time, or until the next report. */
+  withdraw(nowMs: number, durationMs: number): void {
+    this.#heldUntilMs = Math.max(this.#heldUntilMs, nowMs + durationMs);
+  }
+
+  /** Ends the hold, after news from the instance list or the document. */
+  releaseHold(): void {
+    this.#heldUntilMs = -Infinity;
+  }
+
+  /** Whether work is in progress there but no frame has arrived for too long. */
+  isSuspect(nowMs: number): boolean {
+    if (this.ownInFlight === 0) return false;
+    const sinceMs = Math.max(this.#lastFrameMs, this.#unansweredMs ?? -Infinity);
+    return nowMs - sinceMs > this.#settings.suspectMs;
+  }
+
+  /** Returns the weight of the last report against the mean of the peers, 1 when new. */
+  getReportWeight(nowMs: number): number {
+    if (this.report === null) return 0;
+    return Math.exp((this.#reportAtMs - nowMs) / this.#settings.reportDecayMs);
+  }
+
+  /** Returns the granted concurrency; 1, the usual start of a ramp, where not known. */
+  getLimit(): number {
+    return Math.max(0, this.report?.limit ?? 1);
+  }
+
+  /** @returns requests in flight, from the report and the sends since, as a share of the limit */
+  estimateInFlight(nowMs: number, meanUse: number): number {
+    const weight = this.getReportWeight(nowMs);
+    const reported = this.report === null ? 0 : this.report.inFlight + this.report.queued;
+    const known = weight * reported + (1 - weight) * meanUse * this.getLimit();
+    return Math.max(this.ownInFlight, known + this.#unreported.length);
+  }
+
+  /** @returns tokens of work, from the report and the sends since */
+  estimateTokens(nowMs: number, meanTokens: number): number {
+    const weight = this.getReportWeight(nowMs);
+    let tokens = weight * this.getReportedTokens() + (1 - weight) * meanTokens;
+    for (const send of this.#unreported) tokens += send.tokens;
+    return tokens;
+  }
+
+  getReportedTokens(): number {
+    if (this.report === null) return 0;
+    const { tokensInFlight, queuedPromptTokens } = this.report;
+    return tokensInFlight + this.#settings.prefillWeight * queuedPromptTokens;
+  }
+
+  /** Returns the reported wait in the queue. It fades, so that a refused target is tried again. */
+  getQueueDelayMs(nowMs: number): number {
+    return (this.report?.queueDelayMs ?? 0) * this.getReportWeight(nowMs);
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/hashText.ts
@@ -0,0 +1,8 @@
+/** Returns a 32-bit hash of a text (FNV-1a). Equal in every process, so entries agree on it. */
+export function hashText(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
+  }
+  return hash >>> 0;
+}
