--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,6 +22,7 @@
 export { RouteRule } from './document/RouteRule.js';
 export { ServiceDocument } from './document/ServiceDocument.js';
 export { VersionedDocument } from './document/VersionedDocument.js';
+export { isRepeatable } from './document/isRepeatable.js';
 export { ErrorKind } from './errors/ErrorKind.js';
 export type { Failure } from './errors/Failure.js';
 export { RunState } from './errors/RunState.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -5,3 +5,6 @@
 export { readJson } from './http/readJson.js';
 export { sendJson } from './http/sendJson.js';
 export { PlainService } from './service/PlainService.js';
+export { MemoryStore } from './store/MemoryStore.js';
+export type { MemoryStoreCounts } from './store/MemoryStoreCounts.js';
+export type { MemoryStoreFaults } from './store/MemoryStoreFaults.js';
