--- /dev/null
+++ b/packages/agent/src/loop/Agent.ts
@@ -0,0 +1,450 @@
+import {
+  answerTable,
+  fail,
+  hashRequest,
+  isRepeatable,
+  type AdmissionItem,
+  type AdmissionOutcome,
+  type AnswerFrame,
+  type Attempt,
+  type ClaimOutcome,
+  type ClaimStart,
+  type Failure,
+  type Header,
+  type Result,
+} from '@limpetbay/core';
+import { createEventLoop, type EventLoop } from '@limpetbay/runtime';
+import type { DispatchHandler } from '@limpetbay/rpc';
+import { AnswerWriter } from '../attempt/AnswerWriter.js';
+import type { AttemptRun } from '../attempt/AttemptRun.js';
+import type { AgentEvent } from './AgentEvent.js';
+import type { AgentParts } from './AgentParts.js';
+import { EngineMonitor } from './EngineMonitor.js';
+
+const SERVER_ERROR = 500;
+
+/**
+ * The agent of one target: the only path to it and the authority for it. Attempts come in by
+ * `run`; each is refused, queued or handed to the target.
+ */
+export class Agent implements DispatchHandler {
+  readonly #parts: AgentParts;
+
+  readonly #loop: EventLoop<AgentEvent>;
+
+  readonly #monitor: EngineMonitor | null;
+
+  /** Attempts that were submitted and have not ended. */
+  readonly #runs = new Map<string, AttemptRun>();
+
+  readonly #unsubscribe: () => void;
+
+  #progressAtMs: number;
+
+  constructor(parts: AgentParts) {
+    this.#parts = parts;
+    this.#progressAtMs = parts.clock.getNow();
+    this.#loop = createEventLoop<AgentEvent>({
+      handle: (event) => this.#handle(event),
+      onError: (event, error) => {
+        parts.log.alert('event failed', { event: event.type, error: String(error) });
+      },
+      tick: { type: 'tick' },
+      tickMs: parts.timing.tickMs,
+    });
+    this.#unsubscribe = parts.config.subscribe(() => this.#loop.push({ type: 'config' }));
+    this.#monitor =
+      parts.engine === null
+        ? null
+        : new EngineMonitor(parts.engine, parts.clock, parts.timing, (event) => {
+            this.#loop.push(event);
+          });
+    this.#loop.push({ type: 'config' });
+    parts.metrics.register('limpetbay_agent_in_flight', () => this.#runs.size);
+    parts.metrics.register('limpetbay_agent_limit', () => parts.admission.getLoad().limit);
+  }
+
+  run(attempt: Attempt, send: (frame: AnswerFrame) => boolean, finish: () => void): () => void {
+    const run = this.#createRun(attempt, send, finish);
+    this.#loop.push({ type: 'attempt', run });
+    return () => this.#loop.push({ type: 'cancelled', run });
+  }
+
+  /** Takes no new work from now on. */
+  leave(): void {
+    this.#loop.push({ type: 'leave' });
+  }
+
+  /** Counts the attempts in progress. */
+  countRuns(): number {
+    return this.#runs.size;
+  }
+
+  /** Ends the loop; nothing may be in progress. */
+  stop(): void {
+    this.#monitor?.stop();
+    this.#unsubscribe();
+    this.#loop.stop();
+  }
+
+  #createRun(
+    attempt: Attempt,
+    send: (frame: AnswerFrame) => boolean,
+    finish: () => void,
+  ): AttemptRun {
+    const { admission, clock, config, service } = this.#parts;
+    const document = config.getDocument(service)?.document ?? null;
+    const deadlineAtMs = clock.getNow() + attempt.deadlineMs;
+    const repeatable =
+      attempt.repeatable &&
+      document !== null &&
+      isRepeatable(document, attempt.method, attempt.path);
+    const { requestId, workspace, priority, promptTokens, maxTokens, incarnation } = attempt;
+    const item: AdmissionItem = {
+      requestId,
+      attempt: attempt.attempt,
+      workspace,
+      priority,
+      deadlineMs: deadlineAtMs,
+      promptTokens,
+      maxTokens,
+      incarnation,
+      repeatable,
+      route: buildRoute(attempt),
+    };
+    return {
+      attempt,
+      item,
+      writer: new AnswerWriter(attempt, admission.getIncarnation(), send, finish),
+      repeatable,
+      deadlineAtMs,
+      phase: 'queued',
+      claim: null,
+      startedAtMs: 0,
+      cancelTarget: null,
+      status: 0,
+      headers: [],
+      parts: [],
+      tokens: 0,
+      firstTokenAtMs: 0,
+    };
+  }
+
+  #handle(event: AgentEvent): void {
+    switch (event.type) {
+      case 'attempt':
+        this.#submit(event.run);
+        break;
+      case 'cancelled':
+        this.#cancel(event.run);
+        break;
+      case 'claimed':
+        this.#acceptClaim(event.run, event.result);
+        break;
+      case 'head':
+        this.#acceptHead(event.run, event.status, event.headers);
+        break;
+      case 'data':
+        this.#acceptData(event.run, event.data, event.tokens);
+        break;
+      case 'completed':
+        this.#complete(event.run);
+        break;
+      case 'broken':
+        this.#break(event.run, event.message, event.neverSent);
+        break;
+      case 'engine':
+        this.#apply(this.#parts.admission.setEngine(event.status));
+        break;
+      case 'engine_silent':
+        this.#replaceEngine();
+        break;
+      case 'config':
+        this.#applyConfig();
+        break;
+      case 'leave':
+        this.#parts.log.report('leaving', { in_progress: this.#runs.size });
+        this.#apply(this.#parts.admission.setLeaving());
+        break;
+      default:
+        this.#tick();
+    }
+  }
+
+  #submit(run: AttemptRun): void {
+    const { admission, metrics } = this.#parts;
+    const key = buildKey(run);
+    const result = admission.submit(run.item);
+    metrics.increase(`limpetbay_agent_attempts{result="${result.type}"}`);
+    if (result.type === 'duplicate') {
+      this.#logDecision(run, 'duplicate', result.failure.message);
+      run.phase = 'ended';
+      run.writer.fail(result.failure, admission.getLoad());
+    } else if (result.type === 'refused') {
+      this.#refuse(run, result.failure);
+    } else {
+      this.#runs.set(key, run);
+      run.writer.accept(admission.getLoad());
+      if (result.type === 'start') this.#start(run);
+      else this.#logDecision(run, 'queued', 'all slots are in use');
+    }
+    this.#apply(result.outcome);
+  }
+
+  /** Acts on what became of queued attempts. */
+  #apply(outcome: AdmissionOutcome): void {
+    for (const { item, failure } of outcome.refused) {
+      const run = this.#runs.get(buildKey({ attempt: item }));
+      if (run !== undefined) this.#refuse(run, failure);
+    }
+    for (const item of outcome.started) {
+      const run = this.#runs.get(buildKey({ attempt: item }));
+      if (run !== undefined) this.#start(run);
+    }
+  }
+
+  #start(run: AttemptRun): void {
+    const { attempt } = run;
+    if (run.repeatable || attempt.idempotencyKey === '') {
+      this.#handOver(run);
+      return;
+    }
+    run.phase = 'claiming';
+    const claim = this.#parts.ledger.begin({
+      workspace: attempt.workspace,
+      key: attempt.idempotencyKey,
+      keyTimeMs: attempt.keyTimeMs,
+      bodyHash: hashRequest(attempt.method, attempt.path, attempt.body),
+      attemptId: buildKey(run),
+      deadlineAtMs: run.deadlineAtMs,
+    });
+    void claim.then((result) => this.#loop.push({ type: 'claimed', run, result }));
+  }
+
+  #acceptClaim(run: AttemptRun, result: Result<ClaimStart, Failure>): void {
+    const { admission, ledger, metrics } = this.#parts;
+    const isGone = run.phase === 'ended';
+    if (result.err) {
+      if (isGone) return;
+      metrics.increase(`limpetbay_agent_claims{result="${result.val.kind}"}`);
+      if (answerTable[result.val.kind].run === 'no') this.#refuse(run, result.val);
+      else this.#fail(run, result.val);
+      this.#apply(admission.cancel(run.item));
+      return;
+    }
+    if (result.val.type === 'replay') {
+      if (isGone) return;
+      metrics.increase('limpetbay_agent_claims{result="replay"}');
+      this.#replay(run, result.val.outcome);
+      return;
+    }
+    if (isGone) {
+      ledger.release(result.val.claim);
+      return;
+    }
+    run.claim = result.val.claim;
+    metrics.increase('limpetbay_agent_claims{result="run"}');
+    this.#handOver(run);
+  }
+
+  #replay(run: AttemptRun, outcome: ClaimOutcome): void {
+    this.#logDecision(run, 'replayed', 'the key has a stored outcome');
+    run.writer.startAnswer(outcome.status, outcome.headers, true);
+    if (outcome.body.length > 0) run.writer.append(outcome.body, 0);
+    this.#end(run);
+    run.writer.end(this.#parts.admission.getLoad());
+    this.#apply(this.#parts.admission.cancel(run.item));
+  }
+
+  /** Hands the attempt to the target; from here on it may have run. */
+  #handOver(run: AttemptRun): void {
+    const { admission, clock, ledger, target } = this.#parts;
+    const failure = this.#checkHandOver(run);
+    if (failure !== null) {
+      if (run.claim !== null) ledger.release(run.claim);
+      this.#refuse(run, failure);
+      this.#apply(admission.cancel(run.item));
+      return;
+    }
+    this.#logDecision(run, 'started', 'a slot is free');
+    run.phase = 'running';
+    run.startedAtMs = clock.getNow();
+    const { method, path, headers, body, resumeFrom } = run.attempt;
+    run.cancelTarget = target.run(
+      { method, path, headers, body, resumeFrom },
+      {
+        acceptHead: (status, list) => {
+          this.#loop.push({ type: 'head', run, status, headers: list });
+        },
+        acceptData: (data, tokens) => this.#loop.push({ type: 'data', run, data, tokens }),
+        acceptEnd: () => this.#loop.push({ type: 'completed', run }),
+        acceptFailure: (message, neverSent) => {
+          this.#loop.push({ type: 'broken', run, message, neverSent });
+        },
+      },
+    );
+  }
+
+  /** Checks the deadline once more: this process may have been paused since the slot was granted. */
+  #checkHandOver(run: AttemptRun): Failure | null {
+    if (this.#parts.clock.getNow() >= run.deadlineAtMs) {
+      return fail('deadline_exceeded', 'the deadline passed before the hand-over').val;
+    }
+    if (run.claim === null) return null;
+    const started = this.#parts.ledger.startRun(run.claim);
+    if (started.ok) return null;
+    run.claim = null;
+    return started.val;
+  }
+
+  #acceptHead(run: AttemptRun, status: number, headers: readonly Header[]): void {
+    if (run.phase !== 'running') return;
+    run.status = status;
+    run.headers = headers;
+    // Another rank may answer where this engine failed before its first token.
+    if (run.repeatable && status >= SERVER_ERROR) return;
+    run.writer.startAnswer(status, headers, false);
+  }
+
+  #acceptData(run: AttemptRun, data: Uint8Array, tokens: number): void {
+    if (run.phase !== 'running') return;
+    if (run.claim !== null) run.parts.push(data);
+    if (run.writer.hasHead()) run.writer.append(data, tokens);
+    if (tokens === 0) return;
+    if (run.tokens === 0) run.firstTokenAtMs = this.#parts.clock.getNow();
+    run.tokens += tokens;
+  }
+
+  #complete(run: AttemptRun): void {
+    if (run.phase !== 'running') return;
+    const isFailed = run.status >= SERVER_ERROR;
+    if (run.claim !== null) {
+      const { status, headers } = run;
+      this.#parts.ledger.complete(run.claim, { status, headers, body: Buffer.concat(run.parts) });
+    }
+    if (isFailed && !run.writer.hasHead()) {
+      this.#finish(run, true);
+      this.#fail(run, fail('target_error', `the target answered ${run.status}`).val);
+      return;
+    }
+    this.#finish(run, isFailed);
+    this.#end(run);
+    run.writer.end(this.#parts.admission.getLoad());
+  }
+
+  #break(run: AttemptRun, message: string, neverSent: boolean): void {
+    if (run.phase !== 'running') return;
+    this.#finish(run, true);
+    if (neverSent) {
+      if (run.claim !== null) this.#parts.ledger.release(run.claim);
+      this.#refuse(run, fail('not_ready', `the target takes no connections: ${message}`).val);
+      return;
+    }
+    if (run.claim !== null) this.#parts.ledger.complete(run.claim, null);
+    this.#fail(run, fail('target_error', `the target broke off: ${message}`).val);
+  }
+
+  /** Reports the measured times of a run to admission and acts on what it frees. */
+  #finish(run: AttemptRun, error: boolean): void {
+    const { admission, clock, metrics } = this.#parts;
+    const nowMs = clock.getNow();
+    const serviceTimeMs = nowMs - run.startedAtMs;
+    const gaps = run.tokens - 1;
+    const stepTimeMs = gaps > 0 ? (nowMs - run.firstTokenAtMs) / gaps : 0;
+    if (!error) metrics.record('limpetbay_agent_service_time_us', serviceTimeMs * 1000);
+    if (stepTimeMs > 0) metrics.record('limpetbay_agent_step_time_us', stepTimeMs * 1000);
+    run.phase = 'ended';
+    this.#apply(admission.finish(run.item, { serviceTimeMs, stepTimeMs, error }));
+  }
+
+  #cancel(run: AttemptRun): void {
+    if (run.phase === 'ended') return;
+    run.writer.detach();
+    // A request that may not be repeated completes, so that its outcome is kept and known.
+    if (run.phase === 'running' && !run.repeatable) return;
+    this.#logDecision(run, 'cancelled', 'the entry went away');
+    run.cancelTarget?.();
+    this.#end(run);
+    this.#apply(this.#parts.admission.cancel(run.item));
+  }
+
+  #refuse(run: AttemptRun, failure: Failure): void {
+    this.#logDecision(run, 'refused', `${failure.kind}: ${failure.message}`);
+    this.#end(run);
+    run.writer.refuse(failure, this.#parts.admission.getLoad());
+  }
+
+  #fail(run: AttemptRun, failure: Failure): void {
+    this.#logDecision(run, 'failed', `${failure.kind}: ${failure.message}`);
+    this.#end(run);
+    run.writer.fail(failure, this.#parts.admission.getLoad());
+  }
+
+  #end(run: AttemptRun): void {
+    run.phase = 'ended';
+    this.#runs.delete(buildKey(run));
+  }
+
+  #replaceEngine(): void {
+    const { admission, log, target } = this.#parts;
+    log.warn('engine is silent, connections replaced', { in_progress: this.#runs.size });
+    target.replaceConnections();
+    for (const run of [...this.#runs.values()]) {
+      if (run.phase !== 'running') continue;
+      run.cancelTarget?.();
+      this.#break(run, 'the engine is silent', false);
+    }
+    admission.restartIncarnation('engine silent');
+  }
+
+  #applyConfig(): void {
+    const { admission, config, log, service } = this.#parts;
+    const versioned = config.getDocument(service);
+    const before = admission.getLoad().state;
+    this.#apply(admission.setDocument(versioned));
+    const load = admission.getLoad();
+    if (load.state !== before) {
+      log.report('state changed', { from: before, to: load.state, revision: load.configRevision });
+    }
+  }
+
+  #tick(): void {
+    const { admission, clock, config, ledger, timing } = this.#parts;
+    ledger.tick();
+    this.#apply(admission.setConnectivity(config.getConnectivity()));
+    const nowMs = clock.getNow();
+    const isProgressDue = nowMs - this.#progressAtMs >= timing.progressMs;
+    if (isProgressDue) this.#progressAtMs = nowMs;
+    for (const run of [...this.#runs.values()]) {
+      if (run.phase === 'running' && nowMs >= run.deadlineAtMs) this.#expire(run);
+      else if (isProgressDue) run.writer.reportProgress();
+    }
+    this.#apply(admission.tick());
+  }
+
+  #expire(run: AttemptRun): void {
+    if (run.writer.isClosed()) return;
+    const failure = fail('timed_out', 'the deadline passed while the target was working').val;
+    if (!run.repeatable) {
+      run.writer.fail(failure, this.#parts.admission.getLoad());
+      return;
+    }
+    run.cancelTarget?.();
+    this.#fail(run, failure);
+    this.#apply(this.#parts.admission.cancel(run.item));
+  }
+
+  #logDecision(run: AttemptRun, decision: string, reason: string): void {
+    const { requestId, attempt, workspace } = run.attempt;
+    this.#parts.log.report(decision, { request: requestId, attempt, workspace, reason });
+  }
+}
+
+function buildKey({ attempt }: { attempt: Pick<Attempt, 'requestId' | 'attempt'> }): string {
+  return `${attempt.requestId}/${attempt.attempt}`;
+}
+
+/** Requests with the same method and first path segment have comparable service times. */
+function buildRoute({ method, path }: Attempt): string {
+  return `${method} /${path.split(/[/?]/)[1] ?? ''}`;
+}
--- a/tools/sync-index.js
+++ b/tools/sync-index.js
@@ -36,5 +36,6 @@
     .map((file) => describeExport(root, file))
     .filter(Boolean);
   if (name === 'core') lines.push("export type { Result } from 'ts-results';");
+  if (lines.length === 0) lines.push('export {};');
   writeFileSync(join(root, 'index.ts'), `${lines.join('\n')}\n`);
 }
