--- /dev/null
+++ b/packages/core/src/answer/AnswerEvent.ts
@@ -0,0 +1,25 @@
+import type { LoadReport } from '../admission/LoadReport.js';
+import type { Failure } from '../errors/Failure.js';
+import type { Header } from './Header.js';
+
+/**
+ * What an entry learns about an attempt. `complete` and `failed` are last. A failure with
+ * `refused` is the agent's declaration that this attempt was not handed over.
+ */
+export type AnswerEvent =
+  | { readonly type: 'accepted'; readonly load: LoadReport }
+  | {
+      readonly type: 'head';
+      readonly status: number;
+      readonly headers: readonly Header[];
+      readonly replayed: boolean;
+    }
+  | { readonly type: 'bytes'; readonly data: Uint8Array; readonly tokens: number }
+  | { readonly type: 'progress' }
+  | { readonly type: 'complete'; readonly load: LoadReport }
+  | {
+      readonly type: 'failed';
+      readonly end: 'refused' | 'failed' | 'broken' | 'silent';
+      readonly failure: Failure;
+      readonly load: LoadReport | null;
+    };
--- /dev/null
+++ b/packages/core/src/claims/ClaimLedger.ts
@@ -0,0 +1,617 @@
+import type { Result } from 'ts-results';
+import type { Clock } from '../clock/Clock.js';
+import type { Failure } from '../errors/Failure.js';
+import { fail } from '../errors/fail.js';
+import { Err, Ok } from '../errors/results.js';
+import type { Incarnation } from '../ids/Incarnation.js';
+import type { Revision } from '../ids/Revision.js';
+import type { ServiceName } from '../ids/ServiceName.js';
+import type { RandomSource } from '../random/RandomSource.js';
+import type { Store } from '../store/Store.js';
+import type { StoreRecord } from '../store/StoreRecord.js';
+import { BatchWriter } from './BatchWriter.js';
+import { buildClaimKey } from './buildClaimKey.js';
+import type { Claim } from './Claim.js';
+import type { ClaimCounts } from './ClaimCounts.js';
+import type { ClaimEnd } from './ClaimEnd.js';
+import { ClaimEntry } from './ClaimEntry.js';
+import type { ClaimOptions } from './ClaimOptions.js';
+import type { ClaimOutcome } from './ClaimOutcome.js';
+import type { ClaimOwner } from './ClaimOwner.js';
+import { ClaimRecord } from './ClaimRecord.js';
+import type { ClaimRequest } from './ClaimRequest.js';
+import type { ClaimStart } from './ClaimStart.js';
+import type { ClaimWaiter } from './ClaimWaiter.js';
+import { LeaseBuckets } from './LeaseBuckets.js';
+import { OutcomeMemory } from './OutcomeMemory.js';
+import type { OwnerView } from './OwnerView.js';
+import { WriteBudget } from './WriteBudget.js';
+import { defaultClaimOptions } from './defaultClaimOptions.js';
+
+interface ClaimLedgerParts {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly service: ServiceName;
+  /** This life of this agent. */
+  readonly owner: ClaimOwner;
+  readonly owners: OwnerView;
+  /** This agent's share of the service's store writes, writes per second. */
+  readonly writesPerSecond: number;
+  readonly options?: Partial<ClaimOptions>;
+}
+
+function describeOutage(): Failure {
+  const message = 'the key could not be claimed at the store, so this request was not run';
+  return { kind: 'store_unavailable', message, retryAfterMs: 1000 };
+}
+
+function describeTimeout(inProgress: boolean): Failure {
+  return inProgress
+    ? { kind: 'key_in_progress', message: 'an earlier request with this key is still running' }
+    : { kind: 'deadline_exceeded', message: 'the deadline passed before the key was claimed' };
+}
+
+function describeReuse(): Failure {
+  return { kind: 'key_reused', message: 'the key was used with another request' };
+}
+
+function describeUnreadable(): Failure {
+  return { kind: 'outcome_unknown', message: 'the record of this key cannot be read' };
+}
+
+function getEndBytes(end: ClaimEnd): number {
+  return end.type === 'stored' ? end.outcome.body.byteLength : 0;
+}
+
+function parseRecord(value: string): ClaimRecord | null {
+  try {
+    return ClaimRecord.parse(JSON.parse(value));
+  } catch {
+    return null;
+  }
+}
+
+function readEnd(record: ClaimRecord): ClaimEnd {
+  if (record.state === 'stored') {
+    const { status, headers } = record;
+    const body = new Uint8Array(Buffer.from(record.body, 'base64'));
+    return { type: 'stored', outcome: { status, headers, body } };
+  }
+  if (record.state === 'omitted') {
+    return { type: 'omitted', status: record.status, bodyBytes: record.bodyBytes };
+  }
+  return { type: 'unknown' };
+}
+
+/**
+ * The claims of an agent on callers' keys. A keyed request is handed to the target only after its
+ * claim is confirmed at the store, so no other agent runs it. `tick()` must be called every few
+ * milliseconds; nothing else makes time pass.
+ */
+export class ClaimLedger {
+  readonly #store: Store;
+
+  readonly #clock: Clock;
+
+  readonly #service: ServiceName;
+
+  readonly #owners: OwnerView;
+
+  readonly #options: ClaimOptions;
+
+  readonly #budget: WriteBudget;
+
+  readonly #writer: BatchWriter;
+
+  readonly #leases: LeaseBuckets;
+
+  readonly #memory: OutcomeMemory;
+
+  readonly #entries = new Map<string, ClaimEntry>();
+
+  readonly #counts = { claimed: 0, replayed: 0, refused: 0, lostOutcomes: 0 };
+
+  #owner: ClaimOwner;
+
+  #operations = 0;
+
+  /** Bytes of outcomes that are not yet at the store. */
+  #endingBytes = 0;
+
+  #poll: { readonly sentMs: number } | null = null;
+
+  constructor(parts: ClaimLedgerParts) {
+    const { store, clock, random, service } = parts;
+    this.#store = store;
+    this.#clock = clock;
+    this.#service = service;
+    this.#owner = parts.owner;
+    this.#owners = parts.owners;
+    this.#options = { ...defaultClaimOptions, ...parts.options };
+    this.#budget = new WriteBudget(clock, parts.writesPerSecond);
+    this.#writer = new BatchWriter(store, clock, random, this.#budget, this.#options);
+    this.#leases = new LeaseBuckets(
+      store,
+      clock,
+      random,
+      this.#budget,
+      this.#options,
+      service,
+      (fetched) => this.#acceptLease(fetched),
+    );
+    this.#memory = new OutcomeMemory(clock, this.#options.memoryBytes);
+  }
+
+  /** Sets this agent's share of the service's store writes, writes per second. */
+  setWriteShare(writesPerSecond: number): void {
+    this.#budget.setRate(writesPerSecond);
+  }
+
+  /** Sets the incarnation for claims from now on, after the target was restarted. */
+  setIncarnation(incarnation: Incarnation): void {
+    this.#owner = { ...this.#owner, incarnation };
+  }
+
+  getCounts(): ClaimCounts {
+    return { ...this.#counts, open: this.#entries.size };
+  }
+
+  /**
+   * Claims the key of a request, or finds out how an earlier request with that key ended. Resolves
+   * at the latest at the first `tick()` after the deadline.
+   *
+   * @returns `run`: call `startRun` and then hand the request over; or `replay`
+   *   Errors: `key_reused`, `key_expired`, `bad_request` (key time in the future),
+   *   `key_in_progress`, `outcome_unknown` (an earlier request with this key may have run, or ran
+   *   with an answer too large to keep), `store_unavailable`, `overloaded`, `deadline_exceeded`.
+   *   All but `key_in_progress` and `outcome_unknown` say that this request was not run.
+   */
+  begin(request: ClaimRequest): Promise<Result<ClaimStart, Failure>> {
+    const refusal = this.#checkRequest(request);
+    if (refusal !== null) {
+      this.#counts.refused += 1;
+      return Promise.resolve(refusal);
+    }
+    const storeKey = buildClaimKey(this.#service, request.workspace, request.key);
+    return new Promise((resolve) => {
+      let entry = this.#entries.get(storeKey);
+      const known = entry === undefined ? this.#memory.find(storeKey) : null;
+      if (known !== null) {
+        resolve(this.#answerEnd(known.end, known.bodyHash, request));
+        return;
+      }
+      const now = this.#clock.getNow();
+      const waiter = {
+        request,
+        deadlineWallMs: this.#getWallMs() + request.deadlineAtMs - now,
+        storeWaitEndMs: now + this.#options.storeWaitMs,
+        resolve,
+      };
+      if (entry !== undefined) {
+        entry.update({ waiters: [...entry.waiters, waiter] });
+        this.#answerWaiters(entry);
+      } else if (this.#isFull()) {
+        this.#refuse(waiter, {
+          kind: 'overloaded',
+          message: 'too many keyed requests in progress',
+        });
+      } else {
+        entry = this.#createEntry(storeKey, waiter);
+        this.#create(entry, 0);
+        this.#writer.tick();
+      }
+    });
+  }
+
+  /**
+   * Must be called right before the request is handed over, with no event in between. Checks the
+   * deadline again, because the process may have been paused since `begin`.
+   *
+   * @returns an error `deadline_exceeded` if the request must not be handed over any more
+   */
+  startRun(claim: Claim): Result<void, Failure> {
+    const entry = this.#findHeld(claim);
+    if (entry === null) return fail('deadline_exceeded', 'the claim was withdrawn at its deadline');
+    if (this.#isLate(entry.holder)) {
+      this.#release(entry);
+      return fail('deadline_exceeded', 'the deadline passed before the request was handed over');
+    }
+    entry.update({ state: 'running' });
+    return Ok(undefined);
+  }
+
+  /**
+   * Records the end of a claimed request. Duplicates here get it at once, others with the next batch.
+   *
+   * @param outcome the complete answer; null where it is not known whether or how the request ran
+   */
+  // eslint-disable-next-line local/verb-first -- the method is part of the agreed interface
+  complete(claim: Claim, outcome: ClaimOutcome | null): void {
+    const entry = this.#entries.get(claim.storeKey);
+    if (entry?.claim !== claim || (entry.state !== 'running' && entry.state !== 'held')) return;
+    const end = this.#buildEnd(outcome);
+    entry.update({ state: 'ending', end });
+    this.#endingBytes += getEndBytes(end);
+    this.#writer.add({
+      key: entry.storeKey,
+      expected: entry.revision,
+      value: this.#formatRecord(entry, end),
+      lease: entry.lease,
+      persistent: true,
+      settle: (result) => {
+        const isStored =
+          result.type === 'written' ||
+          (result.type === 'conflict' && this.#isOwnEnd(entry, result.record));
+        if (!isStored) this.#counts.lostOutcomes += 1;
+        this.#finish(entry);
+      },
+    });
+    this.#answerWaiters(entry);
+    this.#writer.tick();
+  }
+
+  /**
+   * Withdraws a claim whose request was surely not handed over. Refused after `startRun`, because
+   * the key would be free although the request may run.
+   *
+   * @returns an error `outcome_unknown` if the claim stays
+   */
+  release(claim: Claim): Result<void, Failure> {
+    const entry = this.#findHeld(claim);
+    if (entry === null) return fail('outcome_unknown', 'the request may have been handed over');
+    this.#release(entry);
+    return Ok(undefined);
+  }
+
+  /** Sends batches, looks at claims of others, and ends waits whose time is over. */
+  tick(): void {
+    this.#leases.tick();
+    this.#writer.tick();
+    const now = this.#clock.getNow();
+    for (const entry of [...this.#entries.values()]) {
+      if (entry.state === 'held' && this.#isLate(entry.holder)) this.#release(entry);
+      if (entry.waiters.length > 0) this.#expireWaiters(entry, now);
+    }
+    this.#pollOthers(now);
+  }
+
+  #checkRequest({ keyTimeMs, deadlineAtMs }: ClaimRequest) {
+    const { retentionMs, skewMs } = this.#options;
+    const ageMs = this.#getWallMs() - keyTimeMs;
+    if (keyTimeMs > 0 && ageMs > retentionMs) {
+      return fail('key_expired', 'the key is older than the time for which keys are remembered');
+    }
+    if (keyTimeMs > 0 && ageMs < -skewMs) {
+      return fail('bad_request', 'the issue time of the key is in the future');
+    }
+    if (this.#clock.getNow() >= deadlineAtMs) {
+      return fail('deadline_exceeded', 'the deadline passed before the key was claimed');
+    }
+    return null;
+  }
+
+  #getWallMs(): number {
+    return this.#clock.getWallTime().getTime();
+  }
+
+  #isLate({ request, deadlineWallMs }: ClaimWaiter): boolean {
+    return this.#clock.getNow() >= request.deadlineAtMs || this.#getWallMs() >= deadlineWallMs;
+  }
+
+  #isFull(): boolean {
+    const { maxKeys, memoryBytes } = this.#options;
+    return this.#entries.size >= maxKeys || this.#endingBytes >= memoryBytes;
+  }
+
+  #createEntry(storeKey: string, holder: ClaimWaiter): ClaimEntry {
+    const entry = new ClaimEntry(storeKey, holder);
+    this.#entries.set(storeKey, entry);
+    return entry;
+  }
+
+  /** Starts to write a claim for the first waiter. */
+  #create(entry: ClaimEntry, revision: Revision | 0): void {
+    const [first] = entry.waiters;
+    if (first === undefined) {
+      this.#entries.delete(entry.storeKey);
+      return;
+    }
+    entry.update({ holder: first, other: null, revision, claim: null });
+    const lease = this.#leases.find();
+    if (lease === null) {
+      entry.update({ state: 'leasing' });
+      this.#leases.fetch();
+      return;
+    }
+    this.#operations += 1;
+    const operationId = `${this.#owner.instance}/${this.#owner.incarnation}/${this.#operations}`;
+    const claimedWallMs = this.#getWallMs();
+    entry.update({ state: 'creating', lease, claimedWallMs, operationId });
+    const order = this.#writer.add({
+      key: entry.storeKey,
+      expected: revision,
+      value: this.#formatRecord(entry, 'claimed'),
+      lease,
+      persistent: false,
+      settle: (result) => {
+        if (result.type === 'written') this.#hold(entry, result.revision);
+        else if (result.type === 'conflict') this.#acceptRecord(entry, result.record);
+        else this.#refuseAll(entry, result.type === 'rejected');
+      },
+    });
+    entry.update({ order });
+  }
+
+  #acceptLease(fetched: boolean): void {
+    for (const entry of [...this.#entries.values()]) {
+      if (entry.state !== 'leasing') continue;
+      if (fetched) this.#create(entry, entry.revision);
+      else this.#refuseAll(entry, false);
+    }
+    this.#writer.tick();
+  }
+
+  #refuseAll(entry: ClaimEntry, isLeaseLost: boolean): void {
+    if (isLeaseLost) this.#leases.forget(entry.lease);
+    this.#entries.delete(entry.storeKey);
+    for (const waiter of entry.waiters) this.#refuse(waiter, describeOutage());
+  }
+
+  /** The claim is confirmed at the store: gives it to the first waiter that is still in time. */
+  #hold(entry: ClaimEntry, revision: Revision): void {
+    const { bodyHash } = entry.holder.request;
+    const waiters = entry.waiters.filter((waiter) => {
+      if (!this.#isLate(waiter)) return true;
+      this.#refuse(waiter, describeTimeout(false));
+      return false;
+    });
+    const holder = waiters.find(({ request }) => request.bodyHash === bodyHash);
+    entry.update({
+      revision,
+      state: 'held',
+      waiters: waiters.filter((waiter) => waiter !== holder),
+    });
+    if (holder === undefined) {
+      this.#release(entry);
+      return;
+    }
+    const { storeKey, operationId } = entry;
+    const claim = { storeKey, operationId, deadlineAtMs: holder.request.deadlineAtMs };
+    entry.update({ holder, claim });
+    this.#counts.claimed += 1;
+    holder.resolve(Ok({ type: 'run', claim }));
+    this.#answerWaiters(entry);
+  }
+
+  /**
+   * Writes a marker instead of deleting the key: a lost call with the claim may still reach the
+   * store, and it must not find the key absent, or the key would stay claimed without a run.
+   */
+  #release(entry: ClaimEntry): void {
+    entry.update({ state: 'releasing', claim: null });
+    this.#writer.add({
+      key: entry.storeKey,
+      expected: entry.revision,
+      value: this.#formatRecord(entry, 'released'),
+      lease: entry.lease,
+      persistent: true,
+      settle: (result) => {
+        if (result.type === 'written') this.#create(entry, result.revision);
+        else if (result.type === 'conflict') this.#acceptRecord(entry, result.record);
+        else this.#create(entry, 0);
+      },
+    });
+    this.#writer.tick();
+  }
+
+  /** Acts on what the store holds for a key. */
+  #acceptRecord(entry: ClaimEntry, stored: StoreRecord | null): void {
+    if (stored === null) {
+      this.#create(entry, 0);
+      return;
+    }
+    const record = parseRecord(stored.value);
+    if (record === null) {
+      for (const waiter of entry.waiters) this.#refuse(waiter, describeUnreadable());
+      this.#entries.delete(entry.storeKey);
+      return;
+    }
+    if (record.state === 'released') {
+      this.#create(entry, stored.revision);
+      return;
+    }
+    if (record.state !== 'claimed') {
+      entry.update({ claimedWallMs: record.claimedWallMs });
+      this.#settle(entry, readEnd(record), record.bodyHash, true);
+      return;
+    }
+    if (entry.state === 'creating' && record.operationId === entry.operationId) {
+      this.#hold(entry, stored.revision);
+      return;
+    }
+    entry.update({ other: record });
+    if (this.#hasEnded(record)) {
+      this.#settle(entry, { type: 'unknown' }, record.bodyHash, false);
+      return;
+    }
+    this.#watch(entry, stored.revision);
+    this.#answerWaiters(entry);
+  }
+
+  #watch(entry: ClaimEntry, revision: Revision | 0): void {
+    const [leastMs, mostMs] = this.#options.pollMs;
+    const pollMs = entry.state === 'watching' ? Math.min(mostMs, entry.pollMs * 2) : leastMs;
+    const nextPollMs = this.#clock.getNow() + pollMs;
+    entry.update({ state: 'watching', revision, pollMs, nextPollMs });
+  }
+
+  /** Looks at claims of other agents that requests wait for: all of them in one call. */
+  #pollOthers(now: number): void {
+    if (this.#poll !== null && now - this.#poll.sentMs < this.#options.callTimeoutMs) return;
+    const due: ClaimEntry[] = [];
+    for (const entry of this.#entries.values()) {
+      if (entry.state !== 'watching' || entry.nextPollMs > now) continue;
+      due.push(entry);
+      if (due.length === this.#options.maxBatch) break;
+    }
+    if (due.length === 0) return;
+    const poll = { sentMs: now };
+    this.#poll = poll;
+    const conditions = due.map(({ storeKey, revision }) => ({ key: storeKey, revision }));
+    void this.#store.commit({ conditions, writes: [] }).then((answer) => {
+      if (this.#poll !== poll) return;
+      this.#poll = null;
+      const current = answer.ok ? answer.val.current : [];
+      const records = new Map(current.map((record) => [record.key, record]));
+      for (const entry of due) {
+        if (entry.state !== 'watching') continue;
+        if (answer.err) this.#watch(entry, entry.revision);
+        else if (answer.val.committed) this.#acceptUnchanged(entry);
+        else this.#acceptRecord(entry, records.get(entry.storeKey) ?? null);
+      }
+      this.#writer.tick();
+    });
+  }
+
+  #acceptUnchanged(entry: ClaimEntry): void {
+    const { other } = entry;
+    if (other !== null && this.#hasEnded(other)) {
+      this.#settle(entry, { type: 'unknown' }, other.bodyHash, false);
+    } else {
+      this.#watch(entry, entry.revision);
+    }
+  }
+
+  /**
+   * Whether the owner of a claim is gone. A later life of the same agent knows nothing of the claim;
+   * an owner that vanished without a trace is found by the deadline in the record.
+   */
+  #hasEnded(record: ClaimRecord): boolean {
+    const { instance, incarnation } = record.owner;
+    if (instance === this.#owner.instance && incarnation < this.#owner.incarnation) return true;
+    if (this.#owners.hasEnded(record.owner)) return true;
+    if (record.state !== 'claimed') return false;
+    return this.#getWallMs() > record.deadlineWallMs + this.#options.ownerGraceMs;
+  }
+
+  #expireWaiters(entry: ClaimEntry, now: number): void {
+    const { state } = entry;
+    const inProgress = state === 'held' || state === 'running' || state === 'watching';
+    const waiters = entry.waiters.filter((waiter) => {
+      if (this.#isLate(waiter)) this.#refuse(waiter, describeTimeout(inProgress));
+      else if (!inProgress && now >= waiter.storeWaitEndMs) {
+        this.#refuse(waiter, describeOutage());
+      } else return true;
+      return false;
+    });
+    entry.update({ waiters });
+    if (waiters.length > 0) return;
+    if (state === 'leasing' || state === 'watching') this.#entries.delete(entry.storeKey);
+    if (state !== 'creating' || entry.order === null) return;
+    if (this.#writer.withdraw(entry.order)) this.#entries.delete(entry.storeKey);
+  }
+
+  /** Answers the requests that need not wait any longer in the entry's present state. */
+  #answerWaiters(entry: ClaimEntry): void {
+    const { state, end } = entry;
+    if (state === 'leasing' || state === 'creating' || state === 'releasing') return;
+    const { bodyHash } = state === 'watching' && entry.other ? entry.other : entry.holder.request;
+    const waiters = entry.waiters.filter((waiter) => {
+      if (end !== null) waiter.resolve(this.#answerEnd(end, bodyHash, waiter.request));
+      else if (waiter.request.bodyHash !== bodyHash) this.#refuse(waiter, describeReuse());
+      else return true;
+      return false;
+    });
+    entry.update({ waiters });
+    if (state === 'watching' && waiters.length === 0) this.#entries.delete(entry.storeKey);
+  }
+
+  /** Answers all requests that wait for a key that ended elsewhere. */
+  #settle(entry: ClaimEntry, end: ClaimEnd, bodyHash: string, remember: boolean): void {
+    this.#entries.delete(entry.storeKey);
+    if (remember) this.#remember(entry, bodyHash, end);
+    for (const waiter of entry.waiters) {
+      waiter.resolve(this.#answerEnd(end, bodyHash, waiter.request));
+    }
+  }
+
+  /** The end of an own claim is at the store, or cannot be stored. */
+  #finish(entry: ClaimEntry): void {
+    const { end } = entry;
+    this.#entries.delete(entry.storeKey);
+    if (end === null) return;
+    this.#endingBytes -= getEndBytes(end);
+    this.#remember(entry, entry.holder.request.bodyHash, end);
+  }
+
+  #remember(entry: ClaimEntry, bodyHash: string, end: ClaimEnd): void {
+    const { retentionMs } = this.#options;
+    const leftMs = entry.claimedWallMs + retentionMs - this.#getWallMs();
+    this.#memory.remember(entry.storeKey, bodyHash, end, this.#clock.getNow() + leftMs);
+  }
+
+  #answerEnd(end: ClaimEnd, bodyHash: string, request: ClaimRequest): Result<ClaimStart, Failure> {
+    if (request.bodyHash !== bodyHash) {
+      this.#counts.refused += 1;
+      return Err(describeReuse());
+    }
+    if (end.type === 'stored') {
+      this.#counts.replayed += 1;
+      return Ok({ type: 'replay', outcome: end.outcome });
+    }
+    this.#counts.refused += 1;
+    if (end.type === 'unknown') {
+      return fail('outcome_unknown', 'an earlier request with this key may have been run');
+    }
+    return fail(
+      'outcome_unknown',
+      `an earlier request with this key was run and answered with status ${end.status}; ` +
+        `its answer of ${end.bodyBytes} bytes is too large to be kept`,
+    );
+  }
+
+  #refuse(waiter: ClaimWaiter, failure: Failure): void {
+    this.#counts.refused += 1;
+    waiter.resolve(Err(failure));
+  }
+
+  #findHeld(claim: Claim): ClaimEntry | null {
+    const entry = this.#entries.get(claim.storeKey);
+    return entry?.claim === claim && entry.state === 'held' ? entry : null;
+  }
+
+  #buildEnd(outcome: ClaimOutcome | null): ClaimEnd {
+    if (outcome === null) return { type: 'unknown' };
+    const bodyBytes = outcome.body.byteLength;
+    if (bodyBytes <= this.#options.bodyBytes) return { type: 'stored', outcome };
+    return { type: 'omitted', status: outcome.status, bodyBytes };
+  }
+
+  #formatRecord(entry: ClaimEntry, content: 'claimed' | 'released' | ClaimEnd): string {
+    const { operationId, claimedWallMs, holder } = entry;
+    const { bodyHash, attemptId } = holder.request;
+    const common = { operationId, bodyHash, attemptId, owner: this.#owner, claimedWallMs };
+    let record: ClaimRecord;
+    if (content === 'claimed') {
+      record = { state: 'claimed', ...common, deadlineWallMs: holder.deadlineWallMs };
+    } else if (content === 'released') {
+      record = { state: 'released', ...common };
+    } else if (content.type === 'stored') {
+      const { status, headers, body } = content.outcome;
+      const text = Buffer.from(body).toString('base64');
+      record = { state: 'stored', ...common, status, headers: [...headers], body: text };
+    } else if (content.type === 'omitted') {
+      const { status, bodyBytes } = content;
+      record = { state: 'omitted', ...common, status, bodyBytes };
+    } else {
+      record = { state: 'unknown', ...common };
+    }
+    return JSON.stringify(record);
+  }
+
+  #isOwnEnd(entry: ClaimEntry, stored: StoreRecord | null): boolean {
+    const record = stored === null ? null : parseRecord(stored.value);
+    return record?.operationId === entry.operationId && record.state !== 'claimed';
+  }
+}
--- /dev/null
+++ b/packages/core/src/claims/ClaimWaiter.ts
@@ -0,0 +1,14 @@
+import type { Result } from 'ts-results';
+import type { Failure } from '../errors/Failure.js';
+import type { ClaimRequest } from './ClaimRequest.js';
+import type { ClaimStart } from './ClaimStart.js';
+
+/** A request that waits for what `begin` finds out. */
+export interface ClaimWaiter {
+  readonly request: ClaimRequest;
+  /** The deadline as Unix milliseconds; the monotonic clock may stop while a machine is suspended. */
+  readonly deadlineWallMs: number;
+  /** After this time the wait for the store's confirmation is over. */
+  readonly storeWaitEndMs: number;
+  readonly resolve: (result: Result<ClaimStart, Failure>) => void;
+}
--- /dev/null
+++ b/packages/core/test/claims.test.ts
@@ -0,0 +1,249 @@
+import { describe, expect, it } from 'vitest';
+import {
+  ClaimLedger,
+  ManualClock,
+  SeededRandom,
+  hashRequest,
+  type ClaimOptions,
+  type ClaimOutcome,
+  type ClaimOwner,
+  type ClaimRequest,
+  type ClaimStart,
+  type Failure,
+  type Incarnation,
+  type InstanceId,
+  type Result,
+  type ServiceName,
+  type Store,
+  type Workspace,
+} from '@limpetbay/core';
+import { MemoryStore } from '@limpetbay/standins';
+
+const workspace = 'estate' as Workspace;
+const outcome: ClaimOutcome = { status: 201, headers: [], body: Buffer.from('gang 7 booked') };
+
+class Bed {
+  readonly clock = new ManualClock();
+
+  readonly store = new MemoryStore(this.clock, new SeededRandom(1));
+
+  readonly ended = new Set<string>();
+
+  readonly ledgers: ClaimLedger[] = [];
+
+  addLedger(instance: string, options: Partial<ClaimOptions> = {}, incarnation = 1): ClaimLedger {
+    return this.addLedgerAt(this.store, instance, options, incarnation);
+  }
+
+  addLedgerAt(store: Store, instance: string, options: Partial<ClaimOptions>, incarnation = 1) {
+    const ledger = new ClaimLedger({
+      store,
+      clock: this.clock,
+      random: new SeededRandom(7),
+      service: 'bookings' as ServiceName,
+      owner: { instance: instance as InstanceId, incarnation: incarnation as Incarnation },
+      owners: { hasEnded: (owner: ClaimOwner) => this.ended.has(owner.instance) },
+      writesPerSecond: 1000,
+      options,
+    });
+    this.ledgers.push(ledger);
+    return ledger;
+  }
+
+  async run(ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += 10) {
+      this.clock.advance(10);
+      this.store.tick();
+      for (const ledger of this.ledgers) ledger.tick();
+      await new Promise(setImmediate);
+    }
+  }
+
+  build(key: string, change: Partial<ClaimRequest> = {}): ClaimRequest {
+    const bodyHash = hashRequest('POST', '/bookings', Buffer.from('{}'));
+    const deadlineAtMs = this.clock.getNow() + 10_000;
+    return { workspace, key, keyTimeMs: 0, bodyHash, attemptId: 'r1#1', deadlineAtMs, ...change };
+  }
+
+  async begin(ledger: ClaimLedger, request: ClaimRequest) {
+    let result: Result<ClaimStart, Failure> | null = null;
+    void ledger.begin(request).then((settled) => {
+      result = settled;
+    });
+    for (let i = 0; i < 2000 && result === null; i += 1) await this.run(10);
+    return result as unknown as Result<ClaimStart, Failure>;
+  }
+
+  async start(ledger: ClaimLedger, key: string) {
+    const begun = (await this.begin(ledger, this.build(key))).unwrap();
+    if (begun.type !== 'run') throw new Error('the key was not claimed');
+    return begun.claim;
+  }
+}
+
+function readKind(result: Result<unknown, Failure>): string {
+  return result.ok ? 'ok' : result.val.kind;
+}
+
+describe('ClaimLedger', () => {
+  // Guards against a second run of a booking that the caller repeats at another target.
+  it('replays a stored outcome at another agent', async () => {
+    const bed = new Bed();
+    const [first, second] = [bed.addLedger('a'), bed.addLedger('b')];
+    const claim = await bed.start(first, 'k');
+    expect(first.startRun(claim).ok).toBe(true);
+    first.complete(claim, outcome);
+    await bed.run(50);
+    const again = (await bed.begin(second, bed.build('k'))).unwrap();
+    expect(again.type === 'replay' && Buffer.from(again.outcome.body).toString()).toBe(
+      'gang 7 booked',
+    );
+  });
+
+  // Guards against one caller's key replaying the answer to a different request.
+  it('refuses a key with another body', async () => {
+    const bed = new Bed();
+    const [first, second] = [bed.addLedger('a'), bed.addLedger('b')];
+    await bed.start(first, 'k');
+    const other = { bodyHash: 'other' };
+    expect(readKind(await bed.begin(first, bed.build('k', other)))).toBe('key_reused');
+    expect(readKind(await bed.begin(second, bed.build('k', other)))).toBe('key_reused');
+  });
+
+  // Guards against a duplicate that runs, or waits for ever, while the first request still runs.
+  it('lets a duplicate wait for the outcome, and within its deadline only', async () => {
+    const bed = new Bed();
+    const [first, second] = [bed.addLedger('a'), bed.addLedger('b')];
+    const claim = await bed.start(first, 'k');
+    first.startRun(claim);
+    const short = { deadlineAtMs: bed.clock.getNow() + 300 };
+    expect(readKind(await bed.begin(second, bed.build('k', short)))).toBe('key_in_progress');
+    const waiting = bed.begin(second, bed.build('k'));
+    first.complete(claim, outcome);
+    expect((await waiting).unwrap().type).toBe('replay');
+  });
+
+  // Guards against a second run after the agent that may have run the request was lost.
+  it('answers outcome_unknown for ever when the owner is gone', async () => {
+    const bed = new Bed();
+    const [first, second] = [bed.addLedger('a'), bed.addLedger('b')];
+    first.startRun(await bed.start(first, 'k'));
+    bed.ledgers.shift();
+    bed.ended.add('a');
+    for (let i = 0; i < 3; i += 1) {
+      expect(readKind(await bed.begin(second, bed.build('k')))).toBe('outcome_unknown');
+      await bed.run(1000);
+    }
+    const reborn = bed.addLedger('a', {}, 2);
+    expect(readKind(await bed.begin(reborn, bed.build('k')))).toBe('outcome_unknown');
+  });
+
+  // Guards against a key that is blocked, or run twice, because the store's answer was lost.
+  it('settles a claim whose answer was lost by its operation id', async () => {
+    const bed = new Bed();
+    const first = bed.addLedger('a');
+    await bed.start(first, 'warm-up');
+    bed.store.dropAnswers(1);
+    const claim = await bed.start(first, 'k');
+    expect(first.startRun(claim).ok).toBe(true);
+    bed.store.dropAnswers(1);
+    first.complete(claim, outcome);
+    await bed.run(500);
+    expect(first.getCounts()).toMatchObject({ open: 1, lostOutcomes: 0 });
+  });
+
+  // Guards against one contested key failing the other claims of its batch.
+  it('claims the other keys of a batch with a conflict', async () => {
+    const bed = new Bed();
+    const [first, second] = [bed.addLedger('a'), bed.addLedger('b')];
+    first.startRun(await bed.start(first, 'k0'));
+    bed.store.setFaults({ latencyMs: [20, 20] });
+    const before = bed.store.getCounts().writes;
+    const short = { deadlineAtMs: bed.clock.getNow() + 500 };
+    const results = await Promise.all(
+      [0, 1, 2, 3].map((index) => bed.begin(second, bed.build(`k${index}`, short))),
+    );
+    expect(results.map(readKind)).toEqual(['key_in_progress', 'ok', 'ok', 'ok']);
+    expect(bed.store.getCounts().writes - before).toBeLessThanOrEqual(8);
+  });
+
+  // Guards against a late run by an agent that was paused between its claim and the hand-over.
+  it('withdraws a claim whose deadline passed before the hand-over', async () => {
+    const bed = new Bed();
+    const [first, second] = [bed.addLedger('a'), bed.addLedger('b')];
+    const claim = await bed.start(first, 'k');
+    bed.clock.advance(60_000);
+    expect(readKind(first.startRun(claim))).toBe('deadline_exceeded');
+    await bed.run(100);
+    expect((await bed.begin(second, bed.build('k'))).unwrap().type).toBe('run');
+  });
+
+  // Guards against a free key for a request that may be running.
+  it('does not release a claim after the hand-over', async () => {
+    const bed = new Bed();
+    const first = bed.addLedger('a');
+    const claim = await bed.start(first, 'k');
+    first.startRun(claim);
+    expect(readKind(first.release(claim))).toBe('outcome_unknown');
+  });
+
+  // Guards against runs without a claim, and against lost replays, while the store is out.
+  it('refuses new keys and replays known ones in an outage', async () => {
+    const bed = new Bed();
+    const first = bed.addLedger('a');
+    const claim = await bed.start(first, 'k');
+    first.startRun(claim);
+    first.complete(claim, outcome);
+    await bed.run(50);
+    bed.store.setFaults({ outage: 'down' });
+    expect(readKind(await bed.begin(first, bed.build('new')))).toBe('store_unavailable');
+    expect((await bed.begin(first, bed.build('k'))).unwrap().type).toBe('replay');
+    bed.store.setFaults({ outage: 'silent' });
+    expect(readKind(await bed.begin(first, bed.build('other')))).toBe('store_unavailable');
+  });
+
+  // Guards against a truncated replay, and against a second run of a request with a large answer.
+  it('says that a request was run when its answer is too large to keep', async () => {
+    const bed = new Bed();
+    const [first, second] = [bed.addLedger('a'), bed.addLedger('b')];
+    const claim = await bed.start(first, 'k');
+    first.startRun(claim);
+    first.complete(claim, { ...outcome, body: new Uint8Array(70_000) });
+    await bed.run(50);
+    const again = await bed.begin(second, bed.build('k'));
+    expect(again.err && again.val.message).toMatch(/was run and answered with status 201/);
+  });
+
+  // Guards against a run of a key that the store has already forgotten.
+  it('refuses a key that is older than the retention', async () => {
+    const bed = new Bed();
+    const first = bed.addLedger('a');
+    const wallMs = bed.clock.getWallTime().getTime();
+    const old = bed.build('k', { keyTimeMs: wallMs - 86_400_001 });
+    expect(readKind(await bed.begin(first, old))).toBe('key_expired');
+    const future = bed.build('k', { keyTimeMs: wallMs + 3_600_000 });
+    expect(readKind(await bed.begin(first, future))).toBe('bad_request');
+  });
+
+  // Guards against a lease for each key, which the store's call rate does not allow, and against
+  // keys that are forgotten before their retention ends.
+  it('keeps keys for the retention with few shared leases', async () => {
+    const bed = new Bed();
+    const ledgers = [bed.addLedger('a'), bed.addLedger('b')];
+    for (let hour = 0; hour < 23; hour += 1) {
+      for (const [index, ledger] of ledgers.entries()) {
+        const claim = await bed.start(ledger, `k${hour}/${index}`);
+        ledger.startRun(claim);
+        ledger.complete(claim, outcome);
+      }
+      await bed.run(50);
+      bed.clock.advance(3_600_000);
+      bed.store.tick();
+    }
+    expect(bed.store.getLeaseCount()).toBeLessThanOrEqual(25);
+    expect(bed.store.listRecords('limpetbay/claims/')).toHaveLength(46);
+    bed.clock.advance(5 * 3_600_000);
+    bed.store.tick();
+    expect(bed.store.listRecords('limpetbay/claims/').length).toBeLessThan(46);
+  });
+});
