--- a/packages/agent/src/attempt/AnswerWriter.ts
+++ b/packages/agent/src/attempt/AnswerWriter.ts
@@ -68,7 +68,7 @@
   }
 
   /** Sends nothing from now on, because the entry has gone. */
-  detach(): void {
+  closeSilently(): void {
     this.#isClosed = true;
   }
 
--- a/packages/agent/src/loop/Agent.ts
+++ b/packages/agent/src/loop/Agent.ts
@@ -7,6 +7,7 @@
   type AdmissionOutcome,
   type AnswerFrame,
   type Attempt,
+  type AttemptId,
   type ClaimOutcome,
   type ClaimStart,
   type Failure,
@@ -16,7 +17,7 @@
 import { createEventLoop, type EventLoop } from '@limpetbay/runtime';
 import type { DispatchHandler } from '@limpetbay/rpc';
 import { AnswerWriter } from '../attempt/AnswerWriter.js';
-import type { AttemptRun } from '../attempt/AttemptRun.js';
+import { AttemptRun } from '../attempt/AttemptRun.js';
 import type { AgentEvent } from './AgentEvent.js';
 import type { AgentParts } from './AgentParts.js';
 import { EngineMonitor } from './EngineMonitor.js';
@@ -71,7 +72,7 @@
   }
 
   /** Takes no new work from now on. */
-  leave(): void {
+  startLeaving(): void {
     this.#loop.push({ type: 'leave' });
   }
 
@@ -112,22 +113,8 @@
       repeatable,
       route: buildRoute(attempt),
     };
-    return {
-      attempt,
-      item,
-      writer: new AnswerWriter(attempt, admission.getIncarnation(), send, finish),
-      repeatable,
-      deadlineAtMs,
-      phase: 'queued',
-      claim: null,
-      startedAtMs: 0,
-      cancelTarget: null,
-      status: 0,
-      headers: [],
-      parts: [],
-      tokens: 0,
-      firstTokenAtMs: 0,
-    };
+    const writer = new AnswerWriter(attempt, admission.getIncarnation(), send, finish);
+    return new AttemptRun({ attempt, item, writer, repeatable });
   }
 
   #handle(event: AgentEvent): void {
@@ -173,12 +160,12 @@
 
   #submit(run: AttemptRun): void {
     const { admission, metrics } = this.#parts;
-    const key = buildKey(run);
+    const { key } = run;
     const result = admission.submit(run.item);
     metrics.increase(`limpetbay_agent_attempts{result="${result.type}"}`);
     if (result.type === 'duplicate') {
       this.#logDecision(run, 'duplicate', result.failure.message);
-      run.phase = 'ended';
+      run.end();
       run.writer.fail(result.failure, admission.getLoad());
     } else if (result.type === 'refused') {
       this.#refuse(run, result.failure);
@@ -194,11 +181,11 @@
   /** Acts on what became of queued attempts. */
   #apply(outcome: AdmissionOutcome): void {
     for (const { item, failure } of outcome.refused) {
-      const run = this.#runs.get(buildKey({ attempt: item }));
+      const run = this.#runs.get(buildKey(item));
       if (run !== undefined) this.#refuse(run, failure);
     }
     for (const item of outcome.started) {
-      const run = this.#runs.get(buildKey({ attempt: item }));
+      const run = this.#runs.get(buildKey(item));
       if (run !== undefined) this.#start(run);
     }
   }
@@ -209,14 +196,14 @@
       this.#handOver(run);
       return;
     }
-    run.phase = 'claiming';
+    run.startClaim();
     const claim = this.#parts.ledger.begin({
       workspace: attempt.workspace,
       key: attempt.idempotencyKey,
       keyTimeMs: attempt.keyTimeMs,
       bodyHash: hashRequest(attempt.method, attempt.path, attempt.body),
-      attemptId: buildKey(run),
-      deadlineAtMs: run.deadlineAtMs,
+      attemptId: run.key,
+      deadlineAtMs: run.item.deadlineMs,
     });
     void claim.then((result) => this.#loop.push({ type: 'claimed', run, result }));
   }
@@ -242,7 +229,7 @@
       ledger.release(result.val.claim);
       return;
     }
-    run.claim = result.val.claim;
+    run.acceptClaim(result.val.claim);
     metrics.increase('limpetbay_agent_claims{result="run"}');
     this.#handOver(run);
   }
@@ -267,10 +254,9 @@
       return;
     }
     this.#logDecision(run, 'started', 'a slot is free');
-    run.phase = 'running';
-    run.startedAtMs = clock.getNow();
+    run.startRun(clock.getNow());
     const { method, path, headers, body, resumeFrom } = run.attempt;
-    run.cancelTarget = target.run(
+    const cancel = target.run(
       { method, path, headers, body, resumeFrom },
       {
         acceptHead: (status, list) => {
@@ -283,24 +269,24 @@
         },
       },
     );
+    run.setCancel(cancel);
   }
 
   /** Checks the deadline once more: this process may have been paused since the slot was granted. */
   #checkHandOver(run: AttemptRun): Failure | null {
-    if (this.#parts.clock.getNow() >= run.deadlineAtMs) {
+    if (run.isLate(this.#parts.clock.getNow())) {
       return fail('deadline_exceeded', 'the deadline passed before the hand-over').val;
     }
     if (run.claim === null) return null;
     const started = this.#parts.ledger.startRun(run.claim);
     if (started.ok) return null;
-    run.claim = null;
+    run.acceptClaim(null);
     return started.val;
   }
 
   #acceptHead(run: AttemptRun, status: number, headers: readonly Header[]): void {
     if (run.phase !== 'running') return;
-    run.status = status;
-    run.headers = headers;
+    run.acceptHead(status, headers);
     // Another rank may answer where this engine failed before its first token.
     if (run.repeatable && status >= SERVER_ERROR) return;
     run.writer.startAnswer(status, headers, false);
@@ -308,11 +294,8 @@
 
   #acceptData(run: AttemptRun, data: Uint8Array, tokens: number): void {
     if (run.phase !== 'running') return;
-    if (run.claim !== null) run.parts.push(data);
+    run.acceptData(data, tokens, this.#parts.clock.getNow());
     if (run.writer.hasHead()) run.writer.append(data, tokens);
-    if (tokens === 0) return;
-    if (run.tokens === 0) run.firstTokenAtMs = this.#parts.clock.getNow();
-    run.tokens += tokens;
   }
 
   #complete(run: AttemptRun): void {
@@ -320,7 +303,7 @@
     const isFailed = run.status >= SERVER_ERROR;
     if (run.claim !== null) {
       const { status, headers } = run;
-      this.#parts.ledger.complete(run.claim, { status, headers, body: Buffer.concat(run.parts) });
+      this.#parts.ledger.complete(run.claim, { status, headers, body: run.getBody() });
     }
     if (isFailed && !run.writer.hasHead()) {
       this.#finish(run, true);
@@ -347,23 +330,21 @@
   /** Reports the measured times of a run to admission and acts on what it frees. */
   #finish(run: AttemptRun, error: boolean): void {
     const { admission, clock, metrics } = this.#parts;
-    const nowMs = clock.getNow();
-    const serviceTimeMs = nowMs - run.startedAtMs;
-    const gaps = run.tokens - 1;
-    const stepTimeMs = gaps > 0 ? (nowMs - run.firstTokenAtMs) / gaps : 0;
+    const sample = run.measure(clock.getNow(), error);
+    const { serviceTimeMs, stepTimeMs } = sample;
     if (!error) metrics.record('limpetbay_agent_service_time_us', serviceTimeMs * 1000);
     if (stepTimeMs > 0) metrics.record('limpetbay_agent_step_time_us', stepTimeMs * 1000);
-    run.phase = 'ended';
-    this.#apply(admission.finish(run.item, { serviceTimeMs, stepTimeMs, error }));
+    run.end();
+    this.#apply(admission.finish(run.item, sample));
   }
 
   #cancel(run: AttemptRun): void {
     if (run.phase === 'ended') return;
-    run.writer.detach();
+    run.writer.closeSilently();
     // A request that may not be repeated completes, so that its outcome is kept and known.
     if (run.phase === 'running' && !run.repeatable) return;
     this.#logDecision(run, 'cancelled', 'the entry went away');
-    run.cancelTarget?.();
+    run.cancelCall();
     this.#end(run);
     this.#apply(this.#parts.admission.cancel(run.item));
   }
@@ -381,8 +362,8 @@
   }
 
   #end(run: AttemptRun): void {
-    run.phase = 'ended';
-    this.#runs.delete(buildKey(run));
+    run.end();
+    this.#runs.delete(run.key);
   }
 
   #replaceEngine(): void {
@@ -391,7 +372,7 @@
     target.replaceConnections();
     for (const run of [...this.#runs.values()]) {
       if (run.phase !== 'running') continue;
-      run.cancelTarget?.();
+      run.cancelCall();
       this.#break(run, 'the engine is silent', false);
     }
     admission.restartIncarnation('engine silent');
@@ -416,7 +397,7 @@
     const isProgressDue = nowMs - this.#progressAtMs >= timing.progressMs;
     if (isProgressDue) this.#progressAtMs = nowMs;
     for (const run of [...this.#runs.values()]) {
-      if (run.phase === 'running' && nowMs >= run.deadlineAtMs) this.#expire(run);
+      if (run.phase === 'running' && run.isLate(nowMs)) this.#expire(run);
       else if (isProgressDue) run.writer.reportProgress();
     }
     this.#apply(admission.tick());
@@ -429,7 +410,7 @@
       run.writer.fail(failure, this.#parts.admission.getLoad());
       return;
     }
-    run.cancelTarget?.();
+    run.cancelCall();
     this.#fail(run, failure);
     this.#apply(this.#parts.admission.cancel(run.item));
   }
@@ -440,8 +421,8 @@
   }
 }
 
-function buildKey({ attempt }: { attempt: Pick<Attempt, 'requestId' | 'attempt'> }): string {
-  return `${attempt.requestId}/${attempt.attempt}`;
+function buildKey({ requestId, attempt }: AttemptId): string {
+  return `${requestId}/${attempt}`;
 }
 
 /** Requests with the same method and first path segment have comparable service times. */
--- a/packages/agent/src/loop/AgentParts.ts
+++ b/packages/agent/src/loop/AgentParts.ts
@@ -1,4 +1,10 @@
-import type { ClaimLedger, Clock, ConfigSource, ServiceName, TargetAdmission } from '@limpetbay/core';
+import type {
+  ClaimLedger,
+  Clock,
+  ConfigSource,
+  ServiceName,
+  TargetAdmission,
+} from '@limpetbay/core';
 import type { Log, MetricRegistry } from '@limpetbay/runtime';
 import type { EngineClient, Target } from '@limpetbay/targets';
 
--- a/packages/agent/src/loop/EngineMonitor.ts
+++ b/packages/agent/src/loop/EngineMonitor.ts
@@ -7,8 +7,7 @@
 }
 
 type EngineEvent =
-  | { readonly type: 'engine'; readonly status: EngineStatus }
-  | { readonly type: 'engine_silent' };
+  { readonly type: 'engine'; readonly status: EngineStatus } | { readonly type: 'engine_silent' };
 
 /**
  * Polls the load report of an engine and reports silence. Each poll has its own timeout, so a
--- a/packages/core/src/answer/Attempt.ts
+++ b/packages/core/src/answer/Attempt.ts
@@ -27,7 +27,7 @@
   method: z.string(),
   path: z.string(),
   headers: z.array(Header),
-  body: z.instanceof(Uint8Array),
+  body: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
   /** Tokens of the answer that the caller has already received. */
   resumeFrom: z.number().int().nonnegative(),
   promptTokens: z.number().int().nonnegative(),
--- /dev/null
+++ b/packages/entry/src/loop/Entry.ts
@@ -0,0 +1,402 @@
+import { randomUUID } from 'node:crypto';
+import {
+  answerTable,
+  chooseFailureKind,
+  decideRetry,
+  fail,
+  isRepeatable,
+  type AnswerAssembler,
+  type AnswerEvent,
+  type Failure,
+  type Header,
+  type InstanceRecord,
+  type LoadReport,
+  type RequestId,
+  type TargetId,
+} from '@limpetbay/core';
+import { createEventLoop, type EventLoop } from '@limpetbay/runtime';
+import type { CallerAnswer, CallerHandler, CallerRequest } from '@limpetbay/callers';
+import { checkRequest } from '../request/checkRequest.js';
+import { EntryRun } from '../request/EntryRun.js';
+import { RequestHandle } from '../request/RequestHandle.js';
+import { hashPrefixes } from '../request/hashPrefixes.js';
+import { describeEntries } from '../view/describeEntries.js';
+import { listRouteTargets } from '../view/listRouteTargets.js';
+import type { EntryEvent } from './EntryEvent.js';
+import type { EntryParts } from './EntryParts.js';
+
+type FailedEvent = Extract<AnswerEvent, { type: 'failed' }>;
+
+/** Time that an agent gets to report a passed deadline before the entry does it itself. */
+const DEADLINE_SLACK_MS = 250;
+/** A tick that comes later than this says that the process was paused. */
+const PAUSE_MS = 500;
+
+/** The entry: takes callers' requests, routes them to agents and passes the answers on. */
+export class Entry implements CallerHandler {
+  readonly #parts: EntryParts;
+
+  readonly #loop: EventLoop<EntryEvent>;
+
+  readonly #runs = new Set<EntryRun>();
+
+  readonly #addresses = new Map<TargetId, string>();
+
+  readonly #unsubscribe: () => void;
+
+  #isLeaving = false;
+
+  #tickedAtMs: number;
+
+  constructor(parts: EntryParts) {
+    this.#parts = parts;
+    this.#tickedAtMs = parts.clock.getNow();
+    this.#loop = createEventLoop<EntryEvent>({
+      handle: (event) => this.#handle(event),
+      onError: (event, error) => {
+        parts.log.alert('event failed', { event: event.type, error: String(error) });
+      },
+      tick: { type: 'tick' },
+      tickMs: parts.timing.tickMs,
+    });
+    this.#unsubscribe = parts.config.subscribe(() => this.#loop.push({ type: 'config' }));
+    this.#loop.push({ type: 'config' });
+    parts.metrics.register('limpetbay_entry_in_progress', () => this.#runs.size);
+    parts.metrics.register('limpetbay_entry_retry_budget', () => parts.budget.getTokens());
+  }
+
+  run(request: CallerRequest, answer: CallerAnswer): () => void {
+    const handle = new RequestHandle();
+    this.#loop.push({ type: 'request', request, answer, handle });
+    return () => this.#loop.push({ type: 'caller_gone', handle });
+  }
+
+  describeEntries(): object {
+    const { config, timing } = this.#parts;
+    return describeEntries(config.listInstances(), this.#describeSelf(), timing.addressTtlMs);
+  }
+
+  describeHealth(): { readonly ready: boolean; readonly body: object } {
+    const documents = this.#parts.config.listDocuments();
+    const ready = documents.length > 0 && !this.#isLeaving;
+    const services = documents.map(({ name, revision }) => ({ name, revision }));
+    return {
+      ready,
+      body: { ready, leaving: this.#isLeaving, in_progress: this.#runs.size, services },
+    };
+  }
+
+  formatMetrics(): string {
+    return this.#parts.metrics.format();
+  }
+
+  isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
+  /** Tells callers to use other entries; requests are still served. */
+  startLeaving(): void {
+    this.#isLeaving = true;
+    this.#parts.log.report('leaving', { in_progress: this.#runs.size });
+  }
+
+  countRuns(): number {
+    return this.#runs.size;
+  }
+
+  /** Ends the loop; nothing may be in progress. */
+  stop(): void {
+    this.#unsubscribe();
+    this.#loop.stop();
+    this.#parts.channels.close();
+  }
+
+  #handle(event: EntryEvent): void {
+    switch (event.type) {
+      case 'request':
+        this.#accept(event.request, event.answer, event.handle);
+        break;
+      case 'caller_gone':
+        this.#dropCaller(event.handle);
+        break;
+      case 'frame': {
+        const { run, assembler, frame } = event;
+        if (run.current?.assembler !== assembler) break;
+        run.recordFrame(this.#parts.clock.getNow());
+        this.#parts.router.recordFrame(run.current.decision.target);
+        const answerEvent = assembler.accept(frame);
+        if (answerEvent !== null) this.#acceptAnswer(run, answerEvent);
+        break;
+      }
+      case 'attempt_ended':
+        this.#acceptEnd(event.run, event.assembler, event.reason, event.neverSent);
+        break;
+      case 'retry':
+        if (!event.run.isEnded) this.#sendAttempt(event.run);
+        break;
+      case 'config':
+        this.#applyConfig();
+        break;
+      default:
+        this.#tick();
+    }
+  }
+
+  #accept(request: CallerRequest, answer: CallerAnswer, handle: RequestHandle): void {
+    const { budget, clock, config, limiter, metrics } = this.#parts;
+    metrics.increase('limpetbay_entry_requests');
+    const versioned = config.getDocument(request.service);
+    const document = versioned?.document ?? null;
+    if (versioned === null || document === null) {
+      const isReady = config.listDocuments().length > 0;
+      const message = `no document is known for service ${request.service}`;
+      this.#reject(answer, fail(isReady ? 'unknown_service' : 'not_ready', message, 1000).val);
+      return;
+    }
+    const checked = checkRequest(request, document);
+    if (checked.err) {
+      this.#reject(answer, checked.val);
+      return;
+    }
+    const admitted = limiter.admit(request.workspace, 1 + request.promptTokens + request.maxTokens);
+    if (admitted.err) {
+      this.#reject(answer, admitted.val);
+      return;
+    }
+    budget.recordRequest();
+    const run = new EntryRun({
+      id: randomUUID() as string as RequestId,
+      request,
+      answer,
+      repeatable: isRepeatable(document, request.method, request.path),
+      resumable: document.service.kind === 'model' && request.stream,
+      deadlineAtMs: clock.getNow() + checked.val,
+      configRevision: versioned.revision,
+      prefixHashes: hashPrefixes(request.prompt),
+    });
+    handle.setRun(run);
+    this.#runs.add(run);
+    if (handle.isGone) this.#dropCaller(handle);
+    else this.#sendAttempt(run);
+  }
+
+  #reject(answer: CallerAnswer, failure: Failure): void {
+    this.#parts.metrics.increase(`limpetbay_entry_failures{kind="${failure.kind}"}`);
+    answer.fail(failure);
+  }
+
+  #sendAttempt(run: EntryRun): void {
+    const { channels, clock, log, router } = this.#parts;
+    const { request, prefixHashes, tried } = run;
+    const nowMs = clock.getNow();
+    const cost = { promptTokens: request.promptTokens, maxTokens: request.maxTokens, prefixHashes };
+    const picked = router.pick({
+      service: request.service,
+      workspace: request.workspace,
+      priority: request.priority,
+      deadlineMs: run.deadlineAtMs - nowMs,
+      repeatable: run.repeatable,
+      tried,
+      ...cost,
+    });
+    if (picked.err) {
+      const kind = chooseFailureKind(picked.val.kind, run.repeatable, run.mayHaveRun);
+      this.#fail(run, { ...picked.val, kind });
+      return;
+    }
+    const decision = picked.val;
+    const address = this.#addresses.get(decision.target)!;
+    const attempt = run.buildAttempt(decision, nowMs);
+    log.report('routed request', {
+      request: run.id,
+      attempt: attempt.attempt,
+      target: decision.target,
+      reason: decision.reason,
+    });
+    const assembler = run.startAttempt(decision, address, nowMs);
+    router.recordSend(decision, cost);
+    const cancel = channels.open(address).send(attempt, {
+      acceptFrame: (frame) => this.#loop.push({ type: 'frame', run, assembler, frame }),
+      acceptEnd: (reason, neverSent) => {
+        this.#loop.push({ type: 'attempt_ended', run, assembler, reason, neverSent });
+      },
+    });
+    run.setCancel(cancel);
+  }
+
+  #acceptAnswer(run: EntryRun, event: AnswerEvent): void {
+    switch (event.type) {
+      case 'accepted':
+        this.#parts.router.acceptLoad(event.load);
+        break;
+      case 'head':
+        if (!run.answer.isStarted()) run.answer.start(event.status, buildHeaders(run, event));
+        break;
+      case 'bytes':
+        run.answer.write(event.data);
+        break;
+      case 'complete':
+        this.#complete(run, event.load);
+        break;
+      case 'failed':
+        this.#retryOrFail(run, event);
+        break;
+      default:
+    }
+  }
+
+  #complete(run: EntryRun, load: LoadReport): void {
+    const { clock, metrics, router } = this.#parts;
+    const { decision } = run.current!;
+    router.acceptLoad(load);
+    router.recordFinish(decision, 'complete');
+    metrics.increase('limpetbay_entry_completed');
+    metrics.record('limpetbay_entry_time_left_ms', run.deadlineAtMs - clock.getNow());
+    run.answer.end();
+    this.#end(run);
+  }
+
+  #retryOrFail(run: EntryRun, event: FailedEvent): void {
+    const { budget, clock, log, metrics, random, router } = this.#parts;
+    const { decision, cancel } = run.current!;
+    const { failure } = event;
+    const isRefusal = answerTable[failure.kind].run === 'no';
+    if (event.load !== null) router.acceptLoad(event.load);
+    router.recordFinish(decision, failure.kind);
+    cancel();
+    run.endAttempt(!isRefusal);
+    const next = decideRetry(
+      {
+        failure,
+        repeatable: run.isRetrySafe,
+        mayHaveRun: run.mayHaveRun,
+        bytesSent: run.answer.isStarted(),
+        resumable: run.resumable,
+        attempts: run.attempts,
+        deadlineMs: run.deadlineAtMs - clock.getNow(),
+      },
+      budget,
+      random,
+    );
+    metrics.increase(`limpetbay_entry_attempts_failed{kind="${failure.kind}"}`);
+    log.report('attempt failed', {
+      request: run.id,
+      attempt: run.attempts,
+      target: decision.target,
+      kind: failure.kind,
+      next: next.action,
+      reason: next.reason,
+    });
+    if (next.action === 'fail') {
+      const kind = chooseFailureKind(next.failure.kind, run.repeatable, run.mayHaveRun);
+      this.#fail(run, { ...next.failure, kind });
+      return;
+    }
+    metrics.increase('limpetbay_entry_retries');
+    setTimeout(() => this.#loop.push({ type: 'retry', run }), next.delayMs);
+  }
+
+  #acceptEnd(run: EntryRun, assembler: AnswerAssembler, reason: string, neverSent: boolean): void {
+    if (run.current?.assembler !== assembler) return;
+    const broken = assembler.acceptBreak('broken');
+    if (broken?.type !== 'failed') return;
+    const failure = neverSent
+      ? fail('not_ready', `the agent cannot be reached: ${reason}`).val
+      : { ...broken.failure, message: `${broken.failure.message}: ${reason}` };
+    this.#retryOrFail(run, { ...broken, failure });
+  }
+
+  #fail(run: EntryRun, failure: Failure): void {
+    this.#parts.log.report('request failed', {
+      request: run.id,
+      kind: failure.kind,
+      run: answerTable[failure.kind].run,
+      reason: failure.message,
+    });
+    this.#reject(run.answer, failure);
+    this.#end(run);
+  }
+
+  #end(run: EntryRun): void {
+    run.end();
+    this.#runs.delete(run);
+  }
+
+  #dropCaller(handle: RequestHandle): void {
+    handle.markGone();
+    const { run } = handle;
+    if (run === null || run.isEnded) return;
+    if (run.current !== null) {
+      this.#parts.router.recordFinish(run.current.decision, 'cancelled');
+      run.current.cancel();
+    }
+    this.#parts.metrics.increase('limpetbay_entry_cancelled');
+    this.#end(run);
+  }
+
+  #tick(): void {
+    const { clock, timing } = this.#parts;
+    const nowMs = clock.getNow();
+    const wasPaused = nowMs - this.#tickedAtMs > PAUSE_MS;
+    this.#tickedAtMs = nowMs;
+    for (const run of [...this.#runs]) {
+      // Frames that came during a pause are handled after this tick.
+      if (wasPaused) run.recordFrame(nowMs);
+      else if (run.current !== null && run.measureSilence(nowMs) >= timing.silenceMs) {
+        this.#giveUp(run);
+      }
+      if (!run.isEnded && nowMs >= run.deadlineAtMs + DEADLINE_SLACK_MS) this.#expire(run);
+    }
+  }
+
+  /** Gives up an attempt whose connection went silent and replaces that connection only. */
+  #giveUp(run: EntryRun): void {
+    const { address, assembler } = run.current!;
+    this.#parts.log.warn('no frame in time, channel replaced', { request: run.id, address });
+    this.#parts.channels.replace(address);
+    const silent = assembler.acceptBreak('silent');
+    if (silent?.type === 'failed') this.#retryOrFail(run, silent);
+  }
+
+  #expire(run: EntryRun): void {
+    const mayHaveRun = run.mayHaveRun || run.current !== null;
+    if (run.current !== null) {
+      this.#parts.router.recordFinish(run.current.decision, 'timed_out');
+      run.current.cancel();
+    }
+    const kind = mayHaveRun ? 'timed_out' : 'deadline_exceeded';
+    this.#fail(run, { kind, message: 'no complete answer before the deadline' });
+  }
+
+  #applyConfig(): void {
+    const { channels, config, router } = this.#parts;
+    const instances = config.listInstances();
+    const listed = new Set<string>();
+    for (const { role, target, address } of instances) {
+      if (role !== 'agent' || target === undefined) continue;
+      this.#addresses.set(target, address);
+      listed.add(address);
+    }
+    router.setEntries(instances.filter(({ role }) => role === 'entry').map(({ id }) => id));
+    for (const { name, document } of config.listDocuments()) {
+      router.updateTargets(name, document === null ? [] : listRouteTargets(document, instances));
+      if (document !== null) router.setZones(name, document.zones.in, document.zones.out);
+    }
+    channels.prune(listed);
+  }
+
+  #describeSelf(): InstanceRecord {
+    const { callerUrl, id, zone } = this.#parts;
+    const state = this.#isLeaving ? 'leaving' : 'live';
+    return { id, role: 'entry', zone, address: '', callerUrl, state };
+  }
+}
+
+function buildHeaders(
+  run: EntryRun,
+  head: { readonly headers: readonly Header[]; readonly replayed: boolean },
+): Header[] {
+  const headers = [...head.headers, { name: 'Limpetbay-Request-Id', value: run.id as string }];
+  if (head.replayed) headers.push({ name: 'Limpetbay-Replayed', value: 'true' });
+  return headers;
+}
--- /dev/null
+++ b/packages/entry/src/request/EntryRun.ts
@@ -0,0 +1,160 @@
+import {
+  AnswerAssembler,
+  type Attempt,
+  type Incarnation,
+  type RequestId,
+  type RouteDecision,
+  type TargetId,
+} from '@limpetbay/core';
+import type { CallerAnswer, CallerRequest } from '@limpetbay/callers';
+
+interface EntryRunOptions {
+  readonly id: RequestId;
+  readonly request: CallerRequest;
+  readonly answer: CallerAnswer;
+  readonly repeatable: boolean;
+  /** Whether the answer can be continued on another target. */
+  readonly resumable: boolean;
+  /** Monotonic milliseconds. */
+  readonly deadlineAtMs: number;
+  readonly configRevision: number;
+  readonly prefixHashes: readonly string[];
+}
+
+interface CurrentAttempt {
+  readonly decision: RouteDecision;
+  readonly address: string;
+  readonly assembler: AnswerAssembler;
+  readonly cancel: () => void;
+}
+
+/** What an entry knows about one request, over all its attempts. */
+export class EntryRun {
+  readonly id: RequestId;
+
+  readonly request: CallerRequest;
+
+  readonly answer: CallerAnswer;
+
+  readonly repeatable: boolean;
+
+  readonly resumable: boolean;
+
+  readonly deadlineAtMs: number;
+
+  readonly prefixHashes: readonly string[];
+
+  readonly #configRevision: number;
+
+  readonly tried = new Set<TargetId>();
+
+  #attempts = 0;
+
+  #mayHaveRun = false;
+
+  #isEnded = false;
+
+  #resumeFrom = 0;
+
+  #current: CurrentAttempt | null = null;
+
+  #frameAtMs = 0;
+
+  constructor(options: EntryRunOptions) {
+    this.id = options.id;
+    this.request = options.request;
+    this.answer = options.answer;
+    this.repeatable = options.repeatable;
+    this.resumable = options.resumable;
+    this.deadlineAtMs = options.deadlineAtMs;
+    this.prefixHashes = options.prefixHashes;
+    this.#configRevision = options.configRevision;
+  }
+
+  /** Attempts sent so far. */
+  get attempts(): number {
+    return this.#attempts;
+  }
+
+  /** Whether an ended attempt may have run. */
+  get mayHaveRun(): boolean {
+    return this.#mayHaveRun;
+  }
+
+  get isEnded(): boolean {
+    return this.#isEnded;
+  }
+
+  /** The attempt in progress, if any. */
+  get current(): CurrentAttempt | null {
+    return this.#current;
+  }
+
+  /** Whether another attempt cannot run it twice: a key's claim suppresses the second run. */
+  get isRetrySafe(): boolean {
+    return this.repeatable || this.request.idempotencyKey !== '';
+  }
+
+  /** Builds the next attempt for a decision. */
+  buildAttempt(decision: RouteDecision, nowMs: number): Attempt {
+    const { request } = this;
+    return {
+      requestId: this.id,
+      attempt: this.#attempts + 1,
+      service: request.service,
+      target: decision.target,
+      incarnation: decision.incarnation,
+      workspace: request.workspace,
+      priority: request.priority,
+      deadlineMs: this.deadlineAtMs - nowMs,
+      repeatable: this.repeatable,
+      idempotencyKey: request.idempotencyKey,
+      keyTimeMs: request.keyTimeMs,
+      method: request.method,
+      path: request.path,
+      headers: [...request.headers],
+      body: request.body,
+      resumeFrom: this.#resumeFrom,
+      promptTokens: request.promptTokens,
+      maxTokens: request.maxTokens,
+      configRevision: this.#configRevision,
+    };
+  }
+
+  /** Notes that an attempt was sent. */
+  startAttempt(decision: RouteDecision, address: string, nowMs: number): AnswerAssembler {
+    this.#attempts += 1;
+    this.tried.add(decision.target);
+    const { incarnation }: { incarnation: Incarnation } = decision;
+    const assembler = new AnswerAssembler(this.id, this.#attempts, incarnation, this.#resumeFrom);
+    this.#current = { decision, address, assembler, cancel: () => undefined };
+    this.#frameAtMs = nowMs;
+    return assembler;
+  }
+
+  setCancel(cancel: () => void): void {
+    if (this.#current !== null) this.#current = { ...this.#current, cancel };
+  }
+
+  /** Ends the attempt in progress and keeps what it leaves behind. */
+  endAttempt(mayHaveRun: boolean): void {
+    if (this.#current === null) return;
+    this.#mayHaveRun ||= mayHaveRun;
+    this.#resumeFrom = this.#current.assembler.getResumeOffset();
+    this.#current = null;
+  }
+
+  recordFrame(nowMs: number): void {
+    this.#frameAtMs = nowMs;
+  }
+
+  /** Milliseconds since the last frame of the attempt in progress. */
+  measureSilence(nowMs: number): number {
+    return nowMs - this.#frameAtMs;
+  }
+
+  end(): void {
+    this.#isEnded = true;
+    this.#current = null;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/settings/EntrySettings.ts
@@ -0,0 +1,41 @@
+import { z } from 'zod';
+import { InstanceId, Zone } from '@limpetbay/core';
+
+const address = z.string().regex(/^[^:]+:\d{1,5}$/, 'must be IP:PORT');
+const url = z.url({ protocol: /^http$/, error: 'must be an http:// URL' });
+
+/** Settings of `limpetbay-entry`, by section and key of its INI file. */
+export const EntrySettings = z.strictObject({
+  entry: z.strictObject({
+    id: InstanceId,
+    zone: Zone,
+    /** `IP:PORT` for other limpetbay processes. */
+    address,
+    /** IP to listen on for callers. */
+    caller_host: z.string().default('0.0.0.0'),
+    caller_port: z.coerce.number().int().min(0).max(65_535),
+    /** Base URL that callers are told to use. */
+    caller_url: url,
+    max_body_bytes: z.coerce.number().int().min(1024).max(67_108_864).default(8_388_608),
+  }),
+  platform: z.strictObject({ store: address, instances: url }),
+  log: z
+    .strictObject({
+      format: z.enum(['text', 'json']).default('text'),
+      level: z.enum(['info', 'warn', 'silent']).default('info'),
+    })
+    .prefault({}),
+  timing: z
+    .strictObject({
+      tick_ms: z.coerce.number().int().min(5).max(1000).default(20),
+      /** Silence of an attempt after which it is given up and its channel replaced. */
+      silence_ms: z.coerce.number().int().min(1000).max(60_000).default(3000),
+      /** Time for which callers may keep the answer of `/v1/entries`. */
+      address_ttl_ms: z.coerce.number().int().min(100).max(3_600_000).default(10_000),
+      write_timeout_ms: z.coerce.number().int().min(1000).max(600_000).default(30_000),
+      stop_grace_ms: z.coerce.number().int().min(1000).max(7_200_000).default(600_000),
+    })
+    .prefault({}),
+});
+
+export type EntrySettings = z.infer<typeof EntrySettings>;
