--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export type { EtcdApi } from './etcd/EtcdApi.js';
+export { loadEtcdServices } from './etcd/loadEtcdServices.js';
--- /dev/null
+++ b/packages/standins/src/store/StoreServer.ts
@@ -0,0 +1,305 @@
+import {
+  Server,
+  ServerCredentials,
+  status,
+  type ServerDuplexStream,
+  type ServerUnaryCall,
+  type UntypedServiceImplementation,
+  type sendUnaryData,
+} from '@grpc/grpc-js';
+import type { Clock } from '@limpetbay/core';
+import { loadEtcdServices, type EtcdApi } from '@limpetbay/platform';
+import { KeyValueState } from './KeyValueState.js';
+
+type Method =
+  | 'Range'
+  | 'Put'
+  | 'DeleteRange'
+  | 'Txn'
+  | 'Watch'
+  | 'Progress'
+  | 'LeaseGrant'
+  | 'LeaseRevoke'
+  | 'LeaseKeepAlive';
+
+interface Watcher {
+  readonly stream: ServerDuplexStream<EtcdApi['WatchRequest'], EtcdApi['WatchResponse']>;
+  readonly ranges: Map<string, { readonly key: Buffer; readonly rangeEnd: Buffer }>;
+  /** A silent stream stays open and sends nothing more. */
+  silent: boolean;
+}
+
+interface StoreServerOptions {
+  readonly clock: Clock;
+  /** Listens on this address; port 0 by default. */
+  readonly host?: string;
+}
+
+const WRITES: ReadonlySet<Method> = new Set(['Put', 'DeleteRange', 'Txn', 'LeaseRevoke']);
+
+const LEASE_CHECK_MS = 100;
+
+/** The answer of the published API when the store has no leader; nothing was applied. */
+const NO_LEADER = { code: status.UNAVAILABLE, details: 'etcdserver: no leader' };
+
+/** The watch id of a progress answer that holds for the whole stream. */
+const WHOLE_STREAM = '-1';
+
+/** A stand-in for the platform's key-value service: the used subset of the etcd v3 gRPC API. */
+export class StoreServer {
+  readonly state: KeyValueState;
+
+  readonly #host: string;
+
+  readonly #calls = new Map<Method, number>();
+
+  readonly #watchers = new Set<Watcher>();
+
+  #server: Server | null = null;
+
+  #timer: NodeJS.Timeout | null = null;
+
+  #nextWatch = 0;
+
+  #outage = false;
+
+  #delayMs = 0;
+
+  #answersToDrop = 0;
+
+  #address = '';
+
+  constructor(options: StoreServerOptions) {
+    this.#host = options.host ?? '127.0.0.1';
+    this.state = new KeyValueState(options.clock, (events) => this.#publish(events));
+  }
+
+  /** `IP:PORT` once started. */
+  get address(): string {
+    return this.#address;
+  }
+
+  /** Starts listening. @param port 0 picks a free one @returns `IP:PORT` */
+  async start(port = 0): Promise<string> {
+    const services = loadEtcdServices();
+    const server = new Server({ 'grpc.max_receive_message_length': -1 });
+    server.addService(services.KV.service, {
+      Range: this.#serve('Range', (request: EtcdApi['RangeRequest']) =>
+        this.state.readRange(request),
+      ),
+      Put: this.#serve('Put', (request: EtcdApi['PutRequest']) =>
+        this.state.applyTransaction({
+          compare: [],
+          success: [{ request_put: request }],
+          failure: [],
+        }),
+      ),
+      DeleteRange: this.#serve('DeleteRange', (request: EtcdApi['DeleteRangeRequest']) => {
+        const deleted = String(this.state.readRange(request).kvs.length);
+        const operation = { request_delete_range: request };
+        const answer = this.state.applyTransaction({
+          compare: [],
+          success: [operation],
+          failure: [],
+        });
+        return { header: answer?.header, deleted };
+      }),
+      Txn: this.#serve('Txn', (request: EtcdApi['TxnRequest']) =>
+        this.state.applyTransaction(request),
+      ),
+    });
+    server.addService(services.Lease.service, {
+      LeaseGrant: this.#serve('LeaseGrant', (request: EtcdApi['LeaseGrantRequest']) => ({
+        header: this.#getHeader(),
+        ID: this.state.grantLease(Number(request.TTL), request.ID),
+        TTL: request.TTL,
+      })),
+      LeaseRevoke: this.#serve('LeaseRevoke', (request: EtcdApi['LeaseRevokeRequest']) =>
+        this.state.revokeLease(request.ID) ? { header: this.#getHeader() } : null,
+      ),
+      LeaseKeepAlive: (stream: ServerDuplexStream<{ ID: string }, object>) =>
+        this.#serveKeepAlive(stream),
+    });
+    server.addService(services.Watch.service, {
+      Watch: (stream: Watcher['stream']) => this.#serveWatch(stream),
+    });
+    this.#server = server;
+    const bound = await new Promise<number>((resolve, reject) => {
+      server.bindAsync(
+        `${this.#host}:${port}`,
+        ServerCredentials.createInsecure(),
+        (error, boundPort) => (error ? reject(error) : resolve(boundPort)),
+      );
+    });
+    this.#timer = setInterval(() => this.state.expireLeases(), LEASE_CHECK_MS);
+    this.#address = `${this.#host}:${bound}`;
+    return this.#address;
+  }
+
+  /** Closes all connections; the data stays, so that `start` continues with it. */
+  async stop(): Promise<void> {
+    if (this.#timer !== null) clearInterval(this.#timer);
+    this.#server?.forceShutdown();
+    this.#server = null;
+    this.#watchers.clear();
+  }
+
+  /** Begins or ends an outage: calls and open watches fail and nothing takes effect. */
+  setOutage(outage: boolean): void {
+    this.#outage = outage;
+    if (!outage) return;
+    for (const watcher of this.#watchers) watcher.stream.emit('error', NO_LEADER);
+    this.#watchers.clear();
+  }
+
+  /** Sets how late each answer leaves. A write takes effect before the delay. */
+  setDelay(delayMs: number): void {
+    this.#delayMs = delayMs;
+  }
+
+  /** Lets the next `count` writes take effect and never answers them. */
+  dropAnswers(count: number): void {
+    this.#answersToDrop = count;
+  }
+
+  /** Silences the watch streams that are open now; streams opened later work. */
+  setWatchesSilent(): void {
+    for (const watcher of this.#watchers) watcher.silent = true;
+  }
+
+  /** Drops the history up to `revision`, by default all of it. */
+  dropHistory(revision = this.state.getRevision()): void {
+    this.state.dropHistory(revision);
+  }
+
+  /** Writes one key at once, past all switches. @param value null deletes the key */
+  put(key: string, value: string | null): void {
+    const bytes = Buffer.from(key);
+    const operation =
+      value === null
+        ? { request_delete_range: { key: bytes } }
+        : { request_put: { key: bytes, value: Buffer.from(value) } };
+    this.state.applyTransaction({ compare: [], success: [operation], failure: [] });
+  }
+
+  /** Returns the calls by method. A watch counts once, its progress requests apart. */
+  getCalls(): Readonly<Partial<Record<Method, number>>> {
+    return Object.fromEntries(this.#calls);
+  }
+
+  /** Returns how many watch streams are open. */
+  countWatches(): number {
+    return this.#watchers.size;
+  }
+
+  #getHeader(): { revision: string } {
+    return { revision: String(this.state.getRevision()) };
+  }
+
+  #count(method: Method): void {
+    this.#calls.set(method, (this.#calls.get(method) ?? 0) + 1);
+  }
+
+  #serve<Request>(
+    method: Method,
+    answer: (request: Request) => object | null,
+  ): UntypedServiceImplementation[string] {
+    return (call: ServerUnaryCall<Request, object>, respond: sendUnaryData<object>) => {
+      this.#count(method);
+      if (this.#outage) {
+        respond(NO_LEADER);
+        return;
+      }
+      const response = answer(call.request);
+      if (WRITES.has(method) && this.#answersToDrop > 0) {
+        this.#answersToDrop -= 1;
+        return;
+      }
+      this.#sendLater(() => {
+        if (response === null) {
+          respond({ code: status.NOT_FOUND, details: 'etcdserver: requested lease not found' });
+        } else respond(null, response);
+      });
+    };
+  }
+
+  #serveKeepAlive(stream: ServerDuplexStream<{ ID: string }, object>): void {
+    stream.on('data', (request: { ID: string }) => {
+      this.#count('LeaseKeepAlive');
+      if (this.#outage) {
+        stream.emit('error', NO_LEADER);
+        return;
+      }
+      const ttl = this.state.renewLease(request.ID);
+      const answer = { header: this.#getHeader(), ID: request.ID, TTL: String(ttl) };
+      this.#sendLater(() => stream.write(answer));
+    });
+    stream.on('end', () => stream.end());
+    stream.on('error', () => stream.end());
+  }
+
+  #serveWatch(stream: Watcher['stream']): void {
+    const watcher: Watcher = { stream, ranges: new Map(), silent: false };
+    const remove = (): void => {
+      this.#watchers.delete(watcher);
+    };
+    this.#watchers.add(watcher);
+    stream.on('data', (request: EtcdApi['WatchRequest']) => this.#acceptWatch(watcher, request));
+    stream.on('end', () => stream.end());
+    for (const event of ['end', 'cancelled', 'close', 'error']) stream.on(event, remove);
+  }
+
+  #acceptWatch(watcher: Watcher, request: EtcdApi['WatchRequest']): void {
+    if (request.progress_request) {
+      this.#count('Progress');
+      this.#send(watcher, { watch_id: WHOLE_STREAM });
+    }
+    if (request.cancel_request) {
+      watcher.ranges.delete(request.cancel_request.watch_id);
+      this.#send(watcher, { watch_id: request.cancel_request.watch_id, canceled: true });
+    }
+    const create = request.create_request;
+    if (!create) return;
+    this.#count('Watch');
+    if (this.#outage) {
+      watcher.stream.emit('error', NO_LEADER);
+      return;
+    }
+    const id = String(this.#nextWatch);
+    this.#nextWatch += 1;
+    const start = Number(create.start_revision ?? 0);
+    const rangeEnd = create.range_end ?? Buffer.alloc(0);
+    this.#send(watcher, { watch_id: id, created: true });
+    if (start > 0 && start <= this.state.getCompacted()) {
+      const compacted = String(this.state.getCompacted());
+      this.#send(watcher, { watch_id: id, canceled: true, compact_revision: compacted });
+      return;
+    }
+    watcher.ranges.set(id, { key: create.key, rangeEnd });
+    if (start === 0) return;
+    for (const events of this.state.listEvents(create.key, rangeEnd, start)) {
+      this.#send(watcher, { watch_id: id, events });
+    }
+  }
+
+  #publish(events: readonly EtcdApi['Event'][]): void {
+    for (const watcher of this.#watchers) {
+      for (const [id, { key, rangeEnd }] of watcher.ranges) {
+        const matching = KeyValueState.matchEvents(events, key, rangeEnd);
+        if (matching.length > 0) this.#send(watcher, { watch_id: id, events: matching });
+      }
+    }
+  }
+
+  #send(watcher: Watcher, answer: Partial<EtcdApi['WatchResponse']>): void {
+    const message = { header: this.#getHeader(), ...answer } as EtcdApi['WatchResponse'];
+    this.#sendLater(() => {
+      if (!watcher.silent && this.#watchers.has(watcher)) watcher.stream.write(message);
+    });
+  }
+
+  #sendLater(send: () => void): void {
+    if (this.#delayMs === 0) send();
+    else setTimeout(send, this.#delayMs);
+  }
+}
