--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,6 +24,7 @@
 export { TargetId } from './ids/TargetId.js';
 export { Workspace } from './ids/Workspace.js';
 export { Zone } from './ids/Zone.js';
+export type { InstanceList } from './membership/InstanceList.js';
 export { InstanceRecord } from './membership/InstanceRecord.js';
 export type { RandomSource } from './random/RandomSource.js';
 export { SeededRandom } from './random/SeededRandom.js';
--- /dev/null
+++ b/packages/platform/src/etcd/EtcdStore.ts
@@ -0,0 +1,311 @@
+import {
+  Metadata,
+  status,
+  type CallOptions,
+  type Client,
+  type ClientDuplexStream,
+  type ServiceError,
+} from '@grpc/grpc-js';
+import {
+  Ok,
+  Revision,
+  fail,
+  type Clock,
+  type CommitResult,
+  type Failure,
+  type Result,
+  type Store,
+  type StoreRecord,
+  type StoreTransaction,
+  type StoreWatchListener,
+} from '@limpetbay/core';
+import type { EtcdApi } from './EtcdApi.js';
+import { EtcdConnection } from './EtcdConnection.js';
+import { EtcdWatch } from './EtcdWatch.js';
+import { getPrefixEnd } from './getPrefixEnd.js';
+import { loadEtcdServices } from './loadEtcdServices.js';
+
+interface EtcdStoreOptions {
+  /** `IP:PORT` of the store. */
+  readonly address: string;
+  readonly clock: Clock;
+  /** Longest wait for one answer, milliseconds. */
+  readonly timeoutMs?: number;
+  /** A watch without any message for this long is replaced, milliseconds. */
+  readonly silenceMs?: number;
+  /** Interval of progress requests on a watch, milliseconds. */
+  readonly progressIntervalMs?: number;
+}
+
+type Unary = (
+  request: object,
+  metadata: Metadata,
+  options: CallOptions,
+  respond: (error: ServiceError | null, response?: object) => void,
+) => void;
+
+const DEFAULT_TIMEOUT_MS = 1000;
+/** Section 11 of the design page: watches expect progress at least every 2 s. */
+const DEFAULT_SILENCE_MS = 2000;
+/** A quarter of the silence limit, so that a single late answer does not end a watch. */
+const DEFAULT_PROGRESS_INTERVAL_MS = 500;
+const MS_PER_SECOND = 1000;
+
+/** Statuses with which the store says that it did not apply a write. */
+const REJECTED: ReadonlySet<status> = new Set([
+  status.INVALID_ARGUMENT,
+  status.NOT_FOUND,
+  status.ALREADY_EXISTS,
+  status.PERMISSION_DENIED,
+  status.FAILED_PRECONDITION,
+  status.OUT_OF_RANGE,
+  status.UNIMPLEMENTED,
+  status.UNAUTHENTICATED,
+]);
+
+/** Other published answers that come before anything is applied. */
+const REJECTED_DETAILS: ReadonlySet<string> = new Set([
+  'etcdserver: no leader',
+  'etcdserver: too many requests',
+]);
+
+/** The platform's key-value service through the etcd v3 gRPC API. */
+export class EtcdStore implements Store {
+  readonly #options: Required<EtcdStoreOptions>;
+
+  readonly #services = loadEtcdServices();
+
+  readonly #watches = new Set<EtcdWatch>();
+
+  #connection: EtcdConnection;
+
+  constructor(options: EtcdStoreOptions) {
+    this.#options = {
+      timeoutMs: DEFAULT_TIMEOUT_MS,
+      silenceMs: DEFAULT_SILENCE_MS,
+      progressIntervalMs: DEFAULT_PROGRESS_INTERVAL_MS,
+      ...options,
+    };
+    this.#connection = this.#connect();
+  }
+
+  async read(
+    key: string,
+  ): Promise<Result<{ record: StoreRecord | null; revision: Revision }, Failure>> {
+    const answer = await this.#readRange({ key: Buffer.from(key) });
+    if (answer.err) return answer;
+    const { records, revision } = answer.val;
+    return Ok({ record: records[0] ?? null, revision });
+  }
+
+  async readPrefix(
+    prefix: string,
+  ): Promise<Result<{ records: StoreRecord[]; revision: Revision }, Failure>> {
+    return this.#readRange({ key: Buffer.from(prefix), range_end: getPrefixEnd(prefix) });
+  }
+
+  async commit(transaction: StoreTransaction): Promise<Result<CommitResult, Failure>> {
+    const { conditions, writes } = transaction;
+    const request: EtcdApi['TxnRequest'] = {
+      compare: conditions.map(({ key, revision }) => ({
+        result: 'EQUAL',
+        target: 'MOD',
+        key: Buffer.from(key),
+        mod_revision: String(revision),
+      })),
+      success: writes.map(({ key, value, lease }) => {
+        const bytes = Buffer.from(key);
+        if (value === null) return { request_delete_range: { key: bytes } };
+        return { request_put: { key: bytes, value: Buffer.from(value), lease: lease ?? '0' } };
+      }),
+      failure: conditions.map(({ key }) => ({ request_range: { key: Buffer.from(key) } })),
+    };
+    const answer = await this.#send<EtcdApi['TxnResponse']>('kv', 'Txn', request, true);
+    if (answer.err) return answer;
+    const { header, succeeded, responses } = answer.val;
+    const current: StoreRecord[] = [];
+    for (const { response_range: range } of succeeded ? [] : responses) {
+      for (const kv of range?.kvs ?? []) current.push(EtcdStore.#readRecord(kv));
+    }
+    return Ok({ committed: succeeded, revision: EtcdStore.#readRevision(header), current });
+  }
+
+  watch(prefix: string, fromRevision: Revision, listener: StoreWatchListener): () => void {
+    const { clock, progressIntervalMs, silenceMs } = this.#options;
+    const forget = (): void => {
+      this.#watches.delete(watch);
+    };
+    const watch = new EtcdWatch({
+      connection: this.#connect(),
+      clock,
+      prefix,
+      fromRevision,
+      progressIntervalMs,
+      silenceMs,
+      listener: {
+        acceptChange: (change) => listener.acceptChange(change),
+        acceptProgress: (revision) => listener.acceptProgress(revision),
+        acceptEnd: (reason) => {
+          forget();
+          listener.acceptEnd(reason);
+        },
+      },
+    });
+    this.#watches.add(watch);
+    return () => {
+      forget();
+      watch.stop();
+    };
+  }
+
+  async grantLease(ttlMs: number): Promise<Result<{ lease: string; ttlMs: number }, Failure>> {
+    const request = { TTL: String(Math.ceil(ttlMs / MS_PER_SECOND)), ID: '0' };
+    const answer = await this.#send<EtcdApi['LeaseGrantResponse']>(
+      'lease',
+      'LeaseGrant',
+      request,
+      true,
+    );
+    if (answer.err) return answer;
+    return Ok({ lease: answer.val.ID, ttlMs: Number(answer.val.TTL) * MS_PER_SECOND });
+  }
+
+  async renewLease(lease: string): Promise<Result<{ ttlMs: number }, Failure>> {
+    const answer = await this.#sendKeepAlive(lease);
+    if (answer.err) return answer;
+    const ttlMs = Number(answer.val.TTL) * MS_PER_SECOND;
+    return ttlMs > 0 ? Ok({ ttlMs }) : fail('stale_epoch', `lease ${lease} has expired`);
+  }
+
+  /** A lease that no longer exists counts as ended. */
+  async revokeLease(lease: string): Promise<Result<void, Failure>> {
+    const answer = await this.#send('lease', 'LeaseRevoke', { ID: lease }, true);
+    if (answer.ok || answer.val.kind === 'stale_epoch') return Ok(undefined);
+    return answer;
+  }
+
+  /** Ends all watches and closes the connections. */
+  close(): void {
+    for (const watch of this.#watches) watch.stop();
+    this.#watches.clear();
+    this.#connection.close();
+  }
+
+  #connect(): EtcdConnection {
+    const { address, clock } = this.#options;
+    return new EtcdConnection({ services: this.#services, address, clock });
+  }
+
+  async #readRange(
+    request: EtcdApi['RangeRequest'],
+  ): Promise<Result<{ records: StoreRecord[]; revision: Revision }, Failure>> {
+    const answer = await this.#send<EtcdApi['RangeResponse']>('kv', 'Range', request, false);
+    if (answer.err) return answer;
+    const records = answer.val.kvs.map((kv) => EtcdStore.#readRecord(kv));
+    return Ok({ records, revision: EtcdStore.#readRevision(answer.val.header) });
+  }
+
+  async #send<Response>(
+    service: 'kv' | 'lease',
+    method: string,
+    request: object,
+    isWrite: boolean,
+  ): Promise<Result<Response, Failure>> {
+    return this.#ask<Response>(method, isWrite, (connection, metadata, options, respond) => {
+      const client = connection[service] as Client & Record<string, Unary>;
+      client[method]?.(request, metadata, options, (error, response) =>
+        respond(error, response as Response),
+      );
+    });
+  }
+
+  async #sendKeepAlive(lease: string): Promise<Result<EtcdApi['LeaseKeepAliveResponse'], Failure>> {
+    type Stream = ClientDuplexStream<{ ID: string }, EtcdApi['LeaseKeepAliveResponse']>;
+    return this.#ask<EtcdApi['LeaseKeepAliveResponse']>(
+      'LeaseKeepAlive',
+      true,
+      (connection, metadata, options, respond) => {
+        const client = connection.lease as unknown as {
+          LeaseKeepAlive: (metadata: Metadata, options: CallOptions) => Stream;
+        };
+        const stream = client.LeaseKeepAlive(metadata, options);
+        stream.on('data', (response: EtcdApi['LeaseKeepAliveResponse']) => {
+          respond(null, response);
+          stream.end();
+        });
+        stream.on('error', (error: ServiceError) => respond(error));
+        stream.write({ ID: lease });
+      },
+    );
+  }
+
+  async #ask<Response>(
+    method: string,
+    isWrite: boolean,
+    send: (
+      connection: EtcdConnection,
+      metadata: Metadata,
+      options: CallOptions,
+      respond: (error: ServiceError | null, response?: Response) => void,
+    ) => void,
+  ): Promise<Result<Response, Failure>> {
+    const { timeoutMs } = this.#options;
+    const connection = this.#connection;
+    const deadline = Date.now() + timeoutMs;
+    if (!(await connection.waitReady(timeoutMs))) {
+      return fail('store_unavailable', `store: ${method} not sent: no connection`);
+    }
+    const metadata = new Metadata();
+    // Makes the store refuse at once, with no effect, while it has no leader.
+    metadata.set('hasleader', 'true');
+    return new Promise((resolve) => {
+      connection.recordSent();
+      send(connection, metadata, { deadline }, (error, response) => {
+        connection.recordAnswer(error?.code ?? status.OK);
+        if (error === null && response !== undefined) {
+          resolve(Ok(response));
+          return;
+        }
+        this.#replaceSilent(connection);
+        resolve(EtcdStore.#explainError(method, isWrite, error));
+      });
+    });
+  }
+
+  /** Replaces the connection for calls once it has answered nothing for a whole timeout. */
+  #replaceSilent(connection: EtcdConnection): void {
+    const { clock, timeoutMs, silenceMs } = this.#options;
+    if (connection !== this.#connection || connection.getSilenceMs() < timeoutMs / 2) return;
+    // A store that is merely slow would otherwise get a new connection with every call.
+    if (clock.getNow() - connection.openedAt < silenceMs) return;
+    this.#connection = this.#connect();
+    connection.close();
+  }
+
+  static #explainError(
+    method: string,
+    isWrite: boolean,
+    error: ServiceError | null,
+  ): Result<never, Failure> {
+    const details = error?.details ?? 'empty answer';
+    if (error?.code === status.NOT_FOUND) {
+      return fail('stale_epoch', `store: ${method}: ${details}`);
+    }
+    const isRejected =
+      error !== null && (REJECTED.has(error.code) || REJECTED_DETAILS.has(error.details));
+    if (!isWrite || isRejected) return fail('store_unavailable', `store: ${method}: ${details}`);
+    return fail('outcome_unknown', `store: ${method} may have taken effect: ${details}`);
+  }
+
+  static #readRevision(header: { readonly revision: string }): Revision {
+    return Revision.parse(Number(header.revision));
+  }
+
+  static #readRecord(kv: EtcdApi['KeyValue']): StoreRecord {
+    return {
+      key: kv.key.toString(),
+      value: kv.value.toString(),
+      revision: Revision.parse(Number(kv.mod_revision)),
+    };
+  }
+}
--- /dev/null
+++ b/packages/platform/src/etcd/getPrefixEnd.ts
@@ -0,0 +1,14 @@
+const HIGHEST_BYTE = 0xff;
+
+/** Returns the `range_end` of the etcd API that stands for all keys beginning with `prefix`. */
+export function getPrefixEnd(prefix: string): Buffer {
+  const end = Buffer.from(prefix);
+  for (let index = end.length - 1; index >= 0; index -= 1) {
+    const byte = end[index] as number;
+    if (byte < HIGHEST_BYTE) {
+      end[index] = byte + 1;
+      return end.subarray(0, index + 1);
+    }
+  }
+  return Buffer.from([0]);
+}
