Run the whole path: entry, agent and limpetbay-dev

Change: startEntry and startAgent wire the loops to gRPC, HTTP, the store and the instance list; limpetbay-dev runs 2 zones x 2 entries, 8 ranks and 3 service targets in one process.

--- /dev/null
+++ b/packages/agent/src/process/startAgent.ts
@@ -0,0 +1,105 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { ClaimLedger, TargetAdmission, type Clock, type RandomSource } from '@limpetbay/core';
+import { EtcdStore, InstanceListClient } from '@limpetbay/platform';
+import {
+  ConfigService,
+  createConfigSource,
+  createDispatchService,
+  createOwnerView,
+  dispatchService,
+  openServer,
+} from '@limpetbay/rpc';
+import { MetricRegistry, createLog, waitUntil, type RunningProcess } from '@limpetbay/runtime';
+import { EngineClient, HttpTarget } from '@limpetbay/targets';
+import { Agent } from '../loop/Agent.js';
+import type { AgentSettings } from '../settings/AgentSettings.js';
+
+/** Time for writing the last outcomes to the store before an agent ends. */
+const FLUSH_MS = 2000;
+
+/** Starts an agent from its settings. */
+export async function startAgent(
+  settings: AgentSettings,
+  clock: Clock,
+  random: RandomSource,
+): Promise<RunningProcess> {
+  const { agent: own, platform, timing } = settings;
+  const logOptions = settings.log;
+  const log = createLog(`agent ${own.id}`, logOptions);
+  const store = new EtcdStore({ address: platform.store, clock });
+  const instanceList = new InstanceListClient({ url: platform.instances });
+  const server = await openServer(own.address);
+  const config = new ConfigService({
+    store,
+    instanceList,
+    self: {
+      id: own.id,
+      role: 'agent',
+      zone: own.zone,
+      address: server.address,
+      target: own.target,
+      state: 'live',
+    },
+    clock,
+    random,
+    server: server.server,
+    log: createLog(`config ${own.id}`, logOptions),
+  });
+  const metrics = new MetricRegistry();
+  const admission = new TargetAdmission({ clock, target: own.target });
+  admission.setZone(own.zone);
+  const ledger = new ClaimLedger({
+    store,
+    clock,
+    random,
+    service: own.service,
+    owner: { instance: own.id, incarnation: admission.getIncarnation() },
+    owners: createOwnerView(config),
+    writesPerSecond: settings.claims.writes_per_second,
+  });
+  const target = new HttpTarget(own.target_origin);
+  const engine = own.kind === 'model' ? new EngineClient(own.target_origin) : null;
+  const agent = new Agent({
+    clock,
+    service: own.service,
+    config: createConfigSource(config),
+    admission,
+    ledger,
+    target,
+    engine,
+    log,
+    metrics,
+    timing: {
+      tickMs: timing.tick_ms,
+      progressMs: timing.progress_ms,
+      enginePollMs: timing.engine_poll_ms,
+      engineSilenceMs: timing.engine_silence_ms,
+    },
+  });
+  server.server.addService(dispatchService, createDispatchService(agent));
+  config.start();
+  log.report('started', { address: server.address, target: own.target, zone: own.zone });
+  const close = (): void => {
+    agent.stop();
+    config.stop();
+    server.close();
+    store.close();
+    void target.close();
+    void engine?.close();
+    void instanceList.close();
+  };
+  return {
+    address: server.address,
+    crash: close,
+    stop: async () => {
+      config.setLeaving();
+      agent.startLeaving();
+      await sleep(timing.leave_ms);
+      const isDone = await waitUntil(() => agent.countRuns() === 0, timing.stop_grace_ms);
+      if (!isDone) log.warn('stopped with requests in progress', { count: agent.countRuns() });
+      await sleep(Math.min(FLUSH_MS, timing.leave_ms));
+      log.report('stopped');
+      close();
+    },
+  };
+}
--- a/packages/agent/src/settings/AgentSettings.ts
+++ b/packages/agent/src/settings/AgentSettings.ts
@@ -9,6 +9,8 @@
     /** `IP:PORT` for other limpetbay processes. */
     address: z.string().regex(/^[^:]+:\d{1,5}$/, 'must be IP:PORT'),
     service: ServiceName,
+    /** Kind of the target: a rank of a model engine or a plain service. */
+    kind: z.enum(['model', 'plain']),
     target: TargetId,
     /** Base URL of the target. */
     target_origin: z.url({ protocol: /^http$/, error: 'must be an http:// URL' }),
--- a/packages/core/src/membership/Membership.ts
+++ b/packages/core/src/membership/Membership.ts
@@ -105,6 +105,11 @@
     this.#set(instance);
   }
 
+  /** Returns what an instance announced last; undefined where none is known. */
+  getAnnounced(id: string): AnnouncedInstance | undefined {
+    return this.#instances.get(id as InstanceId);
+  }
+
   getInstance(id: string): InstanceRecord | undefined {
     return this.#instances.get(id as InstanceId)?.record;
   }
--- /dev/null
+++ b/packages/dev/src/fleet/defaultFleetOptions.ts
@@ -0,0 +1,14 @@
+import type { DevFleetOptions } from './DevFleetOptions.js';
+
+/** Two zones with two entries each, one group of 8 ranks and one service of 3 targets. */
+export const defaultFleetOptions: DevFleetOptions = {
+  zones: ['a', 'b'],
+  entriesPerZone: 2,
+  ranks: 8,
+  services: 3,
+  port: 0,
+  logLevel: 'info',
+  stepMs: 20,
+  addressTtlMs: 10_000,
+  leaveMs: 3000,
+};
--- /dev/null
+++ b/packages/dev/src/main.ts
@@ -0,0 +1,51 @@
+import { command, flag, number, option, run } from 'cmd-ts';
+import { onStopSignal } from '@limpetbay/runtime';
+import { DevFleet } from './fleet/DevFleet.js';
+import { defaultFleetOptions } from './fleet/defaultFleetOptions.js';
+
+const cli = command({
+  name: 'limpetbay-dev',
+  description: 'a whole deployment with its stand-ins in one process, on loopback',
+  version: '0.1.0',
+  args: {
+    port: option({
+      type: number,
+      long: 'port',
+      defaultValue: () => 0,
+      description: 'port of the first entry; 0 takes a free one',
+    }),
+    quiet: flag({ long: 'quiet', description: 'print no log lines' }),
+    check: flag({ long: 'check', description: 'check the arguments and exit' }),
+  },
+  handler: async ({ port, quiet, check }) => {
+    if (!(Number.isInteger(port) && port >= 0 && port <= 65_535)) {
+      process.stderr.write(`limpetbay-dev: --port ${port}: allowed are 0 to 65535\n`);
+      process.exit(2);
+    }
+    if (check) return;
+    const logLevel = quiet ? 'silent' : 'info';
+    const fleet = new DevFleet({ ...defaultFleetOptions, port, logLevel });
+    await fleet.start();
+    onStopSignal(() => fleet.stop());
+    const { url } = [...fleet.entries.values()][0]!;
+    process.stdout.write(
+      [
+        `store ${fleet.store.address}`,
+        `instances ${fleet.instances.url}`,
+        `ready ${url}`,
+        '',
+        'A streamed answer:',
+        `curl -N ${url}/v1/chat/completions -H 'Content-Type: application/json' \\`,
+        `  -H 'Limpetbay-Workspace: estate-1' \\`,
+        `  -d '{"model":"canerota","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"Who cuts where?"}]}'`,
+        '',
+        'A booking; sent again, it returns the first outcome and runs once:',
+        `curl -i ${url}/services/bookings/bookings -H 'Content-Type: application/json' \\`,
+        `  -H 'Limpetbay-Workspace: estate-1' -H 'Idempotency-Key: gang-7' -d '{"id":"gang-7"}'`,
+        '',
+      ].join('\n'),
+    );
+  },
+});
+
+void run(cli, process.argv.slice(2));
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,13 @@
-export {};
+export { ChannelPool } from './channels/ChannelPool.js';
+export { Entry } from './loop/Entry.js';
+export type { EntryEvent } from './loop/EntryEvent.js';
+export type { EntryParts } from './loop/EntryParts.js';
+export type { RunningEntry } from './process/RunningEntry.js';
+export { startEntry } from './process/startEntry.js';
+export { EntryRun } from './request/EntryRun.js';
+export { RequestHandle } from './request/RequestHandle.js';
+export { checkRequest } from './request/checkRequest.js';
+export { hashPrefixes } from './request/hashPrefixes.js';
+export { EntrySettings } from './settings/EntrySettings.js';
+export { describeEntries } from './view/describeEntries.js';
+export { listRouteTargets } from './view/listRouteTargets.js';
--- /dev/null
+++ b/packages/entry/src/process/RunningEntry.ts
@@ -0,0 +1,7 @@
+import type { RunningProcess } from '@limpetbay/runtime';
+
+/** An entry that was started in this process. */
+export interface RunningEntry extends RunningProcess {
+  /** Base URL for callers. */
+  readonly url: string;
+}
--- a/packages/rpc/src/channel/RunningServer.ts
+++ b/packages/rpc/src/channel/RunningServer.ts
@@ -1,6 +1,10 @@
+import type { Server } from '@grpc/grpc-js';
+
 /** A gRPC server that accepts calls. */
 export interface RunningServer {
-  readonly port: number;
+  readonly server: Server;
+  /** `IP:PORT` on which it listens. */
+  readonly address: string;
   /** Takes no new calls and resolves when those in progress have ended. */
   drain(): Promise<void>;
   /** Ends all calls at once. */
--- a/packages/rpc/src/channel/startServer.ts
+++ b/packages/rpc/src/channel/openServer.ts
@@ -1,34 +1,20 @@
-import {
-  Server,
-  ServerCredentials,
-  type ServiceDefinition,
-  type UntypedServiceImplementation,
-} from '@grpc/grpc-js';
+import { Server, ServerCredentials } from '@grpc/grpc-js';
 import type { RunningServer } from './RunningServer.js';
 
-interface ServiceEntry {
-  readonly definition: ServiceDefinition;
-  readonly implementation: UntypedServiceImplementation;
-}
+const KEEPALIVE_MS = 2000;
 
 /**
- * Starts the gRPC server of a process.
+ * Opens the gRPC server of a process. Services are added to it afterwards.
  *
  * @param address `IP:PORT` to listen on; port 0 takes a free one
  */
-export async function startServer(
-  address: string,
-  services: readonly ServiceEntry[],
-): Promise<RunningServer> {
+export async function openServer(address: string): Promise<RunningServer> {
   const server = new Server({
     'grpc.max_receive_message_length': -1,
     'grpc.max_send_message_length': -1,
-    'grpc.keepalive_time_ms': 2000,
-    'grpc.keepalive_timeout_ms': 2000,
+    'grpc.keepalive_time_ms': KEEPALIVE_MS,
+    'grpc.keepalive_timeout_ms': KEEPALIVE_MS,
   });
-  for (const { definition, implementation } of services) {
-    server.addService(definition, implementation);
-  }
   const port = await new Promise<number>((resolve, reject) => {
     server.bindAsync(address, ServerCredentials.createInsecure(), (error, bound) => {
       if (error === null) resolve(bound);
@@ -36,7 +22,8 @@
     });
   });
   return {
-    port,
+    server,
+    address: `${address.slice(0, address.lastIndexOf(':'))}:${port}`,
     drain: () =>
       new Promise((resolve) => {
         server.tryShutdown(() => resolve());
--- a/packages/rpc/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -1,7 +1,7 @@
 export type { RunningServer } from './channel/RunningServer.js';
 export { channelOptions } from './channel/channelOptions.js';
 export { loadService } from './channel/loadService.js';
-export { startServer } from './channel/startServer.js';
+export { openServer } from './channel/openServer.js';
 export { DispatchClient } from './dispatch/DispatchClient.js';
 export type { DispatchHandler } from './dispatch/DispatchHandler.js';
 export type { DispatchListener } from './dispatch/DispatchListener.js';
@@ -15,6 +15,8 @@
 export type { RelayMessages } from './relay/RelayMessages.js';
 export { RelayServer } from './relay/RelayServer.js';
 export type { RevisionReport } from './relay/RevisionReport.js';
+export { createConfigSource } from './relay/createConfigSource.js';
+export { createOwnerView } from './relay/createOwnerView.js';
 export { decodeInstance } from './relay/decodeInstance.js';
 export { decodeRelayEvent } from './relay/decodeRelayEvent.js';
 export { encodeInstance } from './relay/encodeInstance.js';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,11 +1,15 @@
 export { RealClock } from './clock/RealClock.js';
+export { SystemRandom } from './clock/SystemRandom.js';
 export type { Log } from './log/Log.js';
 export { createLog } from './log/createLog.js';
 export { formatFields } from './log/formatFields.js';
 export { MetricRegistry } from './metrics/MetricRegistry.js';
 export type { EventLoop } from './process/EventLoop.js';
 export { PushSource } from './process/PushSource.js';
+export type { RunningProcess } from './process/RunningProcess.js';
 export { createEventLoop } from './process/createEventLoop.js';
 export { onStopSignal } from './process/onStopSignal.js';
+export { runDaemon } from './process/runDaemon.js';
+export { waitUntil } from './process/waitUntil.js';
 export { describeIssue } from './settings/describeIssue.js';
 export { readSettings } from './settings/readSettings.js';
