--- /dev/null
+++ b/packages/cli/src/commands/createApp.ts
@@ -0,0 +1,123 @@
+import { command, flag, option, positional, string, subcommands } from 'cmd-ts';
+import { EtcdStore, InstanceListClient } from '@limpetbay/platform';
+import { RelayClient } from '@limpetbay/rpc';
+import { RealClock, readSettings } from '@limpetbay/runtime';
+import { CliSettings } from '../settings/CliSettings.js';
+import type { CommandContext } from './CommandContext.js';
+import { ExitStatus } from './ExitStatus.js';
+import { runAccept } from './runAccept.js';
+import { runDiff } from './runDiff.js';
+import { runShow } from './runShow.js';
+import { runStatus } from './runStatus.js';
+import { runValidate } from './runValidate.js';
+
+type Output = Pick<CommandContext, 'print' | 'warn'>;
+
+interface AppOptions {
+  readonly version: string;
+  readonly output: Output;
+}
+
+const DEFAULT_SETTINGS = 'limpetbay.ini';
+
+const settings = option({
+  type: string,
+  long: 'settings',
+  description: 'settings file (INI)',
+  defaultValue: () => DEFAULT_SETTINGS,
+  defaultValueIsSerializable: true,
+});
+const check = flag({ long: 'check', description: 'only check the settings file' });
+const file = positional({ type: string, displayName: 'FILE', description: 'document file (INI)' });
+const service = positional({ type: string, displayName: 'NAME', description: 'service name' });
+
+async function runWithSettings(
+  output: Output,
+  args: { readonly settings: string; readonly check: boolean },
+  run: (context: CommandContext) => Promise<number>,
+): Promise<number> {
+  const read = readSettings(args.settings, CliSettings);
+  if (read.err) {
+    output.warn(read.val.message);
+    return ExitStatus.invalid;
+  }
+  if (args.check) {
+    output.print(`${args.settings}: valid`);
+    return ExitStatus.ok;
+  }
+  const { store, instances } = read.val;
+  const clock = new RealClock();
+  const context: CommandContext = {
+    ...output,
+    settings: read.val,
+    clock,
+    store: new EtcdStore({ address: store.address, timeoutMs: store.timeout_ms, clock }),
+    instanceList: new InstanceListClient({ url: instances.url, timeoutMs: instances.timeout_ms }),
+    relays: new RelayClient(),
+  };
+  try {
+    return await run(context);
+  } finally {
+    context.store.close();
+    await context.instanceList.close();
+  }
+}
+
+/** Creates the command line; each command resolves to its exit status. */
+export function createApp({ version, output }: AppOptions) {
+  return subcommands({
+    name: 'limpetbay',
+    version,
+    description: 'Accepts service documents and shows what is in force',
+    cmds: {
+      accept: command({
+        name: 'accept',
+        version,
+        description: 'accept a document and wait until it is in force',
+        args: {
+          settings,
+          check,
+          file,
+          ignoreBase: flag({
+            long: 'ignore-base',
+            description: "do not check the '; revision =' line that 'show' printed into the file",
+          }),
+        },
+        handler: async (args) =>
+          runWithSettings(output, args, (context) =>
+            runAccept(context, args.file, args.ignoreBase),
+          ),
+      }),
+      validate: command({
+        name: 'validate',
+        version,
+        description: 'check a document without any connection',
+        args: { file },
+        handler: async (args) => runValidate(output, args.file),
+      }),
+      show: command({
+        name: 'show',
+        version,
+        description: 'print the accepted document of a service',
+        args: { settings, check, service },
+        handler: async (args) =>
+          runWithSettings(output, args, (context) => runShow(context, args.service)),
+      }),
+      diff: command({
+        name: 'diff',
+        version,
+        description: 'print what accepting a document would change',
+        args: { settings, check, file },
+        handler: async (args) =>
+          runWithSettings(output, args, (context) => runDiff(context, args.file)),
+      }),
+      status: command({
+        name: 'status',
+        version,
+        description: 'print problems first, then what is in force where',
+        args: { settings, check },
+        handler: async (args) => runWithSettings(output, args, runStatus),
+      }),
+    },
+  });
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+export type { CommandContext } from './commands/CommandContext.js';
+export { ExitStatus } from './commands/ExitStatus.js';
+export { createApp } from './commands/createApp.js';
+export { readAccepted } from './commands/readAccepted.js';
+export { readDocumentFile } from './commands/readDocumentFile.js';
+export { runAccept } from './commands/runAccept.js';
+export { runApp } from './commands/runApp.js';
+export { runDiff } from './commands/runDiff.js';
+export { runShow } from './commands/runShow.js';
+export { runStatus } from './commands/runStatus.js';
+export { runValidate } from './commands/runValidate.js';
+export { CliSettings } from './settings/CliSettings.js';
--- /dev/null
+++ b/packages/operators/src/document/describeAllowed.ts
@@ -0,0 +1,52 @@
+import { z } from 'zod';
+import { ServiceDocument } from '@limpetbay/core';
+
+interface SchemaNode {
+  readonly type?: string;
+  readonly enum?: readonly string[];
+  readonly minimum?: number;
+  readonly maximum?: number;
+  readonly minLength?: number;
+  readonly maxLength?: number;
+  readonly minItems?: number;
+  readonly maxItems?: number;
+  readonly items?: SchemaNode;
+  readonly default?: unknown;
+  readonly properties?: Readonly<Record<string, SchemaNode>>;
+}
+
+const schema = z.toJSONSchema(ServiceDocument, { io: 'input' }) as SchemaNode;
+
+function describeText(node: SchemaNode): string {
+  if (node.enum !== undefined) return node.enum.join(' | ');
+  const min = node.minLength ?? 0;
+  return node.maxLength === undefined
+    ? `text of at least ${min} characters`
+    : `text of ${min} to ${node.maxLength} characters`;
+}
+
+function describeNode(node: SchemaNode): string {
+  if (node.type === 'integer') return `whole number from ${node.minimum} to ${node.maximum}`;
+  if (node.type === 'number') return `number from ${node.minimum} to ${node.maximum}`;
+  if (node.type !== 'array') return describeText(node);
+  const items = describeText(node.items ?? {});
+  const count = node.minItems === undefined ? '' : `at least ${node.minItems}: `;
+  return `list with commas, ${count}${items}`;
+}
+
+/**
+ * Describes what a key of the document may hold, from the schema itself.
+ *
+ * @param path path of the value in `ServiceDocument`
+ * @returns the allowed values and the default as INI text; null where the key must be given
+ */
+export function describeAllowed(path: readonly string[]): {
+  readonly allowed: string;
+  readonly defaultText: string | null;
+} {
+  let node: SchemaNode = schema;
+  for (const part of path) node = node.properties?.[part] ?? node.items?.properties?.[part] ?? {};
+  const value = node.default;
+  const text = Array.isArray(value) ? value.join(', ') : String(value);
+  return { allowed: describeNode(node), defaultText: value === undefined ? null : text };
+}
--- /dev/null
+++ b/packages/operators/src/status/findProblems.ts
@@ -0,0 +1,93 @@
+import type { InstanceRecord } from '@limpetbay/core';
+import type { RevisionReport } from '@limpetbay/rpc';
+import type { StatusView } from './StatusView.js';
+
+interface Problem {
+  readonly summary: string;
+  /** What it means for service, and what to do. */
+  readonly advice: string;
+  /** The instances or documents concerned, one a line. */
+  readonly details: readonly string[];
+}
+
+function describeInstance(instance: InstanceRecord): string {
+  return `${instance.id} (zone ${instance.zone}, ${instance.role}, ${instance.address})`;
+}
+
+function findSharedProblems(view: StatusView): Problem[] {
+  const problems: Problem[] = [];
+  if ('problem' in view.store) {
+    problems.push({
+      summary: 'the store does not answer',
+      advice:
+        'service continues with the known documents; nothing can be accepted, no new keyed ' +
+        'request is claimed; call the platform team',
+      details: [view.store.problem],
+    });
+  }
+  if (view.instances === null) {
+    problems.push({
+      summary: 'the instance list does not answer',
+      advice: 'the instances cannot be asked from here; processes keep their last view',
+      details: [view.listProblem ?? ''],
+    });
+  }
+  return problems;
+}
+
+function findBehind(view: StatusView, report: RevisionReport): string[] {
+  const behind: string[] = [];
+  for (const { name, revision } of view.documents ?? []) {
+    const known = report.revisions.get(name)?.revision;
+    if (known !== undefined && known >= revision) continue;
+    behind.push(`${name} at ${known ?? 'none'} instead of ${revision}`);
+  }
+  return behind;
+}
+
+/** Finds what an operator should act on, most important first. */
+export function findProblems(view: StatusView): Problem[] {
+  const problems = findSharedProblems(view);
+  const silent: string[] = [];
+  const notReady: string[] = [];
+  const behind: string[] = [];
+  const old: string[] = [];
+  for (const instance of view.instances ?? []) {
+    const report = view.reports.get(instance.id) ?? null;
+    const label = describeInstance(instance);
+    if (report === null) {
+      silent.push(label);
+      continue;
+    }
+    const missing = findBehind(view, report);
+    const ageMs = report.confirmationAgeMs;
+    if (!report.ready) notReady.push(label);
+    else if (missing.length > 0) behind.push(`${label}: ${missing.join('; ')}`);
+    else if (report.state !== 'fresh') {
+      const age = ageMs === null ? 'never' : `${Math.round(ageMs / 1000)} s ago`;
+      old.push(`${label}: ${report.state}, confirmed ${age}`);
+    }
+  }
+  const add = (details: string[], what: string, advice: string): void => {
+    if (details.length === 0) return;
+    problems.push({ summary: `${details.length} ${what}`, advice, details });
+  };
+  add(
+    silent,
+    'instances do not answer',
+    'dead, unreachable from here, or just replaced (the list lags); entries avoid them',
+  );
+  add(notReady, 'instances have no configuration', 'they refuse all work (not_ready)');
+  add(
+    behind,
+    'instances are behind the store',
+    'normal for 3 s after an accept; longer means that no relay of their zone reaches them',
+  );
+  add(
+    old,
+    'instances have an unconfirmed configuration',
+    'expected in a store outage; otherwise check the network of their zone. An agent that also ' +
+      'hears no other zone refuses work where the document says isolation = refuse',
+  );
+  return problems;
+}
--- /dev/null
+++ b/packages/operators/src/status/formatStatus.ts
@@ -0,0 +1,91 @@
+import type { StatusView } from './StatusView.js';
+import { findProblems } from './findProblems.js';
+
+const MAX_DETAILS = 10;
+
+function formatTable(rows: readonly (readonly string[])[]): string[] {
+  const widths: number[] = [];
+  for (const row of rows) {
+    for (const [column, cell] of row.entries()) {
+      widths[column] = Math.max(widths[column] ?? 0, cell.length);
+    }
+  }
+  return rows.map((row) =>
+    row
+      .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+      .join('  ')
+      .trimEnd(),
+  );
+}
+
+function formatProblems(view: StatusView): string[] {
+  const problems = findProblems(view);
+  if (problems.length === 0) return ['OK: every instance answers with the accepted documents'];
+  const lines = [`PROBLEMS: ${problems.length}`];
+  for (const [index, { summary, advice, details }] of problems.entries()) {
+    lines.push(`${index + 1}. ${summary}`, `   ${advice}`);
+    for (const detail of details.slice(0, MAX_DETAILS)) lines.push(`   - ${detail}`);
+    const rest = details.length - MAX_DETAILS;
+    if (rest > 0) lines.push(`   - and ${rest} more`);
+  }
+  return lines;
+}
+
+function formatServices(view: StatusView): string[] {
+  if (view.documents === null) return ['services: unknown, the store does not answer'];
+  const rows = [['SERVICE', 'REVISION', 'IN FORCE', 'ZONES IN', 'ZONES OUT']];
+  const total = view.instances?.length ?? 0;
+  for (const { name, revision, document } of view.documents) {
+    let inForce = 0;
+    for (const report of view.reports.values()) {
+      if ((report?.revisions.get(name)?.revision ?? -1) >= revision) inForce += 1;
+    }
+    const zonesIn = document?.zones.in.join(' ') || '-';
+    const zonesOut = document?.zones.out.join(' ') || '-';
+    rows.push([name, String(revision), `${inForce} of ${total}`, zonesIn, zonesOut]);
+  }
+  return formatTable(rows);
+}
+
+function formatZones(view: StatusView): string[] {
+  const rows = [
+    ['ZONE', 'ENTRIES', 'AGENTS', 'RELAYS', 'FRESH', 'STALE', 'CUT OFF', 'NO ANSWER', 'LEAVING'],
+  ];
+  const zones = [...new Set(view.instances?.map(({ zone }) => zone))].sort();
+  for (const zone of zones) {
+    const instances = view.instances?.filter((instance) => instance.zone === zone) ?? [];
+    const count = (matches: (id: string) => boolean): string =>
+      String(instances.filter(({ id }) => matches(id)).length);
+    const countState = (state: string): string =>
+      count((id) => view.reports.get(id)?.state === state);
+    rows.push([
+      zone,
+      String(instances.filter(({ role }) => role === 'entry').length),
+      String(instances.filter(({ role }) => role === 'agent').length),
+      count((id) => view.reports.get(id)?.isRelay === true),
+      countState('fresh'),
+      countState('stale'),
+      countState('cut_off'),
+      count((id) => !view.reports.get(id)),
+      count((id) => view.reports.get(id)?.self.record.state === 'leaving'),
+    ]);
+  }
+  return formatTable(rows);
+}
+
+/** Prints a status for operators: the verdict first, then problems with advice, then the tables. */
+export function formatStatus(view: StatusView): string {
+  const store =
+    'problem' in view.store ? 'no answer' : `answers in ${Math.round(view.store.answerMs)} ms`;
+  const list = view.instances === null ? 'no answer' : `${view.instances.length} instances`;
+  const lines = [
+    ...formatProblems(view),
+    '',
+    `at ${view.takenAt.toISOString()}; store: ${store}; instance list: ${list}`,
+    '',
+    ...formatServices(view),
+    '',
+    ...formatZones(view),
+  ];
+  return `${lines.join('\n')}\n`;
+}
