--- a/packages/core/src/admission/SubmitResult.ts
+++ b/packages/core/src/admission/SubmitResult.ts
@@ -11,9 +11,7 @@
  *   with a frame that declares it not run.
  */
 export type SubmitResult =
-  | { readonly type: 'start' | 'queued'; readonly outcome: AdmissionOutcome }
-  | {
-      readonly type: 'refused' | 'duplicate';
-      readonly failure: Failure;
-      readonly outcome: AdmissionOutcome;
-    };
+  | { readonly type: 'start'; readonly outcome: AdmissionOutcome }
+  | { readonly type: 'queued'; readonly outcome: AdmissionOutcome }
+  | { readonly type: 'refused'; readonly failure: Failure; readonly outcome: AdmissionOutcome }
+  | { readonly type: 'duplicate'; readonly failure: Failure; readonly outcome: AdmissionOutcome };
--- a/packages/core/src/admission/TargetAdmission.ts
+++ b/packages/core/src/admission/TargetAdmission.ts
@@ -14,6 +14,7 @@
 import { PaceTracker } from '../ramp/PaceTracker.js';
 import { Ramp } from '../ramp/Ramp.js';
 import { UsageWindow } from '../ramp/UsageWindow.js';
+import { paceLimits } from '../ramp/paceLimits.js';
 import type { AdmissionItem } from './AdmissionItem.js';
 import type { AdmissionOutcome } from './AdmissionOutcome.js';
 import type { AdmissionSample } from './AdmissionSample.js';
@@ -39,6 +40,8 @@
 const MEMORY_CAPACITY = 500_000;
 /** The adaptive limit decides this many times in a ramp interval. */
 const WINDOWS_PER_INTERVAL = 4;
+/** Samples that an adaptive window waits for, unless the limit is lower. */
+const WINDOW_SAMPLES = 16;
 const LONGEST_RETRY_MS = 10_000;
 const SHORTEST_RETRY_MS = 50;
 const STEP_CLASS = 'step';
@@ -84,6 +87,8 @@
 
   #listed = false;
 
+  #zoneOut = false;
+
   #leaving = false;
 
   #connectivity: Connectivity | null = null;
@@ -303,6 +308,10 @@
     const nowMs = this.#clock.getNow();
     this.#memory.expire(nowMs);
     const blocked = this.#checkState(nowMs);
+    const zoneOut = blocked?.kind === 'zone_out';
+    // A returning zone ramps target by target; its caches may have gone cold meanwhile.
+    if (this.#zoneOut && !zoneOut) this.#restartRamp(nowMs, 'zone returned');
+    this.#zoneOut = zoneOut;
     if (blocked !== null) {
       for (const entry of this.#queue.drain()) this.#refuseQueued(nowMs, entry, blocked, outcome);
     } else {
@@ -318,7 +327,7 @@
       this.#start(nowMs, entry);
       outcome.started.push(entry.item);
     }
-    this.#updateOccupancy(nowMs);
+    this.#updateUse(nowMs);
     return outcome;
   }
 
@@ -497,7 +506,7 @@
     this.#running.set(entry.id, { entry, startedMs: nowMs });
     this.#runningCost += entry.cost;
     this.#startedCount += 1;
-    this.#updateOccupancy(nowMs);
+    this.#updateUse(nowMs);
   }
 
   #release(nowMs: number, id: string): Running | null {
@@ -506,14 +515,14 @@
     this.#running.delete(id);
     this.#runningCost = this.#running.size === 0 ? 0 : this.#runningCost - running.entry.cost;
     this.#remember(nowMs, running.entry);
-    this.#updateOccupancy(nowMs);
+    this.#updateUse(nowMs);
     return running;
   }
 
-  #updateOccupancy(nowMs: number): void {
-    const atLimit = this.#running.size >= this.#getLimit();
-    this.#rampWindow.setOccupancy(nowMs, atLimit);
-    this.#adaptiveWindow.setOccupancy(nowMs, atLimit);
+  #updateUse(nowMs: number): void {
+    const limit = this.#getLimit();
+    this.#rampWindow.setUse(nowMs, this.#running.size, limit);
+    this.#adaptiveWindow.setUse(nowMs, this.#running.size, limit);
   }
 
   #refuseQueued(nowMs: number, entry: Entry, failure: Failure, outcome: AdmissionOutcome): void {
@@ -550,8 +559,10 @@
 
   #recordPace(nowMs: number, name: string, paceMs: number, startedMs: number): void {
     const ratio = this.#pace.record(name, paceMs);
-    if (startedMs >= this.#rampChangedMs) this.#rampWindow.recordPace(ratio);
-    if (startedMs >= this.#adaptiveChangedMs) this.#adaptiveWindow.recordPace(ratio);
+    if (startedMs >= this.#rampChangedMs) this.#rampWindow.recordPace(ratio, name === STEP_CLASS);
+    if (startedMs >= this.#adaptiveChangedMs) {
+      this.#adaptiveWindow.recordPace(ratio, name === STEP_CLASS);
+    }
     if (this.#pace.isCold() && this.#ramp !== null && !this.#ramp.isAtStart()) {
       this.#restartRamp(nowMs, 'service times several times the warm value');
     }
@@ -567,7 +578,7 @@
     this.#adaptiveChangedMs = nowMs;
     this.#rampRestarts += 1;
     this.#rampReason = reason;
-    this.#updateOccupancy(nowMs);
+    this.#updateUse(nowMs);
   }
 
   #advanceLimits(nowMs: number): void {
@@ -575,29 +586,41 @@
     const adaptive = this.#adaptive;
     if (ramp === null || adaptive === null) return;
     const windowMs = ramp.getIntervalMs() / WINDOWS_PER_INTERVAL;
-    if (this.#adaptiveWindow.getLength(nowMs) >= windowMs) {
+    const samples = this.#adaptiveWindow.getSamples();
+    const needed = Math.min(WINDOW_SAMPLES, this.#getLimit());
+    if (samples >= needed && this.#adaptiveWindow.getLength(nowMs) >= windowMs) {
       const usage = this.#adaptiveWindow.describe(nowMs);
       // While the ramp is the lower limit it alone decides.
-      if (usage.samples > 0) {
-        const binding = adaptive.getLimit() <= ramp.getLimit();
-        const change = binding ? adaptive.advance(usage, this.#getLimit()) : 'held';
-        if (change === 'shrank') this.#adaptiveChangedMs = nowMs;
-        this.#adaptiveWindow.reset(nowMs);
-      }
+      const binding = adaptive.getLimit() <= ramp.getLimit();
+      const change = binding ? adaptive.advance(usage, this.#getLimit()) : 'held';
+      if (change === 'shrank') this.#adaptiveChangedMs = nowMs;
+      this.#adaptiveWindow.reset(nowMs);
     }
     if (this.#rampWindow.getLength(nowMs) < ramp.getIntervalMs()) return;
-    const usage = this.#rampWindow.describe(nowMs);
-    // Without a sample the interval is extended: it says nothing about the target.
-    if (usage.samples === 0) return;
-    this.#paceRatio = usage.paceRatio;
+    const usage = this.#rampWindow.describe(nowMs, this.#listSlow(nowMs));
     const atStart = ramp.isAtStart();
     const change = ramp.advance(usage);
+    // Without enough samples the interval is extended: it says nothing about the target yet.
+    if (change === 'held' && (usage.samples === 0 || !usage.complete)) return;
+    this.#paceRatio = usage.paceRatio;
     if (change !== 'held') this.#rampChangedMs = nowMs;
     if (change === 'shrank' && !atStart) {
       adaptive.lower(ramp.getProvenLimit());
       this.#adaptiveChangedMs = nowMs;
     }
-    this.#pace.closeWindow(usage.paceRatio, usage.atLimitShare > 0, usage.errorShare > 0);
+    this.#pace.closeWindow(usage.paceRatio, usage.reachedLimit, usage.errorShare > 0);
     this.#rampWindow.reset(nowMs);
   }
+
+  /** Lists the pace so far of requests in progress that are slow already. */
+  #listSlow(nowMs: number): number[] {
+    const ratios: number[] = [];
+    for (const { entry, startedMs } of this.#running.values()) {
+      if (startedMs < this.#rampChangedMs) continue;
+      const warmMs = this.#pace.getWarm(entry.paceClass);
+      const ratio = warmMs === null ? 0 : (nowMs - startedMs) / warmMs;
+      if (ratio > paceLimits.near) ratios.push(ratio);
+    }
+    return ratios;
+  }
 }
--- a/packages/core/src/overload/FairLevel.ts
+++ b/packages/core/src/overload/FairLevel.ts
@@ -70,7 +70,8 @@
     if (this.#size === 0) return null;
     for (;;) {
       let leastRounds = Infinity;
-      for (const lane of [...this.#ring.values()]) {
+      let visits = this.#ring.size;
+      for (const lane of this.#ring.values()) {
         const next = lane.entries[lane.entries.length - 1] as T;
         if (lane.deficit >= next.cost) {
           lane.deficit -= next.cost;
@@ -79,8 +80,11 @@
         }
         lane.deficit += this.#quantum;
         leastRounds = Math.min(leastRounds, (next.cost - lane.deficit) / this.#quantum);
+        // Moved to the end, where this loop would meet it again without the count of visits.
         this.#ring.delete(lane.workspace);
         this.#ring.set(lane.workspace, lane);
+        visits -= 1;
+        if (visits === 0) break;
       }
       // Nothing was affordable in a whole round: skip the rounds in which that stays so.
       const skipped = Math.max(0, Math.ceil(leastRounds) - 1);
--- a/packages/core/src/ramp/PaceTracker.ts
+++ b/packages/core/src/ramp/PaceTracker.ts
@@ -11,10 +11,10 @@
 const MAX_WINDOW = 64;
 /** One slow request must not restart a ramp; the median of five needs three. */
 const RECENT = 5;
-/** Weight of a faster window: a lower pace is proof that the target can do it. */
-const FALL_WEIGHT = 0.5;
-/** Weight of a slower window at light load; small, so that a slow decline stays visible. */
-const RISE_WEIGHT = 0.1;
+/** Samples of a window that replace half of the warm value when the window is faster. */
+const HALF_SAMPLES = 8;
+/** A slower window at light load counts for less, so that a slow decline stays visible. */
+const RISE_FACTOR = 0.2;
 /** Steady windows after which a slower pace becomes the new warm value (changed model). */
 const RELEARN_WINDOWS = 30;
 
@@ -78,12 +78,13 @@
     for (const paceClass of this.#classes.values()) {
       const median = computeMedian(paceClass.window);
       if (median === null) continue;
+      const weight = paceClass.window.length / (paceClass.window.length + HALF_SAMPLES);
       paceClass.window = [];
       if (paceClass.warmMs === null || relearn) paceClass.warmMs = median;
       else if (median < paceClass.warmMs) {
-        paceClass.warmMs += FALL_WEIGHT * (median - paceClass.warmMs);
+        paceClass.warmMs += weight * (median - paceClass.warmMs);
       } else if (!atLimit && median <= paceLimits.near * paceClass.warmMs) {
-        paceClass.warmMs += RISE_WEIGHT * (median - paceClass.warmMs);
+        paceClass.warmMs += RISE_FACTOR * weight * (median - paceClass.warmMs);
       }
     }
   }
--- a/packages/core/src/ramp/Ramp.ts
+++ b/packages/core/src/ramp/Ramp.ts
@@ -1,9 +1,16 @@
+import { computeSlack } from './computeSlack.js';
 import { paceLimits } from './paceLimits.js';
 import type { RampSettings } from './RampSettings.js';
 import type { UsageSummary } from './UsageSummary.js';
 
-/** Share of an interval at the limit from which the interval says something about the limit. */
-const USED_SHARE = 0.25;
+/** Mean use from which an interval that reached the limit says something about the limit. */
+const USED_SHARE = 0.5;
+/**
+ * Worsening of the pace from one proven grant to the next. Growing by the factor 1.5 past the
+ * concurrency that a target can use worsens the pace by 1.5 or more, as throughput stays or falls.
+ */
+const WORSE_HOLD = 1.3;
+const WORSE_SHRINK = 1.5;
 /** A single failure in a large window does not stop the growth. */
 const CLEAN_SHARE = 0.01;
 const FAILING_SHARE = 0.1;
@@ -26,6 +33,9 @@
   /** Last grant at which an interval went well. */
   #provenLimit: number;
 
+  /** Pace ratio at that grant; null before the first. */
+  #provenRatio: number | null = null;
+
   /** @param full grant of a warm target, the document's `max_in_flight` */
   constructor(settings: RampSettings, full: number) {
     this.#settings = settings;
@@ -66,22 +76,34 @@
   restart(): void {
     this.#limit = Math.min(this.#settings.start, this.#full);
     this.#provenLimit = this.#limit;
+    this.#provenRatio = null;
   }
 
   /** Decides at the end of a full interval. */
   advance(usage: UsageSummary): 'grew' | 'held' | 'shrank' {
     if (usage.lengthMs < this.#settings.intervalMs) return 'held';
-    const slow = usage.paceRatio !== null && usage.paceRatio > paceLimits.slow;
-    if (slow || usage.errorShare >= FAILING_SHARE) {
+    const ratio = usage.paceRatio;
+    const worse = ratio === null || this.#provenRatio === null ? 1 : ratio / this.#provenRatio;
+    const grown = this.#limit > this.#provenLimit;
+    const slack = computeSlack(usage.samples);
+    const slow = ratio !== null && ratio > paceLimits.slow * slack;
+    if (slow || (grown && worse > WORSE_SHRINK * slack) || usage.errorShare >= FAILING_SHARE) {
       const floor = Math.min(this.#settings.start, this.#full);
-      this.#limit = Math.max(floor, this.#limit * SHRINK_FACTOR);
+      // Back to the last grant that did well, or to half if that one is at fault.
+      const target = grown ? this.#provenLimit : this.#limit * SHRINK_FACTOR;
+      this.#limit = Math.max(floor, target);
+      this.#provenLimit = Math.min(this.#provenLimit, this.#limit);
       return 'shrank';
     }
-    if (usage.atLimitShare < USED_SHARE || usage.errorShare >= CLEAN_SHARE) return 'held';
-    if (usage.paceRatio === null || usage.paceRatio > paceLimits.near) return 'held';
-    if (usage.paceRatio < paceLimits.improving) return 'held';
+    if (!usage.complete) return 'held';
+    if (!usage.reachedLimit || usage.meanUse < USED_SHARE) return 'held';
+    if (usage.errorShare >= CLEAN_SHARE) return 'held';
+    if (ratio === null || ratio > paceLimits.near * slack) return 'held';
+    if (ratio < paceLimits.improving / slack) return 'held';
+    if (grown && worse > WORSE_HOLD * slack) return 'held';
     if (usage.waiting > Math.max(1, this.#limit * WAITING_SHARE)) return 'held';
     this.#provenLimit = this.#limit;
+    this.#provenRatio = ratio;
     if (this.isFull()) return 'held';
     this.#limit = Math.min(this.#full, this.#limit * this.#settings.growth);
     return 'grew';
--- a/packages/core/src/ramp/UsageWindow.ts
+++ b/packages/core/src/ramp/UsageWindow.ts
@@ -3,6 +3,7 @@
 
 /** Enough for a median; keeps a window of a busy target small. */
 const MAX_RATIOS = 128;
+const ENOUGH_STEPS = 3;
 
 /** Collects what happened since the last decision about a limit. */
 export class UsageWindow {
@@ -10,9 +11,15 @@
 
   #updatedMs: number;
 
-  #atLimitMs = 0;
+  #useMs = 0;
 
-  #atLimit = false;
+  #inFlightMs = 0;
+
+  #use = 0;
+
+  #inFlight = 0;
+
+  #reachedLimit = false;
 
   #finished = 0;
 
@@ -20,6 +27,8 @@
 
   #samples = 0;
 
+  #steps = 0;
+
   #waiting = 0;
 
   #ratios: number[] = [];
@@ -29,23 +38,27 @@
     this.#updatedMs = nowMs;
   }
 
-  /** Begins a new window; the occupancy carries over. */
+  /** Begins a new window; the present use carries over. */
   reset(nowMs: number): void {
-    this.setOccupancy(nowMs, this.#atLimit);
+    this.#integrate(nowMs);
     this.#startMs = nowMs;
-    this.#atLimitMs = 0;
+    this.#useMs = 0;
+    this.#inFlightMs = 0;
+    this.#reachedLimit = this.#use >= 1;
     this.#finished = 0;
     this.#failed = 0;
     this.#samples = 0;
+    this.#steps = 0;
     this.#waiting = 0;
     this.#ratios = [];
   }
 
-  /** Records from now on whether all granted slots are taken. */
-  setOccupancy(nowMs: number, atLimit: boolean): void {
-    if (this.#atLimit) this.#atLimitMs += nowMs - this.#updatedMs;
-    this.#updatedMs = nowMs;
-    this.#atLimit = atLimit;
+  /** Records what is in flight and granted from now on. */
+  setUse(nowMs: number, inFlight: number, limit: number): void {
+    this.#integrate(nowMs);
+    this.#inFlight = inFlight;
+    this.#use = Math.min(1, inFlight / Math.max(1, limit));
+    if (this.#use >= 1) this.#reachedLimit = true;
   }
 
   recordFinish(error: boolean): void {
@@ -53,9 +66,13 @@
     if (error) this.#failed += 1;
   }
 
-  /** @param ratio pace over warm pace; null when no warm value is known yet */
-  recordPace(ratio: number | null): void {
+  /**
+   * @param ratio pace over warm pace; null when no warm value is known yet
+   * @param isStep whether it is a step time, which does not depend on the length of a request
+   */
+  recordPace(ratio: number | null, isStep: boolean): void {
     this.#samples += 1;
+    if (isStep) this.#steps += 1;
     if (ratio === null) return;
     if (this.#ratios.length < MAX_RATIOS) this.#ratios.push(ratio);
     else this.#ratios[this.#samples % MAX_RATIOS] = ratio;
@@ -65,20 +82,36 @@
     if (waiting > this.#waiting) this.#waiting = waiting;
   }
 
+  getSamples(): number {
+    return this.#samples + this.#failed;
+  }
+
   getLength(nowMs: number): number {
     return nowMs - this.#startMs;
   }
 
-  describe(nowMs: number): UsageSummary {
-    this.setOccupancy(nowMs, this.#atLimit);
+  /** @param slowRatios pace so far of unfinished requests that are slow already */
+  describe(nowMs: number, slowRatios: readonly number[] = []): UsageSummary {
+    this.#integrate(nowMs);
     const lengthMs = nowMs - this.#startMs;
+    const meanInFlight = lengthMs <= 0 ? 0 : this.#inFlightMs / lengthMs;
     return {
       lengthMs,
-      samples: this.#samples + this.#failed,
-      paceRatio: computeMedian(this.#ratios),
+      samples: this.getSamples() + slowRatios.length,
+      complete: this.#steps >= ENOUGH_STEPS || this.#finished >= meanInFlight,
+      paceRatio: computeMedian([...this.#ratios, ...slowRatios]),
       errorShare: this.#finished === 0 ? 0 : this.#failed / this.#finished,
-      atLimitShare: lengthMs <= 0 ? 0 : this.#atLimitMs / lengthMs,
+      meanInFlight,
+      reachedLimit: this.#reachedLimit,
+      meanUse: lengthMs <= 0 ? 0 : this.#useMs / lengthMs,
       waiting: this.#waiting,
     };
   }
+
+  #integrate(nowMs: number): void {
+    const elapsedMs = nowMs - this.#updatedMs;
+    this.#useMs += this.#use * elapsedMs;
+    this.#inFlightMs += this.#inFlight * elapsedMs;
+    this.#updatedMs = nowMs;
+  }
 }
