--- /dev/null
+++ b/packages/dev/test/support/callers.ts
@@ -0,0 +1,88 @@
+import { createWord } from '@limpetbay/standins';
+
+const JSON_HEADERS = { 'content-type': 'application/json', 'limpetbay-workspace': 'estate-1' };
+
+interface StreamedAnswer {
+  readonly words: string[];
+  readonly isComplete: boolean;
+}
+
+const buildMessages = (content: string): object[] => [{ role: 'user', content }];
+
+/** The words that an engine generates for a prompt. */
+export function listExpectedWords(content: string, count: number): string[] {
+  const prompt = JSON.stringify(buildMessages(content));
+  const words: string[] = [];
+  for (let index = 0; index < count; index += 1) words.push(createWord(prompt, index));
+  return words;
+}
+
+/** Asks for a streamed answer and collects what arrives until the stream ends or breaks. */
+export async function streamChat(
+  url: string,
+  content: string,
+  maxTokens: number,
+  onWord: (word: string) => void = () => undefined,
+): Promise<StreamedAnswer> {
+  const response = await fetch(`${url}/v1/chat/completions`, {
+    method: 'POST',
+    headers: JSON_HEADERS,
+    body: JSON.stringify({
+      model: 'canerota',
+      stream: true,
+      max_tokens: maxTokens,
+      messages: buildMessages(content),
+    }),
+  });
+  const words: string[] = [];
+  let text = '';
+  let isComplete = false;
+  try {
+    for await (const part of response.body!) {
+      text += Buffer.from(part).toString('utf8');
+      const events = text.split('\n\n');
+      text = events.pop()!;
+      for (const event of events) {
+        if (event === 'data: [DONE]') isComplete = true;
+        const word = /"content":"(\w+) "/.exec(event)?.[1];
+        if (word === undefined) continue;
+        words.push(word);
+        onWord(word);
+      }
+    }
+  } catch {
+    isComplete = false;
+  }
+  return { words, isComplete: isComplete && response.status === 200 };
+}
+
+interface CallResult {
+  readonly status: number;
+  readonly kind: string | undefined;
+  readonly run: string | undefined;
+  readonly isReplayed: boolean;
+  readonly body: string;
+}
+
+/** Sends a booking. @param key idempotency key; empty for none */
+export async function book(
+  url: string,
+  id: string,
+  key = '',
+  headers: Record<string, string> = {},
+): Promise<CallResult> {
+  const response = await fetch(`${url}/services/bookings/bookings`, {
+    method: 'POST',
+    headers: { ...JSON_HEADERS, ...(key === '' ? {} : { 'idempotency-key': key }), ...headers },
+    body: JSON.stringify({ id }),
+  });
+  const body = await response.text();
+  const { error } = JSON.parse(body) as { error?: { kind: string; run: string } };
+  return {
+    status: response.status,
+    kind: error?.kind,
+    run: error?.run,
+    isReplayed: response.headers.get('limpetbay-replayed') === 'true',
+    body,
+  };
+}
--- a/packages/entry/src/loop/Entry.ts
+++ b/packages/entry/src/loop/Entry.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import {
   answerTable,
+  ProgressWatch,
   chooseFailureKind,
   decideRetry,
   fail,
@@ -29,8 +30,6 @@
 
 /** Time that an agent gets to report a passed deadline before the entry does it itself. */
 const DEADLINE_SLACK_MS = 250;
-/** A tick that comes later than this says that the process was paused. */
-const PAUSE_MS = 500;
 
 /** The entry: takes callers' requests, routes them to agents and passes the answers on. */
 export class Entry implements CallerHandler {
@@ -40,17 +39,20 @@
 
   readonly #runs = new Set<EntryRun>();
 
+  /** Requests by the key of their attempt in progress. */
+  readonly #streams = new Map<string, EntryRun>();
+
   readonly #addresses = new Map<TargetId, string>();
 
   readonly #unsubscribe: () => void;
 
   #isLeaving = false;
 
-  #tickedAtMs: number;
+  readonly #progress: ProgressWatch;
 
   constructor(parts: EntryParts) {
     this.#parts = parts;
-    this.#tickedAtMs = parts.clock.getNow();
+    this.#progress = new ProgressWatch(parts.clock, parts.timing.tickMs);
     this.#loop = createEventLoop<EntryEvent>({
       handle: (event) => this.#handle(event),
       onError: (event, error) => {
@@ -122,7 +124,7 @@
       case 'frame': {
         const { run, assembler, frame } = event;
         if (run.current?.assembler !== assembler) break;
-        run.recordFrame(this.#parts.clock.getNow());
+        this.#progress.mark(run.streamKey);
         this.#parts.router.recordFrame(run.current.decision.target);
         const answerEvent = assembler.accept(frame);
         if (answerEvent !== null) this.#acceptAnswer(run, answerEvent);
@@ -186,7 +188,7 @@
   }
 
   #sendAttempt(run: EntryRun): void {
-    const { channels, clock, log, router } = this.#parts;
+    const { channels, clock, log, router, timing } = this.#parts;
     const { request, prefixHashes, tried } = run;
     const nowMs = clock.getNow();
     const cost = { promptTokens: request.promptTokens, maxTokens: request.maxTokens, prefixHashes };
@@ -213,7 +215,9 @@
       target: decision.target,
       reason: decision.reason,
     });
-    const assembler = run.startAttempt(decision, address, nowMs);
+    const assembler = run.startAttempt(decision, address);
+    this.#streams.set(run.streamKey, run);
+    this.#progress.open(run.streamKey, address, timing.silenceMs);
     router.recordSend(decision, cost);
     const cancel = channels.open(address).send(attempt, {
       acceptFrame: (frame) => this.#loop.push({ type: 'frame', run, assembler, frame }),
@@ -252,19 +256,19 @@
     router.recordFinish(decision, 'complete');
     metrics.increase('limpetbay_entry_completed');
     metrics.record('limpetbay_entry_time_left_ms', run.deadlineAtMs - clock.getNow());
+    this.#endAttempt(run, true);
     run.answer.end();
     this.#end(run);
   }
 
   #retryOrFail(run: EntryRun, event: FailedEvent): void {
     const { budget, clock, log, metrics, random, router } = this.#parts;
-    const { decision, cancel } = run.current!;
+    const { decision } = run.current!;
     const { failure } = event;
     const isRefusal = answerTable[failure.kind].run === 'no';
     if (event.load !== null) router.acceptLoad(event.load);
     router.recordFinish(decision, failure.kind);
-    cancel();
-    run.endAttempt(!isRefusal);
+    this.#endAttempt(run, !isRefusal);
     const next = decideRetry(
       {
         failure,
@@ -328,41 +332,47 @@
     if (run === null || run.isEnded) return;
     if (run.current !== null) {
       this.#parts.router.recordFinish(run.current.decision, 'cancelled');
-      run.current.cancel();
+      this.#endAttempt(run, true);
     }
     this.#parts.metrics.increase('limpetbay_entry_cancelled');
     this.#end(run);
   }
 
   #tick(): void {
-    const { clock, timing } = this.#parts;
-    const nowMs = clock.getNow();
-    const wasPaused = nowMs - this.#tickedAtMs > PAUSE_MS;
-    this.#tickedAtMs = nowMs;
+    for (const { stream, replaceChannel } of this.#progress.poll()) {
+      const run = this.#streams.get(stream);
+      if (run !== undefined) this.#giveUp(run, replaceChannel);
+    }
+    const nowMs = this.#parts.clock.getNow();
     for (const run of [...this.#runs]) {
-      // Frames that came during a pause are handled after this tick.
-      if (wasPaused) run.recordFrame(nowMs);
-      else if (run.current !== null && run.measureSilence(nowMs) >= timing.silenceMs) {
-        this.#giveUp(run);
-      }
-      if (!run.isEnded && nowMs >= run.deadlineAtMs + DEADLINE_SLACK_MS) this.#expire(run);
+      if (nowMs >= run.deadlineAtMs + DEADLINE_SLACK_MS) this.#expire(run);
     }
   }
 
-  /** Gives up an attempt whose connection went silent and replaces that connection only. */
-  #giveUp(run: EntryRun): void {
+  /** Gives up a silent attempt; its channel is replaced unless other attempts progress on it. */
+  #giveUp(run: EntryRun, replaceChannel: boolean): void {
     const { address, assembler } = run.current!;
-    this.#parts.log.warn('no frame in time, channel replaced', { request: run.id, address });
-    this.#parts.channels.replace(address);
+    const { channels, log } = this.#parts;
+    log.warn('no frame in time, attempt given up', { request: run.id, address, replaceChannel });
+    if (replaceChannel) channels.replace(address);
     const silent = assembler.acceptBreak('silent');
     if (silent?.type === 'failed') this.#retryOrFail(run, silent);
   }
 
+  /** Ends the attempt in progress. */
+  #endAttempt(run: EntryRun, mayHaveRun: boolean): void {
+    if (run.current === null) return;
+    this.#progress.close(run.streamKey);
+    this.#streams.delete(run.streamKey);
+    run.current.cancel();
+    run.endAttempt(mayHaveRun);
+  }
+
   #expire(run: EntryRun): void {
     const mayHaveRun = run.mayHaveRun || run.current !== null;
     if (run.current !== null) {
       this.#parts.router.recordFinish(run.current.decision, 'timed_out');
-      run.current.cancel();
+      this.#endAttempt(run, true);
     }
     const kind = mayHaveRun ? 'timed_out' : 'deadline_exceeded';
     this.#fail(run, { kind, message: 'no complete answer before the deadline' });
--- a/packages/entry/src/loop/EntryParts.ts
+++ b/packages/entry/src/loop/EntryParts.ts
@@ -1,12 +1,11 @@
 import type {
   Clock,
   ConfigSource,
-  Failure,
   InstanceId,
   RandomSource,
-  Result,
   RetryBudget,
   Router,
+  WorkspaceLimiter,
   Zone,
 } from '@limpetbay/core';
 import type { Log, MetricRegistry } from '@limpetbay/runtime';
@@ -23,8 +22,7 @@
   readonly config: ConfigSource;
   readonly router: Router;
   readonly budget: RetryBudget;
-  /** Early refusal of workspaces beyond their share. */
-  readonly limiter: { admit(workspace: string, cost: number): Result<void, Failure> };
+  readonly limiter: WorkspaceLimiter;
   readonly channels: ChannelPool;
   readonly log: Log;
   readonly metrics: MetricRegistry;
--- a/packages/entry/src/process/startEntry.ts
+++ b/packages/entry/src/process/startEntry.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { RetryBudget, Router, Ok, type Clock, type RandomSource } from '@limpetbay/core';
+import { RetryBudget, Router, WorkspaceLimiter, type Clock, type RandomSource } from '@limpetbay/core';
 import { startCallerServer } from '@limpetbay/callers';
 import { EtcdStore, InstanceListClient } from '@limpetbay/platform';
 import { ConfigService, createConfigSource, openServer } from '@limpetbay/rpc';
@@ -48,7 +48,7 @@
     config: createConfigSource(config),
     router: new Router({ entry: own.id, zone: own.zone, clock, random }),
     budget: new RetryBudget(),
-    limiter: { admit: () => Ok(undefined) },
+    limiter: new WorkspaceLimiter({ clock, random }),
     channels: new ChannelPool(),
     log,
     metrics: new MetricRegistry(),
--- a/packages/entry/src/request/EntryRun.ts
+++ b/packages/entry/src/request/EntryRun.ts
@@ -58,8 +58,6 @@
 
   #current: CurrentAttempt | null = null;
 
-  #frameAtMs = 0;
-
   constructor(options: EntryRunOptions) {
     this.id = options.id;
     this.request = options.request;
@@ -76,6 +74,11 @@
     return this.#attempts;
   }
 
+  /** Names the last attempt; unique over all requests of this entry. */
+  get streamKey(): string {
+    return `${this.id}/${this.#attempts}`;
+  }
+
   /** Whether an ended attempt may have run. */
   get mayHaveRun(): boolean {
     return this.#mayHaveRun;
@@ -122,13 +125,12 @@
   }
 
   /** Notes that an attempt was sent. */
-  startAttempt(decision: RouteDecision, address: string, nowMs: number): AnswerAssembler {
+  startAttempt(decision: RouteDecision, address: string): AnswerAssembler {
     this.#attempts += 1;
     this.tried.add(decision.target);
     const { incarnation }: { incarnation: Incarnation } = decision;
     const assembler = new AnswerAssembler(this.id, this.#attempts, incarnation, this.#resumeFrom);
     this.#current = { decision, address, assembler, cancel: () => undefined };
-    this.#frameAtMs = nowMs;
     return assembler;
   }
 
@@ -144,15 +146,6 @@
     this.#current = null;
   }
 
-  recordFrame(nowMs: number): void {
-    this.#frameAtMs = nowMs;
-  }
-
-  /** Milliseconds since the last frame of the attempt in progress. */
-  measureSilence(nowMs: number): number {
-    return nowMs - this.#frameAtMs;
-  }
-
   end(): void {
     this.#isEnded = true;
     this.#current = null;
--- a/packages/standins/src/engine/EngineRank.ts
+++ b/packages/standins/src/engine/EngineRank.ts
@@ -10,7 +10,7 @@
 
 const ChatRequest = z.looseObject({
   model: z.string(),
-  messages: z.array(z.looseObject({ content: z.unknown() })),
+  messages: z.array(z.unknown()),
   stream: z.boolean().default(false),
   max_tokens: z.number().int().default(16),
 });
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -5,6 +5,7 @@
 export { readJson } from './http/readJson.js';
 export { sendJson } from './http/sendJson.js';
 export { InstanceListServer } from './instances/InstanceListServer.js';
+export { SilentLink } from './link/SilentLink.js';
 export { PlainService } from './service/PlainService.js';
 export { KeyValueState } from './store/KeyValueState.js';
 export { MemoryStore } from './store/MemoryStore.js';
