--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,5 +1,9 @@
-import { ramp } from './benches/ramp.js';
 import type { Bench } from './report/Bench.js';
+import { ramp } from './benches/ramp.js';
+import { routing } from './benches/routing.js';
 
 /** All benches by name, in the order in which they run. */
-export const registry: readonly Bench[] = [ramp];
+export const registry: readonly Bench[] = [
+  ramp,
+  routing,
+];
