Probe agents out of band and accept a restarted agent at once

Cause: a service whose requests may not be repeated never left an open breaker, because only repeatable requests probe; after an agent's restart each target refused once as stale_incarnation and was then counted as tried. Ruled out: membership lag (load reports of the new lives arrived).

--- a/packages/agent/src/loop/Agent.ts
+++ b/packages/agent/src/loop/Agent.ts
@@ -12,6 +12,7 @@
   type ClaimStart,
   type Failure,
   type Header,
+  type LoadReport,
   type Result,
 } from '@limpetbay/core';
 import { createEventLoop, type EventLoop } from '@limpetbay/runtime';
@@ -71,6 +72,10 @@
     return () => this.#loop.push({ type: 'cancelled', run });
   }
 
+  getLoad(): LoadReport {
+    return this.#parts.admission.getLoad();
+  }
+
   /** Takes no new work from now on. */
   startLeaving(): void {
     this.#loop.push({ type: 'leave' });
--- a/packages/core/src/routing/Router.ts
+++ b/packages/core/src/routing/Router.ts
@@ -45,7 +45,7 @@
 const MOST_HOLDERS = 2;
 
 /** Time until a target that refused by state is asked again after the asking request was sent. */
-const ASK_AGAIN_MS = 3000;
+const ASK_AGAIN_MS = 1000;
 
 const NO_TARGET_RETRY_MS = 1000;
 
@@ -193,12 +193,17 @@
    * Notes the end of an attempt; to be called exactly once for each `recordSend`.
    *
    * @param outcome `complete` for a complete answer, else the error kind of the attempt
+   * @param reached false where the attempt never left the entry, for want of a connection
    */
-  recordFinish(decision: RouteDecision, outcome: 'complete' | ErrorKind): void {
+  recordFinish(decision: RouteDecision, outcome: 'complete' | ErrorKind, reached = true): void {
     const view = this.#views.get(decision.target);
     if (view === undefined) return;
     view.recordFinish();
     const nowMs = this.#clock.getNow();
+    if (!reached) {
+      this.recordFailure(decision.target, outcome === 'complete' ? 'internal' : outcome);
+      return;
+    }
     if (outcome === 'complete') {
       const wasOpen = view.breaker.isOpen();
       view.breaker.recordSuccess(nowMs);
@@ -216,6 +221,50 @@
     else this.recordFailure(decision.target, outcome);
   }
 
+  /**
+   * Starts the probes that are due and lists their targets. The entry asks their agents for a load
+   * report and passes the result to `recordProbe`. Without this, a service whose requests may not
+   * be repeated would never leave an open breaker, because its requests are not used as probes.
+   */
+  startProbes(): TargetId[] {
+    const nowMs = this.#clock.getNow();
+    const started: TargetId[] = [];
+    for (const table of this.#tables.values()) {
+      for (const member of table.members) {
+        if (!this.#isProbeDue(table, member, nowMs)) continue;
+        const { target, view } = member;
+        const zone = this.#getZone(view.zone).breaker;
+        if (view.breaker.isOpen()) view.breaker.startProbe(nowMs);
+        if (zone.isOpen()) zone.startProbe(nowMs);
+        started.push(target.id);
+      }
+    }
+    return started;
+  }
+
+  /** Notes that the agent of a target has started at another address: what was known is old. */
+  recordRestart(target: TargetId): void {
+    const view = this.#views.get(target);
+    if (view === undefined) return;
+    view.forgetLoad();
+    view.breaker.allowProbe(this.#clock.getNow());
+    this.#markStale(target);
+  }
+
+  /** Notes whether the agent of a target answered a probe. */
+  recordProbe(target: TargetId, answered: boolean): void {
+    const view = this.#views.get(target);
+    if (view === undefined) return;
+    if (!answered) {
+      this.recordFailure(target, 'not_ready');
+      return;
+    }
+    const nowMs = this.#clock.getNow();
+    view.breaker.recordSuccess(nowMs);
+    this.#recordZoneSuccess(view, nowMs);
+    this.#markStale(target);
+  }
+
   /**
    * Notes a failure of a target or its path outside of an attempt, for example a refused
    * connection. Failed attempts are reported by `recordFinish` alone.
--- a/packages/dev/src/fleet/DevFleet.ts
+++ b/packages/dev/src/fleet/DevFleet.ts
@@ -100,7 +100,7 @@
       agent: {
         id: `agent-${target}`,
         zone,
-        address: `${HOST}:${await findFreePort(HOST)}`,
+        address: `${HOST}:0`,
         service,
         kind: service === 'canerota' ? 'model' : 'plain',
         target,
@@ -129,7 +129,7 @@
       entry: {
         id,
         zone,
-        address: `${HOST}:${await findFreePort(HOST)}`,
+        address: `${HOST}:0`,
         caller_host: HOST,
         caller_port: callerPort,
         caller_url: `http://${HOST}:${callerPort}`,
--- a/packages/entry/src/loop/EntryEvent.ts
+++ b/packages/entry/src/loop/EntryEvent.ts
@@ -1,4 +1,4 @@
-import type { AnswerAssembler, AnswerFrame } from '@limpetbay/core';
+import type { AnswerAssembler, AnswerFrame, LoadReport, TargetId } from '@limpetbay/core';
 import type { CallerAnswer, CallerRequest } from '@limpetbay/callers';
 import type { EntryRun } from '../request/EntryRun.js';
 import type { RequestHandle } from '../request/RequestHandle.js';
@@ -28,6 +28,12 @@
       readonly reason: string;
       readonly neverSent: boolean;
     }
+  | {
+      readonly type: 'probed';
+      readonly target: TargetId;
+      /** Null where the agent did not answer. */
+      readonly load: LoadReport | null;
+    }
   | { readonly type: 'retry'; readonly run: EntryRun }
   | { readonly type: 'config' }
   | { readonly type: 'tick' };
--- a/packages/entry/src/process/startEntry.ts
+++ b/packages/entry/src/process/startEntry.ts
@@ -1,5 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { RetryBudget, Router, WorkspaceLimiter, type Clock, type RandomSource } from '@limpetbay/core';
+import {
+  RetryBudget,
+  Router,
+  WorkspaceLimiter,
+  type Clock,
+  type RandomSource,
+} from '@limpetbay/core';
 import { startCallerServer } from '@limpetbay/callers';
 import { EtcdStore, InstanceListClient } from '@limpetbay/platform';
 import { ConfigService, createConfigSource, openServer } from '@limpetbay/rpc';
--- a/packages/entry/src/request/EntryRun.ts
+++ b/packages/entry/src/request/EntryRun.ts
@@ -1,6 +1,7 @@
 import {
   AnswerAssembler,
   type Attempt,
+  type Failure,
   type Incarnation,
   type RequestId,
   type RouteDecision,
@@ -58,6 +59,10 @@
 
   #current: CurrentAttempt | null = null;
 
+  #lastTarget: TargetId | null = null;
+
+  #failure: Failure | null = null;
+
   constructor(options: EntryRunOptions) {
     this.id = options.id;
     this.request = options.request;
@@ -128,6 +133,7 @@
   startAttempt(decision: RouteDecision, address: string): AnswerAssembler {
     this.#attempts += 1;
     this.tried.add(decision.target);
+    this.#lastTarget = decision.target;
     const { incarnation }: { incarnation: Incarnation } = decision;
     const assembler = new AnswerAssembler(this.id, this.#attempts, incarnation, this.#resumeFrom);
     this.#current = { decision, address, assembler, cancel: () => undefined };
@@ -138,6 +144,20 @@
     if (this.#current !== null) this.#current = { ...this.#current, cancel };
   }
 
+  /** Keeps the failure of the attempt that ended. */
+  recordFailure(failure: Failure): void {
+    this.#failure = failure;
+    // The refusal carried the new incarnation, so the same target may accept the next attempt.
+    if (failure.kind === 'stale_incarnation' && this.#lastTarget !== null) {
+      this.tried.delete(this.#lastTarget);
+    }
+  }
+
+  /** Failure of the last attempt that ended; null before. */
+  get failure(): Failure | null {
+    return this.#failure;
+  }
+
   /** Ends the attempt in progress and keeps what it leaves behind. */
   endAttempt(mayHaveRun: boolean): void {
     if (this.#current === null) return;
--- a/packages/rpc/src/dispatch/DispatchClient.ts
+++ b/packages/rpc/src/dispatch/DispatchClient.ts
@@ -1,5 +1,5 @@
 import { Client, credentials, status, type ClientReadableStream } from '@grpc/grpc-js';
-import type { AnswerFrame, Attempt } from '@limpetbay/core';
+import { LoadReport, type AnswerFrame, type Attempt } from '@limpetbay/core';
 import { channelOptions } from '../channel/channelOptions.js';
 import { decodeFrame } from './decodeFrame.js';
 import { dispatchService } from './dispatchService.js';
@@ -7,6 +7,8 @@
 import type { WireFrame } from './WireFrame.js';
 
 const runMethod = dispatchService.Run!;
+const loadMethod = dispatchService.GetLoad!;
+const PROBE_TIMEOUT_MS = 1000;
 
 /** The channel of an entry to one agent. */
 export class DispatchClient {
@@ -53,6 +55,23 @@
     };
   }
 
+  /** Asks for the load report. @returns null where no answer came within 1000 ms */
+  getLoad(): Promise<LoadReport | null> {
+    return new Promise((resolve) => {
+      this.#client.makeUnaryRequest(
+        loadMethod.path,
+        loadMethod.requestSerialize,
+        loadMethod.responseDeserialize as (bytes: Buffer) => unknown,
+        {},
+        { deadline: Date.now() + PROBE_TIMEOUT_MS },
+        (_error, report) => {
+          const checked = LoadReport.safeParse(report);
+          resolve(checked.success ? checked.data : null);
+        },
+      );
+    });
+  }
+
   /** Opens a new connection for later attempts; attempts in progress stay on the old one. */
   replaceChannel(): void {
     const old = this.#client;
--- a/packages/rpc/src/dispatch/DispatchHandler.ts
+++ b/packages/rpc/src/dispatch/DispatchHandler.ts
@@ -1,4 +1,4 @@
-import type { AnswerFrame, Attempt } from '@limpetbay/core';
+import type { AnswerFrame, Attempt, LoadReport } from '@limpetbay/core';
 
 /** The agent's side of the dispatch protocol. */
 export interface DispatchHandler {
@@ -10,4 +10,7 @@
    * @returns a function to call when the entry cancels the attempt or its connection breaks
    */
   run(attempt: Attempt, send: (frame: AnswerFrame) => boolean, finish: () => void): () => void;
+
+  /** Returns the present load report. */
+  getLoad(): LoadReport;
 }
--- a/packages/rpc/src/dispatch/createDispatchService.ts
+++ b/packages/rpc/src/dispatch/createDispatchService.ts
@@ -1,9 +1,11 @@
 import {
   status,
+  type sendUnaryData,
+  type ServerUnaryCall,
   type ServerWritableStream,
   type UntypedServiceImplementation,
 } from '@grpc/grpc-js';
-import { Attempt } from '@limpetbay/core';
+import { Attempt, type LoadReport } from '@limpetbay/core';
 import type { DispatchHandler } from './DispatchHandler.js';
 import { encodeFrame } from './encodeFrame.js';
 import type { WireFrame } from './WireFrame.js';
@@ -11,6 +13,9 @@
 /** Creates the server side of `dispatchService` for a handler. */
 export function createDispatchService(handler: DispatchHandler): UntypedServiceImplementation {
   return {
+    GetLoad: (_call: ServerUnaryCall<unknown, LoadReport>, answer: sendUnaryData<LoadReport>) => {
+      answer(null, handler.getLoad());
+    },
     Run: (call: ServerWritableStream<unknown, WireFrame>): void => {
       const attempt = Attempt.safeParse(call.request);
       if (!attempt.success) {
