--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,6 +1,7 @@
 import type { Bench } from './report/Bench.js';
 import { ramp } from './benches/ramp.js';
 import { routing } from './benches/routing.js';
+import { zoneDeath } from './benches/zoneDeath.js';
 
 /** All benches by name, in the order in which they run. */
-export const registry: readonly Bench[] = [ramp, routing];
+export const registry: readonly Bench[] = [ramp, routing, zoneDeath];
--- a/packages/agent/src/loop/Agent.ts
+++ b/packages/agent/src/loop/Agent.ts
@@ -325,7 +325,7 @@
     this.#finish(run, true);
     if (neverSent) {
       if (run.claim !== null) this.#parts.ledger.release(run.claim);
-      this.#refuse(run, fail('not_ready', `the target takes no connections: ${message}`).val);
+      this.#refuse(run, fail('target_cold', `the target takes no connections: ${message}`).val);
       return;
     }
     if (run.claim !== null) this.#parts.ledger.complete(run.claim, null);
