--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,5 +1,6 @@
+import { overload } from './benches/overload.js';
 import { ramp } from './benches/ramp.js';
 import type { Bench } from './report/Bench.js';
 
 /** All benches by name, in the order in which they run. */
-export const registry: readonly Bench[] = [ramp];
+export const registry: readonly Bench[] = [ramp, overload];
--- a/packages/core/src/admission/TargetAdmission.ts
+++ b/packages/core/src/admission/TargetAdmission.ts
@@ -242,7 +242,6 @@
     }
     const cost = estimateCost(item);
     const paceClass = describeClass(item, cost);
-    const serviceMs = this.#estimator.estimate(paceClass, cost);
     const entry: Entry = {
       id,
       item,
@@ -251,7 +250,8 @@
       workspace: item.workspace,
       level: Priority.options.indexOf(item.priority),
       deadlineMs: item.deadlineMs,
-      latestStartMs: item.deadlineMs - serviceMs,
+      // Where others wait for the slot, it goes to a request that will make it.
+      latestStartMs: item.deadlineMs - this.#estimator.estimateHigh(paceClass, cost),
     };
     const failure = this.#checkItem(nowMs, entry);
     if (failure !== null) {
@@ -448,7 +448,8 @@
         message: `the target has incarnation ${this.#incarnation}, not ${expected}`,
       };
     }
-    if (entry.latestStartMs <= nowMs) return this.#buildLate(nowMs, entry);
+    const serviceMs = this.#estimator.estimate(entry.paceClass, entry.cost);
+    if (entry.deadlineMs - serviceMs <= nowMs) return this.#buildLate(nowMs, entry);
     const closed = nowMs < this.#closedUntilMs || this.#memory.isFull();
     if (item.repeatable !== true && closed) {
       const message = 'the memory of delivered attempts is full';
@@ -563,7 +564,10 @@
     if (startedMs >= this.#adaptiveChangedMs) {
       this.#adaptiveWindow.recordPace(ratio, name === STEP_CLASS);
     }
-    if (this.#pace.isCold() && this.#ramp !== null && !this.#ramp.isAtStart()) {
+    const ramp = this.#ramp;
+    if (ramp === null || ramp.isAtStart()) return;
+    const known = this.#adaptive?.getExpectedRatio(this.#running.size) ?? 1;
+    if (this.#pace.isCold(Math.max(known, ramp.getProvenRatio()))) {
       this.#restartRamp(nowMs, 'service times several times the warm value');
     }
   }
@@ -592,13 +596,17 @@
       const usage = this.#adaptiveWindow.describe(nowMs);
       // While the ramp is the lower limit it alone decides.
       const binding = adaptive.getLimit() <= ramp.getLimit();
-      const change = binding ? adaptive.advance(usage, this.#getLimit()) : 'held';
-      if (change === 'shrank') this.#adaptiveChangedMs = nowMs;
+      const change = binding ? adaptive.advance(nowMs, usage, this.#getLimit()) : 'held';
+      if (change === 'shrank') {
+        this.#adaptiveChangedMs = nowMs;
+      }
       this.#adaptiveWindow.reset(nowMs);
     }
     if (this.#rampWindow.getLength(nowMs) < ramp.getIntervalMs()) return;
     const usage = this.#rampWindow.describe(nowMs, this.#listSlow(nowMs));
     const atStart = ramp.isAtStart();
+    const binding = ramp.getLimit() < adaptive.getLimit();
+    if (binding && usage.complete) adaptive.observe(nowMs, usage);
     const change = ramp.advance(usage);
     // Without enough samples the interval is extended: it says nothing about the target yet.
     if (change === 'held' && (usage.samples === 0 || !usage.complete)) return;
@@ -608,7 +616,9 @@
       adaptive.lower(ramp.getProvenLimit());
       this.#adaptiveChangedMs = nowMs;
     }
-    this.#pace.closeWindow(usage.paceRatio, usage.reachedLimit, usage.errorShare > 0);
+    const loaded = usage.reachedLimit && !atStart;
+    const factor = this.#pace.closeWindow(usage.paceRatio, loaded, usage.errorShare > 0);
+    adaptive.scale(factor);
     this.#rampWindow.reset(nowMs);
   }
 
--- a/packages/core/src/overload/ConcurrencyLimit.ts
+++ b/packages/core/src/overload/ConcurrencyLimit.ts
@@ -8,7 +8,9 @@
 const USED_SHARE = 0.5;
 const FAILING_SHARE = 0.1;
 const FAILING_FACTOR = 0.7;
-const LOWEST_FACTOR = 0.5;
+const SLOW_FACTOR = 0.5;
+/** The gradient is noisy near the best concurrency; small steps keep the limit close to it. */
+const GRADIENT_FACTOR = 0.9;
 
 /**
  * Adapts the concurrency of a warm target to the gradient of its service time: while more
@@ -38,6 +40,16 @@
     return Math.max(1, Math.floor(this.#limit));
   }
 
+  /** Returns the pace ratio that is normal at this concurrency. */
+  getExpectedRatio(concurrency: number): number {
+    return this.#gradient.getRatio(concurrency);
+  }
+
+  /** Adjusts what is known to a changed warm value. @param factor new value over the old one */
+  scale(factor: number): void {
+    this.#gradient.scale(factor);
+  }
+
   /** Lifts the limit; the ramp protects the target from here. */
   reset(): void {
     this.#limit = this.#ceiling;
@@ -49,25 +61,32 @@
     this.#limit = Math.max(1, Math.min(this.#limit, limit));
   }
 
+  /** Learns from a window in which another limit was the lower one. */
+  observe(nowMs: number, usage: UsageSummary): void {
+    if (usage.paceRatio === null) return;
+    this.#gradient.record(nowMs, usage.meanInFlight, usage.paceRatio, usage.samples);
+  }
+
   /**
    * Decides at the end of a window.
    *
    * @param granted concurrency that was in force in the window
    */
-  advance(usage: UsageSummary, granted: number): 'grew' | 'held' | 'shrank' {
+  advance(nowMs: number, usage: UsageSummary, granted: number): 'grew' | 'held' | 'shrank' {
     if (usage.errorShare >= FAILING_SHARE) {
       this.lower(granted * FAILING_FACTOR);
       return 'shrank';
     }
-    const ratio = usage.paceRatio;
-    if (ratio === null) return 'held';
-    const slack = computeSlack(usage.samples);
-    const slowness = paceLimits.slow / ratio;
-    const gain = this.#gradient.compute(usage.meanInFlight, ratio) ?? 1;
-    this.#gradient.record(usage.meanInFlight, ratio, usage.samples);
-    const gradient = Math.min(slowness, gain) * slack;
+    if (usage.paceRatio === null) return 'held';
+    this.observe(nowMs, usage);
+    const slowness = (paceLimits.slow / usage.paceRatio) * computeSlack(usage.samples);
+    if (slowness < 1) {
+      this.lower(granted * Math.max(SLOW_FACTOR, slowness));
+      return 'shrank';
+    }
+    const gradient = this.#gradient.compute(usage.meanInFlight);
     if (gradient < 1) {
-      this.lower(granted * Math.max(LOWEST_FACTOR, gradient));
+      this.lower(granted * Math.max(GRADIENT_FACTOR, gradient));
       return 'shrank';
     }
     if (!usage.reachedLimit || usage.meanUse < USED_SHARE) return 'held';
--- a/packages/core/src/overload/ServiceTimeEstimator.ts
+++ b/packages/core/src/overload/ServiceTimeEstimator.ts
@@ -1,37 +1,48 @@
-interface Mean {
+interface Estimate {
   readonly timeMs: number;
+  /** Mean absolute deviation of the time. */
+  readonly deviationMs: number;
   readonly cost: number;
 }
 
 const WEIGHT = 0.1;
 const MAX_CLASSES = 64;
+/** Covers nearly all of a uniform spread; fewer started requests then end too late. */
+const DEVIATIONS = 2;
 
-function updateMean(mean: Mean, timeMs: number, cost: number): Mean {
+function updateEstimate(old: Estimate, timeMs: number, cost: number): Estimate {
+  const errorMs = timeMs - old.timeMs;
   return {
-    timeMs: mean.timeMs + WEIGHT * (timeMs - mean.timeMs),
-    cost: mean.cost + WEIGHT * (cost - mean.cost),
+    timeMs: old.timeMs + WEIGHT * errorMs,
+    deviationMs: old.deviationMs + WEIGHT * (Math.abs(errorMs) - old.deviationMs),
+    cost: old.cost + WEIGHT * (cost - old.cost),
   };
 }
 
 /** Predicts service times from finished requests, by class and, without one, by cost. */
 export class ServiceTimeEstimator {
-  readonly #classes = new Map<string, Mean>();
+  readonly #classes = new Map<string, Estimate>();
 
-  #all: Mean | null = null;
+  #all: Estimate | null = null;
 
   record(name: string, cost: number, timeMs: number): void {
-    const first = { timeMs, cost };
-    this.#all = this.#all === null ? first : updateMean(this.#all, timeMs, cost);
+    const first = { timeMs, deviationMs: 0, cost };
+    this.#all = this.#all === null ? first : updateEstimate(this.#all, timeMs, cost);
     const known = this.#classes.get(name);
     if (known === undefined && this.#classes.size >= MAX_CLASSES) return;
-    this.#classes.set(name, known === undefined ? first : updateMean(known, timeMs, cost));
+    this.#classes.set(name, known === undefined ? first : updateEstimate(known, timeMs, cost));
   }
 
   /** @returns expected service time in milliseconds, 0 before the first sample */
   estimate(name: string, cost: number): number {
+    return this.#classes.get(name)?.timeMs ?? cost * this.getTimePerCost();
+  }
+
+  /** @returns service time in milliseconds that few requests of the class exceed */
+  estimateHigh(name: string, cost: number): number {
     const known = this.#classes.get(name);
-    if (known !== undefined) return known.timeMs;
-    return cost * this.getTimePerCost();
+    if (known === undefined) return this.estimate(name, cost);
+    return known.timeMs + DEVIATIONS * known.deviationMs;
   }
 
   /** Returns milliseconds of one slot per unit of cost. */
--- a/packages/core/src/ramp/PaceTracker.ts
+++ b/packages/core/src/ramp/PaceTracker.ts
@@ -52,10 +52,15 @@
     return ratio;
   }
 
-  /** Tells whether the last few samples are several times the warm value. */
-  isCold(): boolean {
+  /**
+   * Tells whether the last few samples are several times the warm value.
+   *
+   * @param expectedRatio pace over warm pace that is normal at the present concurrency; without
+   *   it an overloaded target would count as cold
+   */
+  isCold(expectedRatio: number): boolean {
     if (this.#recent.length < RECENT) return false;
-    return (computeMedian(this.#recent) ?? 0) >= paceLimits.cold;
+    return (computeMedian(this.#recent) ?? 0) >= paceLimits.cold * Math.max(1, expectedRatio);
   }
 
   /** Forgets recent samples, as they belong to the time before a restart. */
@@ -70,23 +75,27 @@
    * Learns from the window that ends now.
    *
    * @param ratio median ratio of the window
-   * @param atLimit whether the target was used at its limit: a slower pace is then load
+   * @param loaded whether a slower pace may come from the load
    * @param errors whether requests failed
+   * @returns median factor by which the warm values of this window changed
    */
-  closeWindow(ratio: number | null, atLimit: boolean, errors: boolean): void {
+  closeWindow(ratio: number | null, loaded: boolean, errors: boolean): number {
+    const factors: number[] = [];
     const relearn = this.#checkSteady(ratio, errors);
     for (const paceClass of this.#classes.values()) {
       const median = computeMedian(paceClass.window);
       if (median === null) continue;
       const weight = paceClass.window.length / (paceClass.window.length + HALF_SAMPLES);
       paceClass.window = [];
-      if (paceClass.warmMs === null || relearn) paceClass.warmMs = median;
-      else if (median < paceClass.warmMs) {
-        paceClass.warmMs += weight * (median - paceClass.warmMs);
-      } else if (!atLimit && median <= paceLimits.near * paceClass.warmMs) {
-        paceClass.warmMs += RISE_FACTOR * weight * (median - paceClass.warmMs);
+      const oldMs = paceClass.warmMs;
+      if (oldMs === null || relearn) paceClass.warmMs = median;
+      else if (median < oldMs) paceClass.warmMs = oldMs + weight * (median - oldMs);
+      else if (!loaded && median <= paceLimits.near * oldMs) {
+        paceClass.warmMs = oldMs + RISE_FACTOR * weight * (median - oldMs);
       }
+      if (oldMs !== null) factors.push((paceClass.warmMs ?? oldMs) / oldMs);
     }
+    return computeMedian(factors) ?? 1;
   }
 
   /** Counts windows of steady slow pace; true when the pace has to be taken as the warm one. */
--- a/packages/core/src/ramp/Ramp.ts
+++ b/packages/core/src/ramp/Ramp.ts
@@ -61,6 +61,11 @@
     return Math.floor(this.#provenLimit);
   }
 
+  /** Returns the pace ratio at the proven limit, 1 before one is known. */
+  getProvenRatio(): number {
+    return this.#provenRatio ?? 1;
+  }
+
   getIntervalMs(): number {
     return this.#settings.intervalMs;
   }
