Learn the warm pace as a mean and probe below a stale limit

Change: the warm value is a mean until 64 samples; bands carry their standard error; without a recent lower band the limit probes at 0.7 at most every 30 s.

--- a/packages/core/src/overload/ConcurrencyGradient.ts
+++ b/packages/core/src/overload/ConcurrencyGradient.ts
@@ -1,14 +1,18 @@
+import type { UsageSummary } from '../ramp/UsageSummary.js';
+
 interface Band {
   readonly concurrency: number;
   readonly ratio: number;
+  /** Relative spread of single samples. */
+  readonly spread: number;
+  /** Samples behind the ratio, up to the memory of the average. */
+  readonly samples: number;
   readonly updatedMs: number;
 }
 
 const BANDS_PER_DOUBLING = 4;
 /** Measurements of this many samples replace half of what was known of a band. */
 const HALF_SAMPLES = 64;
-/** Bands that lie closer than this differ by less than the noise of the measurements. */
-const LEAST_DISTANCE = 2;
 /**
  * Older measurements are forgotten: a target that has become faster or slower meanwhile must not
  * be held at a limit that the old ones suggest.
@@ -16,6 +20,13 @@
 const MAX_AGE_MS = 30_000;
 /** Least gain of throughput from twice the concurrency that is worth the longer service time. */
 const WORTHWHILE_GAIN = 1.1;
+/** Standard error of a median over the mean absolute deviation of the samples, about. */
+const ERROR_FACTOR = 1.5;
+
+/** Returns the relative standard error of the difference of two bands. */
+function computeError(a: Band, b: Band): number {
+  return ERROR_FACTOR * Math.sqrt(a.spread ** 2 / a.samples + b.spread ** 2 / b.samples);
+}
 
 /**
  * Remembers the pace of a target by concurrency and tells whether more concurrency still raises
@@ -36,18 +47,21 @@
     }
   }
 
-  /**
-   * @param concurrency mean number in flight
-   * @param ratio pace over warm pace
-   */
-  record(nowMs: number, concurrency: number, ratio: number, samples: number): void {
+  /** Learns from a window with a known pace. */
+  record(nowMs: number, usage: UsageSummary, ratio: number): void {
     this.#expire(nowMs);
+    const concurrency = usage.meanInFlight;
     const index = this.#findBand(concurrency);
-    const known = this.#bands[index] ?? { concurrency, ratio, updatedMs: nowMs };
-    const weight = samples / (samples + HALF_SAMPLES);
-    const next = {
-      concurrency: known.concurrency + weight * (concurrency - known.concurrency),
-      ratio: known.ratio + weight * (ratio - known.ratio),
+    const known = this.#bands[index];
+    const total = (known?.samples ?? 0) + usage.samples;
+    const weight = usage.samples / Math.min(total, usage.samples + HALF_SAMPLES);
+    const move = (from: number | undefined, to: number): number =>
+      from === undefined ? to : from + weight * (to - from);
+    const next: Band = {
+      concurrency: move(known?.concurrency, concurrency),
+      ratio: move(known?.ratio, ratio),
+      spread: move(known?.spread, usage.paceSpread),
+      samples: Math.min(total, 2 * HALF_SAMPLES),
       updatedMs: nowMs,
     };
     this.#bands[index] = next;
@@ -67,18 +81,27 @@
   compute(concurrency: number): number {
     const index = this.#findBand(concurrency);
     const here = this.#bands[index];
-    if (here === undefined) return 1;
+    if (here === undefined) return Infinity;
     let gradient = Infinity;
-    for (let lower = 0; lower <= index - LEAST_DISTANCE; lower += 1) {
+    for (let lower = 0; lower <= index - 1; lower += 1) {
       const band = this.#bands[lower];
       if (band === undefined) continue;
       const increase = here.concurrency / band.concurrency;
-      const gain = (increase * band.ratio) / here.ratio;
+      const gain = ((increase * band.ratio) / here.ratio) * (1 + computeError(here, band));
       gradient = Math.min(gradient, gain / increase ** Math.log2(WORTHWHILE_GAIN));
     }
     return gradient;
   }
 
+  /** Tells whether a concurrency between half of this one and clearly below it is known. */
+  hasNear(concurrency: number): boolean {
+    const index = this.#findBand(concurrency);
+    for (let lower = index - BANDS_PER_DOUBLING; lower <= index - 1; lower += 1) {
+      if (this.#bands[lower] !== undefined) return true;
+    }
+    return false;
+  }
+
   /** Returns the pace ratio known at this concurrency or the next lower one, 1 without any. */
   getRatio(concurrency: number): number {
     for (let index = this.#findBand(concurrency); index >= 0; index -= 1) {
--- a/packages/core/src/overload/ConcurrencyLimit.ts
+++ b/packages/core/src/overload/ConcurrencyLimit.ts
@@ -9,6 +9,15 @@
 const FAILING_SHARE = 0.1;
 const FAILING_FACTOR = 0.7;
 const SLOW_FACTOR = 0.5;
+/**
+ * Without a recent measurement at a lower concurrency the limit goes there once: a limit that was
+ * past the best concurrency for long would otherwise stay there.
+ */
+const PROBE_FACTOR = 0.7;
+/** A probe costs a few seconds below the best concurrency. */
+const PROBE_INTERVAL_MS = 30_000;
+/** Below this the noise hides what a probe could show. */
+const PROBE_FLOOR = 8;
 /** The gradient is noisy near the best concurrency; small steps keep the limit close to it. */
 const GRADIENT_FACTOR = 0.9;
 
@@ -22,6 +31,8 @@
 
   #limit: number;
 
+  #probedMs = -Infinity;
+
   readonly #gradient = new ConcurrencyGradient();
 
   /** @param ceiling the document's `max_in_flight`, also the first limit */
@@ -64,7 +75,7 @@
   /** Learns from a window in which another limit was the lower one. */
   observe(nowMs: number, usage: UsageSummary): void {
     if (usage.paceRatio === null) return;
-    this.#gradient.record(nowMs, usage.meanInFlight, usage.paceRatio, usage.samples);
+    this.#gradient.record(nowMs, usage, usage.paceRatio);
   }
 
   /**
@@ -90,6 +101,12 @@
       return 'shrank';
     }
     if (!usage.reachedLimit || usage.meanUse < USED_SHARE) return 'held';
+    const due = granted >= PROBE_FLOOR && nowMs - this.#probedMs >= PROBE_INTERVAL_MS;
+    if (due && !this.#gradient.hasNear(usage.meanInFlight)) {
+      this.#probedMs = nowMs;
+      this.lower(granted * PROBE_FACTOR);
+      return 'shrank';
+    }
     if (this.#limit >= this.#ceiling) return 'held';
     const step = Math.max(1, this.#ceiling / WINDOWS_TO_FULL);
     this.#limit = Math.min(this.#ceiling, this.#limit + step);
--- a/packages/core/src/ramp/PaceTracker.ts
+++ b/packages/core/src/ramp/PaceTracker.ts
@@ -1,8 +1,11 @@
 import { computeMedian } from './computeMedian.js';
+import { computeSlack } from './computeSlack.js';
 import { paceLimits } from './paceLimits.js';
 
 interface PaceClass {
   warmMs: number | null;
+  /** Samples behind the warm value, up to `SETTLED_SAMPLES`. */
+  seen: number;
   window: number[];
 }
 
@@ -11,8 +14,11 @@
 const MAX_WINDOW = 64;
 /** One slow request must not restart a ramp; the median of five needs three. */
 const RECENT = 5;
-/** Samples of a window that replace half of the warm value when the window is faster. */
-const HALF_SAMPLES = 8;
+/**
+ * Samples after which the warm value follows only slowly. Before that it is the mean of what was
+ * seen: following the faster windows alone would end at the luckiest one.
+ */
+const SETTLED_SAMPLES = 64;
 /** A slower window at light load counts for less, so that a slow decline stays visible. */
 const RISE_FACTOR = 0.2;
 /** Steady windows after which a slower pace becomes the new warm value (changed model). */
@@ -33,7 +39,9 @@
 
   /** Sets the warm pace of a class from outside, such as from other targets of the service. */
   setWarm(name: string, paceMs: number): void {
-    this.#getClass(name).warmMs = paceMs;
+    const paceClass = this.#getClass(name);
+    paceClass.warmMs = paceMs;
+    paceClass.seen = SETTLED_SAMPLES;
   }
 
   getWarm(name: string): number | null {
@@ -85,15 +93,23 @@
     for (const paceClass of this.#classes.values()) {
       const median = computeMedian(paceClass.window);
       if (median === null) continue;
-      const weight = paceClass.window.length / (paceClass.window.length + HALF_SAMPLES);
+      const samples = paceClass.window.length;
       paceClass.window = [];
       const oldMs = paceClass.warmMs;
-      if (oldMs === null || relearn) paceClass.warmMs = median;
-      else if (median < oldMs) paceClass.warmMs = oldMs + weight * (median - oldMs);
-      else if (!loaded && median <= paceLimits.near * oldMs) {
-        paceClass.warmMs = oldMs + RISE_FACTOR * weight * (median - oldMs);
+      const improving = (paceLimits.improving / computeSlack(samples)) * (oldMs ?? Infinity);
+      if (oldMs === null || relearn || median < improving) {
+        paceClass.warmMs = median;
+        paceClass.seen = samples;
+      } else {
+        const settled = paceClass.seen >= SETTLED_SAMPLES;
+        const rises = median > oldMs;
+        if (rises && (median > paceLimits.near * oldMs || (settled && loaded))) continue;
+        paceClass.seen = Math.min(SETTLED_SAMPLES, paceClass.seen + samples);
+        const weight = samples / (paceClass.seen + (settled ? samples : 0));
+        const factor = settled && rises ? RISE_FACTOR : 1;
+        paceClass.warmMs = oldMs + factor * weight * (median - oldMs);
       }
-      if (oldMs !== null) factors.push((paceClass.warmMs ?? oldMs) / oldMs);
+      if (oldMs !== null) factors.push(paceClass.warmMs / oldMs);
     }
     return computeMedian(factors) ?? 1;
   }
@@ -121,7 +137,7 @@
   #getClass(name: string): PaceClass {
     const known = this.#classes.get(name);
     if (known !== undefined) return known;
-    const created: PaceClass = { warmMs: null, window: [] };
+    const created: PaceClass = { warmMs: null, seen: 0, window: [] };
     this.#classes.set(name, created);
     return created;
   }
--- a/packages/core/src/ramp/UsageSummary.ts
+++ b/packages/core/src/ramp/UsageSummary.ts
@@ -10,6 +10,8 @@
   readonly complete: boolean;
   /** Median of pace over warm pace; null without comparable samples. */
   readonly paceRatio: number | null;
+  /** Mean absolute deviation of the ratios from their median, relative to it. */
+  readonly paceSpread: number;
   /** Failed requests over finished requests. */
   readonly errorShare: number;
   /** Mean number of requests in flight. */
--- a/packages/core/src/ramp/UsageWindow.ts
+++ b/packages/core/src/ramp/UsageWindow.ts
@@ -5,6 +5,12 @@
 const MAX_RATIOS = 128;
 const ENOUGH_STEPS = 3;
 
+function computeSpread(ratios: readonly number[], median: number): number {
+  let sum = 0;
+  for (const ratio of ratios) sum += Math.abs(ratio - median);
+  return ratios.length === 0 ? 0 : sum / ratios.length / median;
+}
+
 /** Collects what happened since the last decision about a limit. */
 export class UsageWindow {
   #startMs: number;
@@ -95,11 +101,14 @@
     this.#integrate(nowMs);
     const lengthMs = nowMs - this.#startMs;
     const meanInFlight = lengthMs <= 0 ? 0 : this.#inFlightMs / lengthMs;
+    const ratios = [...this.#ratios, ...slowRatios];
+    const paceRatio = computeMedian(ratios);
     return {
       lengthMs,
       samples: this.getSamples() + slowRatios.length,
       complete: this.#steps >= ENOUGH_STEPS || this.#finished >= meanInFlight,
-      paceRatio: computeMedian([...this.#ratios, ...slowRatios]),
+      paceRatio,
+      paceSpread: computeSpread(ratios, paceRatio ?? 1),
       errorShare: this.#finished === 0 ? 0 : this.#failed / this.#finished,
       meanInFlight,
       reachedLimit: this.#reachedLimit,
