--- a/bench/src/benches/fleet/buildDocument.ts
+++ b/bench/src/benches/fleet/buildDocument.ts
@@ -6,7 +6,11 @@
   revision: number,
   zonesIn: string[],
   zonesOut: string[] = [],
-  limits: { readonly maxInFlight?: number; readonly queue?: number } = {},
+  options: {
+    readonly maxInFlight?: number;
+    readonly queue?: number;
+    readonly rampStart?: number;
+  } = {},
 ): VersionedDocument {
   return {
     name: ServiceName.parse('canerota'),
@@ -16,8 +20,8 @@
       service: { name: 'canerota', kind: 'model' },
       zones: { in: zonesIn, out: zonesOut },
       targets: { include: ['canerota-*'] },
-      ramp: {},
-      limits,
+      ramp: { start: options.rampStart },
+      limits: { maxInFlight: options.maxInFlight, queue: options.queue },
       keys: {},
     }),
   };
--- a/bench/src/benches/overload.ts
+++ b/bench/src/benches/overload.ts
@@ -12,7 +12,8 @@
 import { buildAdmission } from './fleet/buildAdmission.js';
 import { buildDocument } from './fleet/buildDocument.js';
 
-const SEED = 20_260_102;
+/** The worst run counts: one seed says little about a limit that is searched for. */
+const SEEDS = [20_260_102, 1, 2, 3, 4, 5, 6];
 /** Half of what the document allows, so that the limit has to be found. */
 const KNEE = 32;
 const MAX_IN_FLIGHT = 64;
@@ -33,9 +34,9 @@
   readonly smallShare: number;
 }
 
-function runTarget(kind: TargetShape['kind'], fifo: boolean): Figures {
+function runTarget(seed: number, kind: TargetShape['kind'], fifo: boolean): Figures {
   const loop = new EventLoop();
-  const random = new SeededRandom(SEED);
+  const random = new SeededRandom(seed);
   const limits = { maxInFlight: MAX_IN_FLIGHT, queue: 128 };
   const gate: Gate = fifo
     ? new SimpleGate(TargetId.parse('canerota-0'), () => KNEE)
@@ -79,6 +80,14 @@
   };
 }
 
+function findLowest(results: readonly BenchResult[]): BenchResult {
+  let lowest = results[0] as BenchResult;
+  for (const result of results) {
+    if (result.figure < lowest.figure) lowest = result;
+  }
+  return lowest;
+}
+
 /** Twice the capacity is offered to one target, most of it by one workspace. */
 export const overload: Bench = {
   name: 'overload',
@@ -86,13 +95,18 @@
   run(): Promise<BenchResult[]> {
     const results: BenchResult[] = [];
     for (const kind of ['batch', 'pool'] as const) {
-      const ours = runTarget(kind, false);
-      const fifo = runTarget(kind, true);
-      const name = `overload.${kind}`;
-      results.push(
-        createResult(`${name}.in_time`, SEED, ours.inTime, 'of capacity', fifo.inTime),
-        createResult(`${name}.small`, SEED, ours.smallShare, 'of offered', fifo.smallShare),
-      );
+      const inTime: BenchResult[] = [];
+      const small: BenchResult[] = [];
+      for (const seed of SEEDS) {
+        const ours = runTarget(seed, kind, false);
+        const fifo = runTarget(seed, kind, true);
+        const name = `overload.${kind}`;
+        inTime.push(createResult(`${name}.in_time`, seed, ours.inTime, 'of capacity', fifo.inTime));
+        small.push(
+          createResult(`${name}.small`, seed, ours.smallShare, 'of offered', fifo.smallShare),
+        );
+      }
+      results.push(findLowest(inTime), findLowest(small));
     }
     return Promise.resolve(results);
   },
