Test admission, ramp and overload; widen bounds by the measured spread

Change: tests for each failure the code is meant for; the slack of a bound comes from the measured spread; the queue finds expired entries by time bucket and keeps its round robin in a ring, as both searched the queue before.

--- a/packages/core/src/admission/TargetAdmission.ts
+++ b/packages/core/src/admission/TargetAdmission.ts
@@ -196,8 +196,9 @@
     const nowMs = this.#clock.getNow();
     this.#engine = status;
     if (previous !== null && previous.startedAt !== 0 && previous.startedAt !== status.startedAt) {
-      this.restartIncarnation('engine start time changed');
-    } else if (
+      return this.restartIncarnation('engine start time changed');
+    }
+    if (
       previous !== null &&
       previous.cacheUsed >= CACHE_IN_USE &&
       status.cacheUsed <= previous.cacheUsed * CACHE_LEFT
@@ -216,12 +217,21 @@
     this.#pace.setWarm(STEP_CLASS, stepTimeMs);
   }
 
-  /** Raises the incarnation and restarts the ramp; for a restart that the agent noticed. */
-  restartIncarnation(reason: string): Incarnation {
+  /**
+   * Raises the incarnation and restarts the ramp; for a restart that the agent noticed. Queued
+   * items that expect the old incarnation are refused: their entries would drop the answer.
+   */
+  restartIncarnation(reason: string): AdmissionOutcome {
+    const nowMs = this.#clock.getNow();
     const wallUs = this.#clock.getWallTime().getTime() * 1000;
     this.#incarnation = Incarnation.parse(Math.max(this.#incarnation + 1, wallUs));
-    this.#restartRamp(this.#clock.getNow(), reason);
-    return this.#incarnation;
+    this.#restartRamp(nowMs, reason);
+    const outcome: AdmissionOutcome = { started: [], refused: [] };
+    for (const entry of this.#queue.takeStale(({ item }) => this.#isStale(item))) {
+      this.#refuseQueued(nowMs, entry, this.#buildStale(entry.item), outcome);
+    }
+    const { started, refused } = this.tick();
+    return { started, refused: [...outcome.refused, ...refused] };
   }
 
   getIncarnation(): Incarnation {
@@ -441,13 +451,7 @@
     const blocked = this.#checkState(nowMs);
     if (blocked !== null) return blocked;
     const { item } = entry;
-    const expected = item.incarnation ?? 0;
-    if (expected !== 0 && expected !== this.#incarnation) {
-      return {
-        kind: 'stale_incarnation',
-        message: `the target has incarnation ${this.#incarnation}, not ${expected}`,
-      };
-    }
+    if (this.#isStale(item)) return this.#buildStale(item);
     const serviceMs = this.#estimator.estimate(entry.paceClass, entry.cost);
     if (entry.deadlineMs - serviceMs <= nowMs) return this.#buildLate(nowMs, entry);
     const closed = nowMs < this.#closedUntilMs || this.#memory.isFull();
@@ -458,6 +462,16 @@
     return null;
   }
 
+  #isStale(item: AdmissionItem): boolean {
+    const expected = item.incarnation ?? 0;
+    return expected !== 0 && expected !== this.#incarnation;
+  }
+
+  #buildStale(item: AdmissionItem): Failure {
+    const message = `the target has incarnation ${this.#incarnation}, not ${item.incarnation ?? 0}`;
+    return { kind: 'stale_incarnation', message };
+  }
+
   #buildLate(nowMs: number, entry: Entry): Failure {
     const leftMs = Math.max(0, Math.round(entry.deadlineMs - nowMs));
     const needMs = Math.round(entry.deadlineMs - entry.latestStartMs);
--- a/packages/core/src/overload/ConcurrencyLimit.ts
+++ b/packages/core/src/overload/ConcurrencyLimit.ts
@@ -97,7 +97,8 @@
     }
     if (usage.paceRatio === null) return 'held';
     this.observe(nowMs, usage);
-    const slowness = (paceLimits.slow / usage.paceRatio) * computeSlack(usage.samples);
+    const slowness =
+      (paceLimits.slow / usage.paceRatio) * computeSlack(usage.samples, usage.paceSpread);
     if (slowness < 1) {
       this.lower(granted * Math.max(SLOW_FACTOR, slowness));
       return 'shrank';
--- a/packages/core/src/overload/FairLevel.ts
+++ b/packages/core/src/overload/FairLevel.ts
@@ -9,6 +9,7 @@
 }
 
 const QUANTUM_WEIGHT = 0.05;
+const RING_SLACK = 1024;
 
 /**
  * One priority of the queue: deficit round robin between workspaces, earliest deadline first
@@ -17,8 +18,10 @@
 export class FairLevel<T extends QueueEntry> {
   readonly #lanes = new Map<string, Lane<T>>();
 
-  /** Workspaces in the order of service; `Map` keeps the order of insertion. */
-  readonly #ring = new Map<string, Lane<T>>();
+  /** Lanes in the order of service from `#head` on; empty ones are skipped. */
+  #ring: Lane<T>[] = [];
+
+  #head = 0;
 
   /** Workspaces by number of entries, to find the longest lane without a search. */
   readonly #byLength: Set<Lane<T>>[] = [];
@@ -37,6 +40,11 @@
     return this.#cost;
   }
 
+  /** Returns the number of workspaces that have state here. */
+  getActive(): number {
+    return this.#lanes.size;
+  }
+
   getLaneLength(workspace: string): number {
     return this.#lanes.get(workspace)?.entries.length ?? 0;
   }
@@ -55,7 +63,8 @@
     if (lane === undefined) {
       lane = { workspace: entry.workspace, entries: [], cost: 0, deficit: 0 };
       this.#lanes.set(entry.workspace, lane);
-      this.#ring.set(entry.workspace, lane);
+      this.#trim();
+      this.#ring.push(lane);
     }
     const position = this.#findPosition(lane.entries, entry);
     this.#trackLength(lane, () => lane.entries.splice(position, 0, entry));
@@ -70,26 +79,24 @@
     if (this.#size === 0) return null;
     for (;;) {
       let leastRounds = Infinity;
-      let visits = this.#ring.size;
-      for (const lane of this.#ring.values()) {
-        const next = lane.entries[lane.entries.length - 1] as T;
-        if (lane.deficit >= next.cost) {
+      for (let visits = this.#ring.length - this.#head; visits > 0; visits -= 1) {
+        const lane = this.#ring[this.#head] as Lane<T>;
+        const next = lane.entries[lane.entries.length - 1];
+        if (next !== undefined && lane.deficit >= next.cost) {
           lane.deficit -= next.cost;
           this.#withdraw(lane, lane.entries.length - 1);
           return next;
         }
+        this.#advance();
+        if (next === undefined) continue;
         lane.deficit += this.#quantum;
         leastRounds = Math.min(leastRounds, (next.cost - lane.deficit) / this.#quantum);
-        // Moved to the end, where this loop would meet it again without the count of visits.
-        this.#ring.delete(lane.workspace);
-        this.#ring.set(lane.workspace, lane);
-        visits -= 1;
-        if (visits === 0) break;
+        this.#ring.push(lane);
       }
       // Nothing was affordable in a whole round: skip the rounds in which that stays so.
       const skipped = Math.max(0, Math.ceil(leastRounds) - 1);
       if (skipped > 0) {
-        for (const lane of this.#ring.values()) lane.deficit += skipped * this.#quantum;
+        for (const lane of this.#lanes.values()) lane.deficit += skipped * this.#quantum;
       }
     }
   }
@@ -141,6 +148,22 @@
     return low;
   }
 
+  /** Drops emptied lanes when they outnumber the active ones. */
+  #trim(): void {
+    if (this.#ring.length - this.#head <= 2 * this.#lanes.size + RING_SLACK) return;
+    const active = this.#ring.slice(this.#head).filter((lane) => lane.entries.length > 0);
+    this.#ring = active;
+    this.#head = 0;
+  }
+
+  /** Moves on in the ring and drops its used part now and then. */
+  #advance(): void {
+    this.#head += 1;
+    if (this.#head < RING_SLACK || this.#head * 2 < this.#ring.length) return;
+    this.#ring = this.#ring.slice(this.#head);
+    this.#head = 0;
+  }
+
   #withdraw(from: Lane<T>, index: number): void {
     const lane = from;
     const entry = lane.entries[index] as T;
@@ -150,8 +173,10 @@
     this.#cost -= entry.cost;
     if (lane.entries.length > 0) return;
     this.#lanes.delete(lane.workspace);
-    this.#ring.delete(lane.workspace);
-    if (this.#size === 0) this.#cost = 0;
+    if (this.#size > 0) return;
+    this.#cost = 0;
+    this.#ring = [];
+    this.#head = 0;
   }
 
   #trackLength(lane: Lane<T>, change: () => void): void {
--- a/packages/core/src/overload/FairQueue.ts
+++ b/packages/core/src/overload/FairQueue.ts
@@ -2,6 +2,11 @@
 import type { QueueEntry } from './QueueEntry.js';
 
 const LEVELS = 3;
+const BUCKET_MS = 32;
+
+function findBucket(latestStartMs: number): number {
+  return Math.floor(latestStartMs / BUCKET_MS);
+}
 
 /** A queue ordered by priority, then by fair shares of workspaces, then by deadline. */
 export class FairQueue<T extends QueueEntry> {
@@ -9,8 +14,11 @@
 
   readonly #entries = new Map<string, T>();
 
-  /** Lower bound of all latest starts, so that `takeExpired` can return without a search. */
-  #earliestStartMs = Infinity;
+  /** Entries by latest start, so that finding the expired ones does not search the queue. */
+  readonly #byStart = new Map<number, Set<T>>();
+
+  /** First bucket that may hold entries. */
+  #firstBucket = Infinity;
 
   constructor() {
     while (this.#levels.length < LEVELS) this.#levels.push(new FairLevel());
@@ -26,6 +34,13 @@
     return cost;
   }
 
+  /** Returns the number of lanes: workspaces with entries, counted once per priority. */
+  getActive(): number {
+    let active = 0;
+    for (const level of this.#levels) active += level.getActive();
+    return active;
+  }
+
   get(id: string): T | undefined {
     return this.#entries.get(id);
   }
@@ -33,14 +48,18 @@
   enqueue(entry: T): void {
     this.#getLevel(entry.level).enqueue(entry);
     this.#entries.set(entry.id, entry);
-    this.#earliestStartMs = Math.min(this.#earliestStartMs, entry.latestStartMs);
+    const bucket = findBucket(entry.latestStartMs);
+    const known = this.#byStart.get(bucket);
+    if (known === undefined) this.#byStart.set(bucket, new Set([entry]));
+    else known.add(entry);
+    this.#firstBucket = Math.min(this.#firstBucket, bucket);
   }
 
   take(): T | null {
     for (const level of this.#levels) {
       const entry = level.take();
       if (entry === null) continue;
-      this.#entries.delete(entry.id);
+      this.#forget(entry);
       return entry;
     }
     return null;
@@ -50,7 +69,7 @@
     const entry = this.#entries.get(id);
     if (entry === undefined) return null;
     this.#getLevel(entry.level).remove(entry);
-    this.#entries.delete(id);
+    this.#forget(entry);
     return entry;
   }
 
@@ -58,7 +77,6 @@
   drain(): T[] {
     const entries: T[] = [];
     for (let entry = this.take(); entry !== null; entry = this.take()) entries.push(entry);
-    this.#earliestStartMs = Infinity;
     return entries;
   }
 
@@ -75,7 +93,7 @@
       const longer = level.getLaneLength(entry.workspace) + 1 < level.getLongestLength();
       if (index === entry.level && !longer) return null;
       const evicted = level.evict();
-      if (evicted !== null) this.#entries.delete(evicted.id);
+      if (evicted !== null) this.#forget(evicted);
       return evicted;
     }
     return null;
@@ -83,18 +101,29 @@
 
   /** Removes and returns the entries that can no longer meet their deadline. */
   takeExpired(nowMs: number): T[] {
-    if (nowMs <= this.#earliestStartMs) return [];
     const expired: T[] = [];
-    let earliest = Infinity;
-    for (const entry of this.#entries.values()) {
-      if (entry.latestStartMs < nowMs) expired.push(entry);
-      else earliest = Math.min(earliest, entry.latestStartMs);
+    const last = findBucket(nowMs);
+    while (this.#firstBucket <= last) {
+      for (const entry of this.#byStart.get(this.#firstBucket) ?? []) {
+        if (entry.latestStartMs < nowMs) expired.push(entry);
+      }
+      if (this.#firstBucket === last) break;
+      this.#firstBucket += 1;
     }
     for (const entry of expired) this.remove(entry.id);
-    this.#earliestStartMs = earliest;
     return expired;
   }
 
+  /** Removes and returns the entries for which `isStale` holds. */
+  takeStale(isStale: (entry: T) => boolean): T[] {
+    const stale: T[] = [];
+    for (const entry of this.#entries.values()) {
+      if (isStale(entry)) stale.push(entry);
+    }
+    for (const entry of stale) this.remove(entry.id);
+    return stale;
+  }
+
   /** Estimates the cost that is served before a new entry. */
   estimateAhead(entry: T): number {
     let ahead = 0;
@@ -102,6 +131,15 @@
     return ahead + this.#getLevel(entry.level).estimateAhead(entry);
   }
 
+  #forget(entry: T): void {
+    this.#entries.delete(entry.id);
+    const bucket = findBucket(entry.latestStartMs);
+    const known = this.#byStart.get(bucket);
+    known?.delete(entry);
+    if (known?.size === 0) this.#byStart.delete(bucket);
+    if (this.#entries.size === 0) this.#firstBucket = Infinity;
+  }
+
   #getLevel(index: number): FairLevel<T> {
     return this.#levels[Math.min(index, LEVELS - 1)] as FairLevel<T>;
   }
--- a/packages/core/src/ramp/Ramp.ts
+++ b/packages/core/src/ramp/Ramp.ts
@@ -90,7 +90,7 @@
     const ratio = usage.paceRatio;
     const worse = ratio === null || this.#provenRatio === null ? 1 : ratio / this.#provenRatio;
     const grown = this.#limit > this.#provenLimit;
-    const slack = computeSlack(usage.samples);
+    const slack = computeSlack(usage.samples, usage.paceSpread);
     const slow = ratio !== null && ratio > paceLimits.slow * slack;
     if (slow || (grown && worse > WORSE_SHRINK * slack) || usage.errorShare >= FAILING_SHARE) {
       const floor = Math.min(this.#settings.start, this.#full);
--- a/packages/core/test/admission.test.ts
+++ b/packages/core/test/admission.test.ts
@@ -1,92 +1,275 @@
+import fc from 'fast-check';
 import { beforeEach, describe, expect, it } from 'vitest';
-import {
-  ManualClock,
-  RequestId,
-  Revision,
-  ServiceDocument,
-  ServiceName,
-  TargetAdmission,
-  TargetId,
-  Workspace,
-  Zone,
-} from '@limpetbay/core';
-import type { AdmissionItem, VersionedDocument } from '@limpetbay/core';
-
-const WARM = { serviceTimeMs: 100, stepTimeMs: 20, error: false };
-
-let clock: ManualClock;
-let admission: TargetAdmission;
-let revision: number;
-let sequence: number;
-
-function buildDocument(change: object = {}): VersionedDocument {
-  revision += 1;
-  return {
-    name: ServiceName.parse('canerota'),
-    revision: Revision.parse(revision),
-    operationId: 'op',
-    document: ServiceDocument.parse({
-      service: { name: 'canerota', kind: 'model' },
-      zones: { in: ['a', 'b'] },
-      targets: { include: ['canerota-*'], exclude: ['canerota-9'] },
-      ramp: { start: 1, growth: 1.5, intervalMs: 1000 },
-      limits: { maxInFlight: 8, queue: 8 },
-      keys: {},
-      ...change,
-    }),
-  };
-}
+import { Incarnation, Priority, RequestId, TargetAdmission, TargetId } from '@limpetbay/core';
+import type { AdmissionItem, AdmissionOutcome } from '@limpetbay/core';
+import { AdmissionFixture, WARM } from './admissionFixture.js';
 
-function buildItem(change: Partial<AdmissionItem> = {}): AdmissionItem {
-  sequence += 1;
-  return {
-    requestId: RequestId.parse(`r${sequence}`),
-    attempt: 1,
-    workspace: Workspace.parse('w'),
-    priority: 'normal',
-    deadlineMs: clock.getNow() + 30_000,
-    promptTokens: 100,
-    maxTokens: 10,
-    ...change,
-  };
+const ZONE_OUT = { zones: { in: ['b'], out: ['a'] } };
+
+interface TestEvent {
+  readonly type: string;
+  readonly pick: number;
+  readonly priority: Priority;
+  readonly waitMs: number;
+  readonly error: boolean;
 }
 
+let fixture: AdmissionFixture;
+let admission: TargetAdmission;
+
 beforeEach(() => {
-  clock = new ManualClock(10_000);
-  revision = 0;
-  sequence = 0;
-  admission = new TargetAdmission({ clock, target: TargetId.parse('canerota-1') });
-  admission.setZone(Zone.parse('a'));
-  admission.setConnectivity({ storeConfirmedMs: 1e9, outsideZoneHeardMs: 1e9, zoneCount: 2 });
-  admission.setDocument(buildDocument());
+  fixture = new AdmissionFixture();
+  admission = fixture.admission;
 });
 
-function getKind(item: AdmissionItem): string {
-  const result = admission.submit(item);
-  return result.type === 'refused' ? result.failure.kind : result.type;
+function listRefused(outcome: AdmissionOutcome): [AdmissionItem, string][] {
+  return outcome.refused.map(({ item, failure }) => [item, failure.kind]);
 }
 
 describe('TargetAdmission', () => {
   // Guards against a cold target that takes more than its first grant at once.
   it('starts one request on a cold target and queues the next', () => {
-    expect(getKind(buildItem())).toBe('start');
-    expect(getKind(buildItem())).toBe('queued');
+    expect(fixture.submit()).toBe('start');
+    expect(fixture.submit()).toBe('queued');
     expect(admission.getLoad()).toMatchObject({ inFlight: 1, limit: 1, queued: 1 });
   });
 
+  // Guards against a later check that hides an earlier one, so that an entry learns the wrong
+  // reason and keeps sending.
+  it('refuses in the order of the design page', () => {
+    const late = fixture.buildItem({ deadlineMs: fixture.clock.getNow() });
+    expect(fixture.submit(late)).toBe('deadline_exceeded');
+    const stale = (): AdmissionItem =>
+      fixture.buildItem({ deadlineMs: 0, incarnation: Incarnation.parse(1) });
+    expect(fixture.submit(stale())).toBe('stale_incarnation');
+    admission.setLeaving();
+    expect(fixture.submit(stale())).toBe('leaving');
+    const excluded = { targets: { include: ['canerota-*'], exclude: ['canerota-1'] } };
+    admission.setDocument(fixture.buildDocument({ ...excluded, ...ZONE_OUT }));
+    expect(fixture.submit(stale())).toBe('zone_out');
+    fixture.connect(0, 0);
+    expect(fixture.submit(stale())).toBe('isolated');
+    admission.setDocument(null);
+    expect(fixture.submit(stale())).toBe('not_ready');
+  });
+
   // Guards against work that is taken, or queued work that is handed over, in a zone that is out;
   // and against a request in progress that is cut by it.
   it('refuses new and queued work when the zone goes out and keeps what is in progress', () => {
-    const running = buildItem();
-    const queued = buildItem();
-    admission.submit(running);
-    admission.submit(queued);
-    const outcome = admission.setDocument(buildDocument({ zones: { in: ['b'], out: ['a'] } }));
-    expect(outcome.refused.map(({ item, failure }) => [item, failure.kind])).toEqual([
-      [queued, 'zone_out'],
-    ]);
-    expect(getKind(buildItem())).toBe('zone_out');
+    const running = fixture.buildItem();
+    const queued = fixture.buildItem();
+    fixture.submit(running);
+    fixture.submit(queued);
+    const outcome = admission.setDocument(fixture.buildDocument(ZONE_OUT));
+    expect(listRefused(outcome)).toEqual([[queued, 'zone_out']]);
+    expect(fixture.submit()).toBe('zone_out');
     expect(admission.getLoad()).toMatchObject({ state: 'zone_out', inFlight: 1, queued: 0 });
     expect(admission.finish(running, WARM).started).toEqual([]);
+    expect(admission.getStatus().finished).toBe(1);
+  });
+
+  // Guards against queued work that reaches a target after it began to leave, either way.
+  it.each(['signal', 'document'])('refuses queued work when the target leaves by %s', (way) => {
+    fixture.submit();
+    const queued = fixture.buildItem();
+    fixture.submit(queued);
+    const targets = { include: ['canerota-2', 'other-*'] };
+    const outcome =
+      way === 'signal'
+        ? admission.setLeaving()
+        : admission.setDocument(fixture.buildDocument({ targets }));
+    expect(listRefused(outcome)).toEqual([[queued, 'leaving']]);
+    expect(admission.getLoad()).toMatchObject({ state: 'leaving', inFlight: 1 });
+  });
+
+  // Guards against a document that arrives late and puts a zone back in that was taken out.
+  it('ignores an older document', () => {
+    const old = fixture.buildDocument();
+    admission.setDocument(fixture.buildDocument(ZONE_OUT));
+    admission.setDocument(old);
+    expect(fixture.submit()).toBe('zone_out');
+  });
+
+  // Guards against a partitioned zone that serves on after operators took it out, and against
+  // refusing service in a mere store outage.
+  it('refuses when neither the store nor another zone was heard for 3 s', () => {
+    const nowMs = fixture.clock.getNow();
+    fixture.connect(0, nowMs);
+    fixture.submit();
+    const queued = fixture.buildItem();
+    fixture.submit(queued);
+    fixture.clock.advance(2999);
+    expect(admission.tick().refused).toEqual([]);
+    fixture.clock.advance(1);
+    expect(listRefused(admission.tick())).toEqual([[queued, 'isolated']]);
+    fixture.connect(nowMs + 3000, 0);
+    expect(admission.getLoad().state).toBe('serving');
+    fixture.connect(0, 0, 1);
+    expect(admission.getLoad().state).toBe('serving');
+    fixture.connect(0, 0);
+    const service = { name: 'canerota', kind: 'model', isolation: 'serve' };
+    admission.setDocument(fixture.buildDocument({ service }));
+    expect(admission.getStatus()).toMatchObject({ state: 'serving', isolated: true });
+  });
+
+  // Guards against an agent that serves before it was told anything about its connections.
+  it('counts as isolated before its connectivity is known', () => {
+    const target = TargetId.parse('canerota-1');
+    const fresh = new TargetAdmission({ clock: fixture.clock, target });
+    fresh.setZone(fixture.buildDocument().document?.zones.in[0] as never);
+    fresh.setDocument(fixture.buildDocument());
+    expect(fresh.getLoad().state).toBe('isolated');
+  });
+
+  // Guards against a second run of a delivered attempt, and against a refusal ("not run") of an
+  // attempt that is running, whatever state the target is in.
+  it('recognises an attempt that was delivered before, in every state', () => {
+    const running = fixture.buildItem();
+    const queued = fixture.buildItem();
+    fixture.submit(running);
+    fixture.submit(queued);
+    expect(fixture.submit(running)).toBe('duplicate');
+    expect(fixture.submit(queued)).toBe('duplicate');
+    // The queue of a cold target holds one; a new attempt is not a duplicate.
+    expect(fixture.submit({ ...running, attempt: 2 })).toBe('target_cold');
+    admission.setDocument(fixture.buildDocument(ZONE_OUT));
+    expect(fixture.submit(running)).toBe('duplicate');
+    const refused = fixture.buildItem();
+    expect(fixture.submit(refused)).toBe('zone_out');
+    admission.finish(running, WARM);
+    admission.setDocument(fixture.buildDocument());
+    // Both were declared not run, or have run: neither may run now.
+    expect(fixture.submit(refused)).toBe('duplicate');
+    expect(fixture.submit(queued)).toBe('duplicate');
+    expect(fixture.submit(running)).toBe('duplicate');
+  });
+
+  // Guards against forgetting an attempt while a closed connection may still deliver it, and
+  // against a memory that grows for ever.
+  it('remembers an attempt until it can no longer be delivered', () => {
+    const item = fixture.buildItem();
+    fixture.submit(item);
+    admission.finish(item, WARM);
+    fixture.clock.advance(30_000 + 925_000);
+    admission.tick();
+    const again = { ...item, deadlineMs: fixture.clock.getNow() + 30_000 };
+    expect(fixture.submit(again)).toBe('duplicate');
+    fixture.clock.advance(60_000);
+    admission.tick();
+    expect(admission.getStatus().rememberedAttempts).toBe(0);
+  });
+
+  // Guards against dropping old attempts to make room, which would let them run twice.
+  it('refuses attempts that may not be repeated when the memory is full', () => {
+    fixture = new AdmissionFixture({ memoryCapacity: 2 });
+    for (let index = 0; index < 2; index += 1) {
+      const item = fixture.buildItem();
+      fixture.submit(item);
+      fixture.admission.finish(item, WARM);
+    }
+    const refused = fixture.buildItem();
+    expect(fixture.submit(refused)).toBe('overloaded');
+    expect(fixture.submit(fixture.buildItem({ repeatable: true }))).toBe('start');
+    // There was no room to remember the refusal, so it must not run while it may be delivered.
+    fixture.clock.advance(985_000);
+    fixture.admission.tick();
+    const again = { ...refused, deadlineMs: fixture.clock.getNow() + 30_000 };
+    expect(fixture.submit(again)).toBe('overloaded');
+  });
+
+  // Guards against time spent on a request whose caller no longer waits.
+  it('refuses a queued request once it cannot end in time', () => {
+    fixture.load(5000);
+    const free = fixture.getLimit() - admission.getLoad().inFlight;
+    for (let index = 0; index < free; index += 1) expect(fixture.submit()).toBe('start');
+    const queued = fixture.buildItem({ deadlineMs: fixture.clock.getNow() + 300 });
+    expect(fixture.submit(queued)).toBe('queued');
+    fixture.clock.advance(150);
+    expect(admission.tick().refused).toEqual([]);
+    fixture.clock.advance(60);
+    expect(listRefused(admission.tick())).toEqual([[queued, 'deadline_exceeded']]);
+  });
+
+  // Guards against a slot that leaks with a cancelled request, and a cancelled one that runs.
+  it('frees the slot of a cancelled request and never starts a cancelled one', () => {
+    const running = fixture.buildItem();
+    const queued = fixture.buildItem();
+    fixture.submit(running);
+    fixture.submit(queued);
+    admission.cancel(queued);
+    expect(admission.cancel(running).started).toEqual([]);
+    expect(admission.getLoad()).toMatchObject({ inFlight: 0, queued: 0, queuedPromptTokens: 0 });
+    expect(fixture.submit(queued)).toBe('duplicate');
+  });
+
+  // Guards, over random sequences of events, against more in flight than granted, items that are
+  // answered twice or never, refused items that start, and starts while the target is out.
+  it('answers every item once and grants no more than its limit', () => {
+    const event = fc.record({
+      type: fc.constantFrom('submit', 'finish', 'cancel', 'advance', 'out', 'in', 'restart'),
+      pick: fc.nat(20),
+      priority: fc.constantFrom(...Priority.options),
+      waitMs: fc.integer({ min: 1, max: 800 }),
+      error: fc.boolean(),
+    });
+    const check = (events: readonly TestEvent[]): void => {
+      fixture = new AdmissionFixture();
+      admission = fixture.admission;
+      const waiting = new Map<string, AdmissionItem>();
+      const running = new Map<string, AdmissionItem>();
+      const closed = new Set<string>();
+      const start = (item: AdmissionItem): void => {
+        expect(closed.has(item.requestId)).toBe(false);
+        expect(admission.getLoad().state).toBe('serving');
+        running.set(item.requestId, item);
+      };
+      const apply = (outcome: AdmissionOutcome): void => {
+        for (const { item } of outcome.refused) {
+          expect(waiting.delete(item.requestId)).toBe(true);
+          closed.add(item.requestId);
+        }
+        for (const item of outcome.started) {
+          expect(waiting.delete(item.requestId)).toBe(true);
+          start(item);
+        }
+      };
+      for (const { type, pick, priority, waitMs, error } of events) {
+        const before = admission.getLoad();
+        if (type === 'submit') {
+          const deadlineMs = fixture.clock.getNow() + waitMs * 3;
+          const item = fixture.buildItem({
+            priority,
+            deadlineMs,
+            requestId: RequestId.parse(`q${pick}-${closed.size}-${running.size}`),
+          });
+          const result = admission.submit(item);
+          apply(result.outcome);
+          if (result.type === 'queued') waiting.set(item.requestId, item);
+          else if (result.type === 'start') start(item);
+          else if (result.type === 'refused') closed.add(item.requestId);
+        } else if (type === 'finish') {
+          const [item] = [...running.values()].slice(pick % Math.max(1, running.size));
+          if (item === undefined) continue;
+          running.delete(item.requestId);
+          closed.add(item.requestId);
+          apply(admission.finish(item, { ...WARM, serviceTimeMs: waitMs, error }));
+        } else if (type === 'cancel') {
+          const [item] = [...waiting.values()];
+          if (item === undefined) continue;
+          waiting.delete(item.requestId);
+          closed.add(item.requestId);
+          apply(admission.cancel(item));
+        } else if (type === 'advance') {
+          fixture.clock.advance(waitMs);
+          apply(admission.tick());
+        } else if (type === 'restart') apply(admission.restartIncarnation('test'));
+        else apply(admission.setDocument(fixture.buildDocument(type === 'out' ? ZONE_OUT : {})));
+        const load = admission.getLoad();
+        expect(load.inFlight).toBe(running.size);
+        expect(load.queued).toBe(waiting.size);
+        expect(load.inFlight).toBeLessThanOrEqual(Math.max(load.limit, before.inFlight));
+      }
+    };
+    fc.assert(fc.property(fc.array(event, { maxLength: 120 }), check), { seed: 1, numRuns: 300 });
   });
 });
--- /dev/null
+++ b/packages/core/test/ramp.test.ts
@@ -0,0 +1,153 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import { Incarnation, PaceTracker } from '@limpetbay/core';
+import type { EngineStatus, TargetAdmission } from '@limpetbay/core';
+import { AdmissionFixture, WARM } from './admissionFixture.js';
+
+const ENGINE: EngineStatus = {
+  startedAt: 1,
+  stepTimeMs: 20,
+  waiting: 0,
+  kvFree: 1,
+  cacheUsed: 0.5,
+};
+
+let fixture: AdmissionFixture;
+let admission: TargetAdmission;
+
+beforeEach(() => {
+  fixture = new AdmissionFixture();
+  admission = fixture.admission;
+});
+
+describe('ramp', () => {
+  // Guards against a grant that grows faster than by the factor in a full interval, and against
+  // one that never gets there: ln 8 / ln 1.5 rounded up is 6, and 2 intervals are for learning.
+  it('grows by at most the factor per interval and is full in the stated time', () => {
+    const startMs = fixture.clock.getNow();
+    fixture.load(8000, WARM, () => {
+      const intervals = Math.floor((fixture.clock.getNow() - startMs) / 1000);
+      expect(fixture.getLimit()).toBeLessThanOrEqual(Math.floor(1.5 ** intervals));
+    });
+    expect(fixture.getLimit()).toBe(8);
+    expect(admission.getStatus().rampState).toBe('full');
+  });
+
+  // Guards against a ramp by time alone, which overloads a target that warms slowly.
+  it('does not grow without use at the limit', () => {
+    fixture.load(2000);
+    const limit = fixture.getLimit();
+    for (let index = 0; index < 100; index += 1) {
+      fixture.clock.advance(100);
+      admission.tick();
+    }
+    expect(fixture.getLimit()).toBe(limit);
+  });
+
+  // Guards against growth on a target that has not proved itself at its present grant.
+  it.each([
+    ['slow steps', { ...WARM, stepTimeMs: 60 }],
+    ['errors', { ...WARM, error: true }],
+  ])('does not grow with %s', (_name, sample) => {
+    admission.setWarmStepTime(20);
+    fixture.load(10_000, sample);
+    expect(fixture.getLimit()).toBe(1);
+  });
+
+  // Guards against growth while the target itself queues what it was given.
+  it('does not grow while requests wait inside the target', () => {
+    for (let index = 0; index < 50; index += 1) {
+      admission.setEngine({ ...ENGINE, waiting: 3 });
+      fixture.load(200);
+    }
+    expect(fixture.getLimit()).toBe(1);
+  });
+
+  // Guards against intervals that are judged by the short requests alone because the long ones
+  // have not ended yet.
+  it('does not count an interval before its slots have turned over', () => {
+    fixture.load(3000, { ...WARM, stepTimeMs: 0, serviceTimeMs: 100 });
+    const limit = fixture.getLimit();
+    fixture.load(5000, { ...WARM, stepTimeMs: 0, serviceTimeMs: 60_000 });
+    expect(fixture.getLimit()).toBeLessThanOrEqual(limit);
+  });
+
+  // Guards against a full grant that is kept while the target fails or slows down.
+  it.each([
+    ['errors', { ...WARM, error: true }],
+    ['slow steps', { ...WARM, stepTimeMs: 90 }],
+  ])('shrinks on %s', (_name, sample) => {
+    fixture.load(9000);
+    expect(fixture.getLimit()).toBe(8);
+    fixture.load(4000, sample);
+    expect(fixture.getLimit()).toBeLessThanOrEqual(4);
+  });
+
+  // Guards against a restarted target that is given what its warm predecessor could handle.
+  it.each([
+    ['a new incarnation', () => admission.restartIncarnation('engine restarted')],
+    ['a changed engine start time', () => admission.setEngine({ ...ENGINE, startedAt: 2 })],
+    ['an emptied cache', () => admission.setEngine({ ...ENGINE, cacheUsed: 0.01 })],
+  ])('restarts on %s', (_name, restart) => {
+    admission.setEngine(ENGINE);
+    fixture.load(9000);
+    expect(fixture.getLimit()).toBe(8);
+    restart();
+    expect(fixture.getLimit()).toBe(1);
+    expect(admission.getStatus().rampRestarts).toBe(1);
+  });
+
+  // Guards against a target that lost its caches without a word, and against one slow request
+  // that restarts the ramp.
+  it('restarts when several requests take several times the warm time', () => {
+    fixture.load(9000);
+    fixture.load(100, { ...WARM, stepTimeMs: 200 });
+    const slow = { ...WARM, stepTimeMs: 200 };
+    const items = [];
+    for (let index = 0; index < 5; index += 1) items.push(fixture.buildItem());
+    for (const item of items) fixture.submit(item);
+    for (const [index, item] of items.entries()) {
+      expect(fixture.getLimit()).toBe(index < 3 ? 8 : 1);
+      admission.finish(item, slow);
+    }
+    expect(admission.getStatus().rampReason).toContain('warm value');
+  });
+
+  // Guards against a cold engine that is compared with itself and so looks warm.
+  it('compares a restarted engine with its warm predecessor', () => {
+    fixture.load(9000);
+    admission.restartIncarnation('engine restarted');
+    fixture.load(10_000, { ...WARM, stepTimeMs: 75 });
+    expect(fixture.getLimit()).toBe(1);
+    fixture.load(8000);
+    expect(fixture.getLimit()).toBe(8);
+  });
+
+  // Guards against a target that is never used fully again after its model became slower.
+  it('takes a steady slower pace as the new warm value in the end', () => {
+    const tracker = new PaceTracker();
+    tracker.setWarm('step', 20);
+    for (let window = 0; window < 40; window += 1) {
+      tracker.closeWindow(tracker.record('step', 60), true, false);
+    }
+    expect(tracker.getWarm('step')).toBe(60);
+  });
+
+  // Guards against answers that entries drop because the incarnation changed while queued.
+  it('refuses queued requests that expect the old incarnation', () => {
+    const incarnation = admission.getIncarnation();
+    fixture.submit();
+    fixture.submit(fixture.buildItem({ incarnation }));
+    const outcome = admission.restartIncarnation('engine restarted');
+    expect(outcome.refused.map(({ failure }) => failure.kind)).toEqual(['stale_incarnation']);
+    expect(admission.getIncarnation()).toBeGreaterThan(incarnation);
+    expect(Incarnation.safeParse(admission.getIncarnation()).success).toBe(true);
+  });
+
+  // Guards against a load spike on all targets of a returning zone.
+  it('restarts when the zone returns', () => {
+    fixture.load(9000);
+    admission.setDocument(fixture.buildDocument({ zones: { in: ['b'], out: ['a'] } }));
+    admission.setDocument(fixture.buildDocument());
+    expect(fixture.getLimit()).toBe(1);
+  });
+});
