--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,7 +1,15 @@
 import type { Bench } from './report/Bench.js';
+import { overload } from './benches/overload.js';
 import { ramp } from './benches/ramp.js';
 import { routing } from './benches/routing.js';
 import { zoneDeath } from './benches/zoneDeath.js';
+import { zoneLeave } from './benches/zoneLeave.js';
 
 /** All benches by name, in the order in which they run. */
-export const registry: readonly Bench[] = [ramp, routing, zoneDeath];
+export const registry: readonly Bench[] = [
+  ramp,
+  routing,
+  zoneDeath,
+  overload,
+  zoneLeave,
+];
--- a/packages/core/src/admission/TargetAdmission.ts
+++ b/packages/core/src/admission/TargetAdmission.ts
@@ -196,8 +196,9 @@
     const nowMs = this.#clock.getNow();
     this.#engine = status;
     if (previous !== null && previous.startedAt !== 0 && previous.startedAt !== status.startedAt) {
-      this.restartIncarnation('engine start time changed');
-    } else if (
+      return this.restartIncarnation('engine start time changed');
+    }
+    if (
       previous !== null &&
       previous.cacheUsed >= CACHE_IN_USE &&
       status.cacheUsed <= previous.cacheUsed * CACHE_LEFT
@@ -216,12 +217,21 @@
     this.#pace.setWarm(STEP_CLASS, stepTimeMs);
   }
 
-  /** Raises the incarnation and restarts the ramp; for a restart that the agent noticed. */
-  restartIncarnation(reason: string): Incarnation {
+  /**
+   * Raises the incarnation and restarts the ramp; for a restart that the agent noticed. Queued
+   * items that expect the old incarnation are refused: their entries would drop the answer.
+   */
+  restartIncarnation(reason: string): AdmissionOutcome {
+    const nowMs = this.#clock.getNow();
     const wallUs = this.#clock.getWallTime().getTime() * 1000;
     this.#incarnation = Incarnation.parse(Math.max(this.#incarnation + 1, wallUs));
-    this.#restartRamp(this.#clock.getNow(), reason);
-    return this.#incarnation;
+    this.#restartRamp(nowMs, reason);
+    const outcome: AdmissionOutcome = { started: [], refused: [] };
+    for (const entry of this.#queue.takeStale(({ item }) => this.#isStale(item))) {
+      this.#refuseQueued(nowMs, entry, this.#buildStale(entry.item), outcome);
+    }
+    const { started, refused } = this.tick();
+    return { started, refused: [...outcome.refused, ...refused] };
   }
 
   getIncarnation(): Incarnation {
@@ -242,7 +252,6 @@
     }
     const cost = estimateCost(item);
     const paceClass = describeClass(item, cost);
-    const serviceMs = this.#estimator.estimate(paceClass, cost);
     const entry: Entry = {
       id,
       item,
@@ -251,7 +260,8 @@
       workspace: item.workspace,
       level: Priority.options.indexOf(item.priority),
       deadlineMs: item.deadlineMs,
-      latestStartMs: item.deadlineMs - serviceMs,
+      // Where others wait for the slot, it goes to a request that will make it.
+      latestStartMs: item.deadlineMs - this.#estimator.estimateHigh(paceClass, cost),
     };
     const failure = this.#checkItem(nowMs, entry);
     if (failure !== null) {
@@ -441,14 +451,9 @@
     const blocked = this.#checkState(nowMs);
     if (blocked !== null) return blocked;
     const { item } = entry;
-    const expected = item.incarnation ?? 0;
-    if (expected !== 0 && expected !== this.#incarnation) {
-      return {
-        kind: 'stale_incarnation',
-        message: `the target has incarnation ${this.#incarnation}, not ${expected}`,
-      };
-    }
-    if (entry.latestStartMs <= nowMs) return this.#buildLate(nowMs, entry);
+    if (this.#isStale(item)) return this.#buildStale(item);
+    const serviceMs = this.#estimator.estimate(entry.paceClass, entry.cost);
+    if (entry.deadlineMs - serviceMs <= nowMs) return this.#buildLate(nowMs, entry);
     const closed = nowMs < this.#closedUntilMs || this.#memory.isFull();
     if (item.repeatable !== true && closed) {
       const message = 'the memory of delivered attempts is full';
@@ -457,6 +462,16 @@
     return null;
   }
 
+  #isStale(item: AdmissionItem): boolean {
+    const expected = item.incarnation ?? 0;
+    return expected !== 0 && expected !== this.#incarnation;
+  }
+
+  #buildStale(item: AdmissionItem): Failure {
+    const message = `the target has incarnation ${this.#incarnation}, not ${item.incarnation ?? 0}`;
+    return { kind: 'stale_incarnation', message };
+  }
+
   #buildLate(nowMs: number, entry: Entry): Failure {
     const leftMs = Math.max(0, Math.round(entry.deadlineMs - nowMs));
     const needMs = Math.round(entry.deadlineMs - entry.latestStartMs);
@@ -563,7 +578,10 @@
     if (startedMs >= this.#adaptiveChangedMs) {
       this.#adaptiveWindow.recordPace(ratio, name === STEP_CLASS);
     }
-    if (this.#pace.isCold() && this.#ramp !== null && !this.#ramp.isAtStart()) {
+    const ramp = this.#ramp;
+    if (ramp === null || ramp.isAtStart()) return;
+    const known = this.#adaptive?.getExpectedRatio(this.#running.size) ?? 1;
+    if (this.#pace.isCold(Math.max(known, ramp.getProvenRatio()))) {
       this.#restartRamp(nowMs, 'service times several times the warm value');
     }
   }
@@ -592,13 +610,17 @@
       const usage = this.#adaptiveWindow.describe(nowMs);
       // While the ramp is the lower limit it alone decides.
       const binding = adaptive.getLimit() <= ramp.getLimit();
-      const change = binding ? adaptive.advance(usage, this.#getLimit()) : 'held';
-      if (change === 'shrank') this.#adaptiveChangedMs = nowMs;
+      const change = binding ? adaptive.advance(nowMs, usage, this.#getLimit()) : 'held';
+      if (change === 'shrank') {
+        this.#adaptiveChangedMs = nowMs;
+      }
       this.#adaptiveWindow.reset(nowMs);
     }
     if (this.#rampWindow.getLength(nowMs) < ramp.getIntervalMs()) return;
     const usage = this.#rampWindow.describe(nowMs, this.#listSlow(nowMs));
     const atStart = ramp.isAtStart();
+    const binding = ramp.getLimit() < adaptive.getLimit();
+    if (binding && usage.complete) adaptive.observe(nowMs, usage);
     const change = ramp.advance(usage);
     // Without enough samples the interval is extended: it says nothing about the target yet.
     if (change === 'held' && (usage.samples === 0 || !usage.complete)) return;
@@ -608,7 +630,9 @@
       adaptive.lower(ramp.getProvenLimit());
       this.#adaptiveChangedMs = nowMs;
     }
-    this.#pace.closeWindow(usage.paceRatio, usage.reachedLimit, usage.errorShare > 0);
+    const loaded = usage.reachedLimit && !atStart;
+    const factor = this.#pace.closeWindow(usage.paceRatio, loaded, usage.errorShare > 0);
+    adaptive.scale(factor);
     this.#rampWindow.reset(nowMs);
   }
 
--- a/packages/core/src/overload/ConcurrencyGradient.ts
+++ b/packages/core/src/overload/ConcurrencyGradient.ts
@@ -1,9 +1,32 @@
-/** Two bands to the doubling of the concurrency. */
-const BANDS_PER_DOUBLING = 2;
-/** Measurements of about this many samples replace half of what was known of a band. */
-const HALF_SAMPLES = 16;
+import type { UsageSummary } from '../ramp/UsageSummary.js';
+
+interface Band {
+  readonly concurrency: number;
+  readonly ratio: number;
+  /** Relative spread of single samples. */
+  readonly spread: number;
+  /** Samples behind the ratio, up to the memory of the average. */
+  readonly samples: number;
+  readonly updatedMs: number;
+}
+
+const BANDS_PER_DOUBLING = 4;
+/** Measurements of this many samples replace half of what was known of a band. */
+const HALF_SAMPLES = 64;
+/**
+ * Older measurements are forgotten: a target that has become faster or slower meanwhile must not
+ * be held at a limit that the old ones suggest.
+ */
+const MAX_AGE_MS = 30_000;
 /** Least gain of throughput from twice the concurrency that is worth the longer service time. */
 const WORTHWHILE_GAIN = 1.1;
+/** Standard error of a median over the mean absolute deviation of the samples, about. */
+const ERROR_FACTOR = 1.5;
+
+/** Returns the relative standard error of the difference of two bands. */
+function computeError(a: Band, b: Band): number {
+  return ERROR_FACTOR * Math.sqrt(a.spread ** 2 / a.samples + b.spread ** 2 / b.samples);
+}
 
 /**
  * Remembers the pace of a target by concurrency and tells whether more concurrency still raises
@@ -11,42 +34,88 @@
  * a target slows down as it is filled: a batching engine by far more than a worker pool.
  */
 export class ConcurrencyGradient {
-  /** Pace ratio by band; undefined where nothing was measured. */
-  #bands: (number | undefined)[] = [];
+  #bands: (Band | undefined)[] = [];
 
   clear(): void {
     this.#bands = [];
   }
 
-  /**
-   * @param concurrency mean number in flight
-   * @param ratio pace over warm pace
-   */
-  record(concurrency: number, ratio: number, samples: number): void {
-    const band = this.#findBand(concurrency);
-    const known = this.#bands[band];
-    const weight = samples / (samples + HALF_SAMPLES);
-    const next = known === undefined ? ratio : known + weight * (ratio - known);
-    this.#bands[band] = next;
+  /** Adjusts to a changed warm value. @param factor new warm value over the old one */
+  scale(factor: number): void {
+    for (const [index, band] of this.#bands.entries()) {
+      if (band !== undefined) this.#bands[index] = { ...band, ratio: band.ratio / factor };
+    }
+  }
+
+  /** Learns from a window with a known pace. */
+  record(nowMs: number, usage: UsageSummary, ratio: number): void {
+    this.#expire(nowMs);
+    const concurrency = usage.meanInFlight;
+    const index = this.#findBand(concurrency);
+    const known = this.#bands[index];
+    const total = (known?.samples ?? 0) + usage.samples;
+    const weight = usage.samples / Math.min(total, usage.samples + HALF_SAMPLES);
+    const move = (from: number | undefined, to: number): number =>
+      from === undefined ? to : from + weight * (to - from);
+    const next: Band = {
+      concurrency: move(known?.concurrency, concurrency),
+      ratio: move(known?.ratio, ratio),
+      spread: move(known?.spread, usage.paceSpread),
+      samples: Math.min(total, 2 * HALF_SAMPLES),
+      updatedMs: nowMs,
+    };
+    this.#bands[index] = next;
     // Fewer requests are never slower: a lower band with a slower pace is out of date.
-    for (let index = 0; index < band; index += 1) {
-      const lower = this.#bands[index];
-      if (lower !== undefined && lower > next) this.#bands[index] = next;
+    for (let lower = 0; lower < index; lower += 1) {
+      const band = this.#bands[lower];
+      if (band !== undefined && band.ratio > next.ratio) {
+        this.#bands[lower] = { ...band, ratio: next.ratio };
+      }
     }
   }
 
   /**
-   * Returns the gain of throughput over that at half the concurrency or less, relative to the
-   * least worthwhile gain: below 1 the target is past the concurrency that it can use.
+   * Returns the throughput at this concurrency over what it would have to be to be worthwhile
+   * compared with every lower concurrency: below 1 the target is past what it can use.
    */
-  compute(concurrency: number, ratio: number): number | null {
-    for (let band = this.#findBand(concurrency) - BANDS_PER_DOUBLING; band >= 0; band -= 1) {
-      const lower = this.#bands[band];
-      if (lower === undefined) continue;
-      const increase = concurrency / 2 ** (band / BANDS_PER_DOUBLING);
-      return (increase * (lower / ratio)) / increase ** Math.log2(WORTHWHILE_GAIN);
+  compute(concurrency: number): number {
+    const index = this.#findBand(concurrency);
+    const here = this.#bands[index];
+    if (here === undefined) return Infinity;
+    let gradient = Infinity;
+    for (let lower = 0; lower <= index - 1; lower += 1) {
+      const band = this.#bands[lower];
+      if (band === undefined) continue;
+      const increase = here.concurrency / band.concurrency;
+      const gain = ((increase * band.ratio) / here.ratio) * (1 + computeError(here, band));
+      gradient = Math.min(gradient, gain / increase ** Math.log2(WORTHWHILE_GAIN));
+    }
+    return gradient;
+  }
+
+  /** Tells whether a concurrency between half of this one and clearly below it is known. */
+  hasNear(concurrency: number): boolean {
+    const index = this.#findBand(concurrency);
+    for (let lower = index - BANDS_PER_DOUBLING; lower <= index - 1; lower += 1) {
+      if (this.#bands[lower] !== undefined) return true;
+    }
+    return false;
+  }
+
+  /** Returns the pace ratio known at this concurrency or the next lower one, 1 without any. */
+  getRatio(concurrency: number): number {
+    for (let index = this.#findBand(concurrency); index >= 0; index -= 1) {
+      const band = this.#bands[index];
+      if (band !== undefined) return band.ratio;
+    }
+    return 1;
+  }
+
+  #expire(nowMs: number): void {
+    for (const [index, band] of this.#bands.entries()) {
+      if (band === undefined || nowMs - band.updatedMs <= MAX_AGE_MS) continue;
+      this.#bands[index] = undefined;
     }
-    return null;
   }
 
   #findBand(concurrency: number): number {
--- a/packages/core/src/ramp/Ramp.ts
+++ b/packages/core/src/ramp/Ramp.ts
@@ -61,6 +61,11 @@
     return Math.floor(this.#provenLimit);
   }
 
+  /** Returns the pace ratio at the proven limit, 1 before one is known. */
+  getProvenRatio(): number {
+    return this.#provenRatio ?? 1;
+  }
+
   getIntervalMs(): number {
     return this.#settings.intervalMs;
   }
@@ -85,7 +90,7 @@
     const ratio = usage.paceRatio;
     const worse = ratio === null || this.#provenRatio === null ? 1 : ratio / this.#provenRatio;
     const grown = this.#limit > this.#provenLimit;
-    const slack = computeSlack(usage.samples);
+    const slack = computeSlack(usage.samples, usage.paceSpread);
     const slow = ratio !== null && ratio > paceLimits.slow * slack;
     if (slow || (grown && worse > WORSE_SHRINK * slack) || usage.errorShare >= FAILING_SHARE) {
       const floor = Math.min(this.#settings.start, this.#full);
