--- /dev/null
+++ b/bench/src/benches/atMostOnce/OpenRequest.ts
@@ -0,0 +1,38 @@
+import type { AnswerAssembler } from '@limpetbay/core';
+import type { CallerReply } from './CallerReply.js';
+import type { CallerRequest } from './CallerRequest.js';
+import type { Stream } from './Stream.js';
+
+/** A caller's request at an entry. */
+export class OpenRequest {
+  readonly request: CallerRequest;
+
+  readonly reply: (reply: CallerReply) => void;
+
+  readonly deadlineAtMs: number;
+
+  readonly attempt: number = 0;
+
+  /** Whether an earlier attempt may have been run. */
+  readonly ran: boolean = false;
+
+  readonly headSent: boolean = false;
+
+  readonly body: string = '';
+
+  readonly replayed: boolean = false;
+
+  readonly stream: Stream | null = null;
+
+  readonly assembler: AnswerAssembler | null = null;
+
+  constructor(request: CallerRequest, reply: (reply: CallerReply) => void, deadlineAtMs: number) {
+    this.request = request;
+    this.reply = reply;
+    this.deadlineAtMs = deadlineAtMs;
+  }
+
+  update(change: Partial<Omit<OpenRequest, 'update'>>): void {
+    Object.assign(this, change);
+  }
+}
--- /dev/null
+++ b/bench/src/benches/atMostOnce/SkewedClock.ts
@@ -0,0 +1,21 @@
+import type { Clock } from '@limpetbay/core';
+
+/** The clock of a machine whose wall time is wrong by a fixed offset. */
+export class SkewedClock implements Clock {
+  readonly #clock: Clock;
+
+  readonly #offsetMs: number;
+
+  constructor(clock: Clock, offsetMs: number) {
+    this.#clock = clock;
+    this.#offsetMs = offsetMs;
+  }
+
+  getNow(): number {
+    return this.#clock.getNow();
+  }
+
+  getWallTime(): Date {
+    return new Date(this.#clock.getWallTime().getTime() + this.#offsetMs);
+  }
+}
--- /dev/null
+++ b/bench/src/benches/atMostOnce/Stream.ts
@@ -0,0 +1,11 @@
+import type { Attempt } from '@limpetbay/core';
+import type { CallerRequest } from './CallerRequest.js';
+import type { Connection } from './Connection.js';
+
+/** One attempt on its connection. */
+export interface Stream {
+  readonly id: string;
+  readonly connection: Connection;
+  readonly attempt: Attempt;
+  readonly request: CallerRequest;
+}
--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,4 +1,5 @@
+import { atMostOnceBench } from './benches/atMostOnce/atMostOnceBench.js';
 import type { Bench } from './report/Bench.js';
 
 /** All benches by name, in the order in which they run. */
-export const registry: readonly Bench[] = [];
+export const registry: readonly Bench[] = [atMostOnceBench];
