--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,5 +1,6 @@
 import { atMostOnceBench } from './benches/atMostOnce/atMostOnceBench.js';
+import { claimRateBench } from './benches/claimRate/claimRateBench.js';
 import type { Bench } from './report/Bench.js';
 
 /** All benches by name, in the order in which they run. */
-export const registry: readonly Bench[] = [atMostOnceBench];
+export const registry: readonly Bench[] = [atMostOnceBench, claimRateBench];
