Let outcomes wait for a batch with claims while the write budget is short

Cause: an outcome took the write that the next claim needed; with 100 agents and 100 requests/s the 95th percentile of the claim delay was 452 ms. Change: an outcome starts a batch only if another write stays available, or after 500 ms. Many agents with little traffic each cannot batch; that needs fewer agents for keyed requests, which is routing.

--- a/packages/core/src/claims/BatchWriter.ts
+++ b/packages/core/src/claims/BatchWriter.ts
@@ -70,7 +70,9 @@
       if (now - this.#batch.sentMs < this.#options.callTimeoutMs) return;
       this.#requeue(this.#batch.orders, true);
     }
-    if (this.#queue.length === 0 || now < this.#retryMs || !this.#budget.take()) return;
+    if (this.#queue.length === 0 || now < this.#retryMs) return;
+    const isDue = this.#queue.some(({ dueMs }) => dueMs <= now);
+    if (!this.#budget.take(isDue ? 0 : 1)) return;
     const orders = this.#pick();
     const batch = { orders, sentMs: now };
     this.#batch = batch;
--- a/packages/core/src/claims/ClaimLedger.ts
+++ b/packages/core/src/claims/ClaimLedger.ts
@@ -238,6 +238,7 @@
       expected: entry.revision,
       value: this.#formatRecord(entry, end),
       lease: entry.lease,
+      dueMs: this.#clock.getNow() + this.#options.outcomeDelayMs,
       persistent: true,
       settle: (result) => {
         const isStored =
@@ -333,6 +334,7 @@
       expected: revision,
       value: this.#formatRecord(entry, 'claimed'),
       lease,
+      dueMs: this.#clock.getNow(),
       persistent: false,
       settle: (result) => {
         if (result.type === 'written') this.#hold(entry, result.revision);
@@ -395,6 +397,7 @@
       expected: entry.revision,
       value: this.#formatRecord(entry, 'released'),
       lease: entry.lease,
+      dueMs: this.#clock.getNow(),
       persistent: true,
       settle: (result) => {
         if (result.type === 'written') this.#create(entry, result.revision);
--- a/packages/core/src/claims/ClaimOptions.ts
+++ b/packages/core/src/claims/ClaimOptions.ts
@@ -16,6 +16,8 @@
   readonly callTimeoutMs: number;
   /** A request that waits this long for the store to confirm its claim is refused. */
   readonly storeWaitMs: number;
+  /** Most time for which an outcome waits for a batch with claims while the budget is short. */
+  readonly outcomeDelayMs: number;
   /** Least and most time between two looks at a claim of another agent. */
   readonly pollMs: readonly [number, number];
   /** An owner without an outcome this long after its deadline counts as gone. */
--- a/packages/core/src/claims/WriteBudget.ts
+++ b/packages/core/src/claims/WriteBudget.ts
@@ -33,10 +33,14 @@
     this.#rate = rate;
   }
 
-  /** Takes one write if the budget allows it now. */
-  take(): boolean {
+  /**
+   * Takes one write if the budget allows it now.
+   *
+   * @param left writes that must stay available afterwards
+   */
+  take(left = 0): boolean {
     this.#refill();
-    if (this.#tokens < 1) return false;
+    if (this.#tokens < 1 + left) return false;
     this.#tokens -= 1;
     return true;
   }
--- a/packages/core/src/claims/WriteOrder.ts
+++ b/packages/core/src/claims/WriteOrder.ts
@@ -9,6 +9,11 @@
   /** Null deletes the key. */
   readonly value: string | null;
   readonly lease: string;
+  /**
+   * From this monotonic time on the order starts a batch. Before it, the order rides in the batches
+   * of others, or uses the budget's last write but one.
+   */
+  readonly dueMs: number;
   /** Retried until it is settled, even where the store surely did not apply it. */
   readonly persistent: boolean;
   /** Some call with this order had no answer, so it may have taken effect or still do so. */
--- a/packages/core/src/claims/defaultClaimOptions.ts
+++ b/packages/core/src/claims/defaultClaimOptions.ts
@@ -10,6 +10,7 @@
   batchBytes: 1_000_000,
   callTimeoutMs: 2000,
   storeWaitMs: 3000,
+  outcomeDelayMs: 500,
   pollMs: [100, 2000],
   ownerGraceMs: 60_000,
   bucketMs: 3_600_000,
