Wait out short store outages, and refuse new keys at once in long ones

Cause: a store that refused connections for 1 s cost 58% of the new keys in that time, while one that went silent for 60 s kept 135 requests waiting on average, each of which holds a slot at its agent. Change: a claim waits up to 3 s for the store; after 3 s without an answer new keys are refused at once, and what is still to be written finds out when the store is back.

--- a/packages/core/src/claims/BatchWriter.ts
+++ b/packages/core/src/claims/BatchWriter.ts
@@ -10,7 +10,13 @@
 
 type NewOrder = Omit<WriteOrder, 'uncertain' | 'alone'>;
 
-const BACKOFF_MS = [50, 2000] as const;
+/** Least and most time from a failed call to the next; the most bounds the end of an outage. */
+const BACKOFF_MS = [50, 1000] as const;
+
+interface Batch {
+  readonly orders: readonly WriteOrder[];
+  readonly sentMs: number;
+}
 
 /**
  * Writes orders in batches of one transaction each, with one batch in flight. An order whose key is
@@ -29,10 +35,13 @@
 
   #queue: WriteOrder[] = [];
 
-  #batch: { readonly orders: readonly WriteOrder[]; readonly sentMs: number } | null = null;
+  #batch: Batch | null = null;
 
   #failures = 0;
 
+  /** Since when no call was answered; null while the store answers. */
+  #failingSinceMs: number | null = null;
+
   #retryMs = 0;
 
   constructor(
@@ -56,6 +65,14 @@
     return added;
   }
 
+  /**
+   * Whether the store has been out for so long that new orders should not wait for it. False while no
+   * order is left that would find out that it is back.
+   */
+  isOut(): boolean {
+    return this.#isFailing() && (this.#queue.length > 0 || this.#batch !== null);
+  }
+
   /** Takes back an order that has never been sent. @returns whether it was taken back */
   withdraw(order: Readonly<WriteOrder>): boolean {
     const index = order.uncertain ? -1 : this.#queue.findIndex((queued) => queued === order);
@@ -68,7 +85,7 @@
     const now = this.#clock.getNow();
     if (this.#batch !== null) {
       if (now - this.#batch.sentMs < this.#options.callTimeoutMs) return;
-      this.#requeue(this.#batch.orders, true);
+      this.#requeue(this.#batch, true);
     }
     if (this.#queue.length === 0 || now < this.#retryMs) return;
     const isDue = this.#queue.some(({ dueMs }) => dueMs <= now);
@@ -86,7 +103,7 @@
       // A batch that was given up has been queued again; its late answer means nothing.
       if (this.#batch !== batch) return;
       this.#batch = null;
-      this.#accept(orders, answer);
+      this.#accept(batch, answer);
       this.tick();
     });
   }
@@ -106,15 +123,17 @@
     return picked;
   }
 
-  #accept(orders: readonly WriteOrder[], answer: Result<CommitResult, Failure>): void {
+  #accept(batch: Batch, answer: Result<CommitResult, Failure>): void {
+    const { orders } = batch;
     if (answer.err) {
       const { kind } = answer.val;
-      if (kind === 'outcome_unknown') this.#requeue(orders, true);
-      else if (kind === 'store_unavailable') this.#requeue(orders, false);
+      if (kind === 'outcome_unknown') this.#requeue(batch, true);
+      else if (kind === 'store_unavailable') this.#requeue(batch, false);
       else this.#reject(orders);
       return;
     }
     this.#failures = 0;
+    this.#failingSinceMs = null;
     const { committed, revision, current } = answer.val;
     if (committed) {
       for (const order of orders) order.settle({ type: 'written', revision });
@@ -133,7 +152,13 @@
     }
   }
 
-  #requeue(orders: readonly WriteOrder[], uncertain: boolean): void {
+  #isFailing(): boolean {
+    const sinceMs = this.#failingSinceMs;
+    return sinceMs !== null && this.#clock.getNow() - sinceMs >= this.#options.storeWaitMs;
+  }
+
+  #requeue({ orders, sentMs }: Batch, uncertain: boolean): void {
+    this.#failingSinceMs ??= sentMs;
     const [leastMs, mostMs] = BACKOFF_MS;
     const capMs = Math.min(mostMs, leastMs * 2 ** this.#failures);
     this.#batch = null;
@@ -143,7 +168,8 @@
     const unavailable: WriteOrder[] = [];
     for (const order of orders) {
       if (uncertain) order.uncertain = true;
-      (order.uncertain || order.persistent ? kept : unavailable).push(order);
+      const keeps = order.uncertain || order.persistent || !this.#isFailing();
+      (keeps ? kept : unavailable).push(order);
     }
     this.#queue = [...kept, ...this.#queue];
     for (const order of unavailable) order.settle({ type: 'unavailable' });
--- a/packages/core/src/claims/ClaimLedger.ts
+++ b/packages/core/src/claims/ClaimLedger.ts
@@ -196,6 +196,8 @@
           kind: 'overloaded',
           message: 'too many keyed requests in progress',
         });
+      } else if (this.#writer.isOut()) {
+        this.#refuse(waiter, describeOutage());
       } else {
         entry = this.#createEntry(storeKey, waiter);
         this.#create(entry, 0);
--- a/packages/core/src/claims/ClaimOptions.ts
+++ b/packages/core/src/claims/ClaimOptions.ts
@@ -14,7 +14,10 @@
   readonly batchBytes: number;
   /** A store call without an answer for this long counts as lost. */
   readonly callTimeoutMs: number;
-  /** A request that waits this long for the store to confirm its claim is refused. */
+  /**
+   * A request that waits this long for the store to confirm its claim is refused. Once the store has
+   * been out for this long, requests with new keys are refused at once, so that they hold no slots.
+   */
   readonly storeWaitMs: number;
   /** Most time for which an outcome waits for a batch with claims while the budget is short. */
   readonly outcomeDelayMs: number;
--- a/packages/core/src/claims/LeaseBuckets.ts
+++ b/packages/core/src/claims/LeaseBuckets.ts
@@ -107,7 +107,8 @@
     const found = await this.#store.read(key);
     if (found.err) return null;
     if (found.val.record !== null) return this.#parse(found.val.record.value);
-    if (!this.#budget.take()) return null;
+    // Two writes: the lease and its record.
+    if (!this.#budget.take(1) || !this.#budget.take()) return null;
     const { retentionMs, bucketMs, skewMs } = this.#options;
     const granted = await this.#store.grantLease(retentionMs + bucketMs * (1 + AHEAD) + skewMs);
     if (granted.err) return null;
--- a/packages/core/src/claims/WriteOrder.ts
+++ b/packages/core/src/claims/WriteOrder.ts
@@ -14,7 +14,7 @@
    * of others, or uses the budget's last write but one.
    */
   readonly dueMs: number;
-  /** Retried until it is settled, even where the store surely did not apply it. */
+  /** Retried until it is settled, however long the store is out. */
   readonly persistent: boolean;
   /** Some call with this order had no answer, so it may have taken effect or still do so. */
   uncertain: boolean;
