Fetch missing leases with a backoff and add OwnerDirectory

Cause: while the store was out, each tick and each request read the lease record again, and a failed fetch refused requests that still had time to wait. Change: one fetch with full-jitter backoff up to 1 s, which goes on until the lease is known; requests wait for it as for a claim. OwnerDirectory keeps what load reports and the instance list tell about lives of agents. Tests for AttemptLog, which had none.

--- a/packages/core/src/claims/ClaimLedger.ts
+++ b/packages/core/src/claims/ClaimLedger.ts
@@ -138,7 +138,7 @@
       this.#budget,
       this.#options,
       service,
-      (fetched) => this.#acceptLease(fetched),
+      () => this.#acceptLease(),
     );
     this.#memory = new OutcomeMemory(clock, this.#options.memoryBytes);
   }
@@ -196,7 +196,7 @@
           kind: 'overloaded',
           message: 'too many keyed requests in progress',
         });
-      } else if (this.#writer.isOut()) {
+      } else if (this.#writer.isOut() || this.#leases.isOut()) {
         this.#refuse(waiter, describeOutage());
       } else {
         entry = this.#createEntry(storeKey, waiter);
@@ -347,11 +347,9 @@
     entry.update({ order });
   }
 
-  #acceptLease(fetched: boolean): void {
+  #acceptLease(): void {
     for (const entry of [...this.#entries.values()]) {
-      if (entry.state !== 'leasing') continue;
-      if (fetched) this.#create(entry, entry.revision);
-      else this.#refuseAll(entry, false);
+      if (entry.state === 'leasing') this.#create(entry, entry.revision);
     }
     this.#writer.tick();
   }
--- a/packages/core/src/claims/LeaseBuckets.ts
+++ b/packages/core/src/claims/LeaseBuckets.ts
@@ -8,6 +8,9 @@
 
 const LeaseRecord = z.object({ lease: z.string() });
 
+/** Least and most time from a failed fetch to the next. */
+const BACKOFF_MS = [50, 1000] as const;
+
 /** Share of a period, before the next one begins, in which its lease is fetched. */
 const AHEAD = 1 / 6;
 
@@ -27,7 +30,9 @@
 
   readonly #service: ServiceName;
 
-  readonly #acceptFetch: (fetched: boolean) => void;
+  readonly #random: RandomSource;
+
+  readonly #acceptLease: () => void;
 
   readonly #aheadMs: number;
 
@@ -35,7 +40,16 @@
 
   #fetch: { readonly sentMs: number } | null = null;
 
-  /** @param acceptFetch called after each fetch that `fetch` started */
+  /** Whether claims wait for the lease of the present period. */
+  #isWanted = false;
+
+  #failures = 0;
+
+  #failingSinceMs: number | null = null;
+
+  #retryMs = 0;
+
+  /** @param acceptLease called when a lease was fetched */
   constructor(
     store: Store,
     clock: Clock,
@@ -43,14 +57,15 @@
     budget: WriteBudget,
     options: ClaimOptions,
     service: ServiceName,
-    acceptFetch: (fetched: boolean) => void,
+    acceptLease: () => void,
   ) {
     this.#store = store;
     this.#clock = clock;
     this.#budget = budget;
     this.#options = options;
     this.#service = service;
-    this.#acceptFetch = acceptFetch;
+    this.#random = random;
+    this.#acceptLease = acceptLease;
     this.#aheadMs = random.next() * AHEAD * options.bucketMs;
   }
 
@@ -66,22 +81,40 @@
     }
   }
 
-  /** Fetches the lease of the present period unless a fetch is under way. */
+  /** Fetches the lease of the present period, now or after the delay that follows a failure. */
   fetch(): void {
-    if (this.#fetch === null) void this.#start(this.#getBucket());
+    this.#isWanted = true;
+    this.tick();
+  }
+
+  /** Whether the present lease could not be fetched for so long that no claim should wait for it. */
+  isOut(): boolean {
+    const sinceMs = this.#failingSinceMs;
+    if (this.find() !== null || sinceMs === null) return false;
+    return this.#clock.getNow() - sinceMs >= this.#options.storeWaitMs;
   }
 
   tick(): void {
     const now = this.#clock.getNow();
     if (this.#fetch !== null) {
       if (now - this.#fetch.sentMs < this.#options.callTimeoutMs) return;
-      this.#fetch = null;
-      this.#acceptFetch(false);
+      this.#fail(this.#fetch.sentMs);
     }
+    if (now < this.#retryMs) return;
     const bucket = this.#getBucket();
     const nextBucket = this.#getBucket(this.#aheadMs);
-    if (!this.#leases.has(bucket) || this.#leases.has(nextBucket)) return;
-    void this.#start(nextBucket);
+    if (!this.#leases.has(bucket)) {
+      if (this.#isWanted || this.#failures > 0) void this.#start(bucket);
+    } else if (!this.#leases.has(nextBucket)) void this.#start(nextBucket);
+  }
+
+  #fail(sentMs: number): void {
+    const [leastMs, mostMs] = BACKOFF_MS;
+    const capMs = Math.min(mostMs, leastMs * 2 ** this.#failures);
+    this.#fetch = null;
+    this.#failures += 1;
+    this.#failingSinceMs ??= sentMs;
+    this.#retryMs = this.#clock.getNow() + capMs * this.#random.next();
   }
 
   #getBucket(aheadMs = 0): number {
@@ -94,12 +127,17 @@
     this.#fetch = fetch;
     const lease = await this.#get(bucket);
     if (this.#fetch !== fetch) return;
-    this.#fetch = null;
-    if (lease !== null) {
-      this.#leases.set(bucket, lease);
-      for (const old of this.#leases.keys()) if (old < bucket - 1) this.#leases.delete(old);
+    if (lease === null) {
+      this.#fail(fetch.sentMs);
+      return;
     }
-    this.#acceptFetch(lease !== null);
+    this.#fetch = null;
+    this.#isWanted = false;
+    this.#failures = 0;
+    this.#failingSinceMs = null;
+    this.#leases.set(bucket, lease);
+    for (const old of this.#leases.keys()) if (old < bucket - 1) this.#leases.delete(old);
+    this.#acceptLease();
   }
 
   async #get(bucket: number): Promise<string | null> {
--- /dev/null
+++ b/packages/core/src/claims/OwnerDirectory.ts
@@ -0,0 +1,42 @@
+import type { Incarnation } from '../ids/Incarnation.js';
+import type { InstanceId } from '../ids/InstanceId.js';
+import type { ClaimOwner } from './ClaimOwner.js';
+import type { OwnerView } from './OwnerView.js';
+
+/** What load reports and the instance list tell about the lives of agents. */
+export class OwnerDirectory implements OwnerView {
+  readonly #incarnations = new Map<InstanceId, Incarnation>();
+
+  readonly #listed = new Set<InstanceId>();
+
+  readonly #removed = new Set<InstanceId>();
+
+  /** An agent reported its incarnation. */
+  learn(instance: InstanceId, incarnation: Incarnation): void {
+    const known = this.#incarnations.get(instance);
+    if (known === undefined || incarnation > known) this.#incarnations.set(instance, incarnation);
+  }
+
+  /**
+   * Takes a new reading of the instance list. An instance counts as gone only after it was listed
+   * once, because the list lags and new instances are missing at first.
+   */
+  acceptInstances(instances: Iterable<InstanceId>): void {
+    const present = new Set(instances);
+    for (const instance of this.#listed) {
+      if (present.has(instance)) continue;
+      this.#listed.delete(instance);
+      this.#incarnations.delete(instance);
+      this.#removed.add(instance);
+    }
+    for (const instance of present) {
+      this.#listed.add(instance);
+      this.#removed.delete(instance);
+    }
+  }
+
+  hasEnded({ instance, incarnation }: ClaimOwner): boolean {
+    if (this.#removed.has(instance)) return true;
+    return (this.#incarnations.get(instance) ?? 0) > incarnation;
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -26,6 +26,7 @@
 export type { ClaimWaiter } from './claims/ClaimWaiter.js';
 export { LeaseBuckets } from './claims/LeaseBuckets.js';
 export { OutcomeMemory } from './claims/OutcomeMemory.js';
+export { OwnerDirectory } from './claims/OwnerDirectory.js';
 export type { OwnerView } from './claims/OwnerView.js';
 export { WriteBudget } from './claims/WriteBudget.js';
 export type { WriteOrder } from './claims/WriteOrder.js';
--- a/packages/core/test/claims.test.ts
+++ b/packages/core/test/claims.test.ts
@@ -1,7 +1,9 @@
 import { describe, expect, it } from 'vitest';
 import {
+  AttemptLog,
   ClaimLedger,
   ManualClock,
+  OwnerDirectory,
   SeededRandom,
   hashRequest,
   type ClaimOptions,
@@ -12,6 +14,7 @@
   type Failure,
   type Incarnation,
   type InstanceId,
+  type RequestId,
   type Result,
   type ServiceName,
   type Store,
@@ -246,4 +249,88 @@
     bed.store.tick();
     expect(bed.store.listRecords('limpetbay/claims/').length).toBeLessThan(46);
   });
+
+  // Guards against a call at the store for each tick or request while a lease cannot be fetched, and
+  // against agents that never fetch it afterwards.
+  it('fetches a missing lease with a backoff and recovers', async () => {
+    const bed = new Bed();
+    const first = bed.addLedger('a');
+    await bed.start(first, 'k');
+    bed.store.setFaults({ outage: 'down' });
+    bed.clock.advance(3_600_000);
+    const before = bed.store.getCounts().reads;
+    expect(readKind(await bed.begin(first, bed.build('k1')))).toBe('store_unavailable');
+    await bed.run(10_000);
+    for (let i = 0; i < 50; i += 1) {
+      expect(readKind(await bed.begin(first, bed.build(`n${i}`)))).toBe('store_unavailable');
+    }
+    expect(bed.store.getCounts().reads - before).toBeLessThan(60);
+    bed.store.setFaults({ outage: 'none' });
+    await bed.run(1100);
+    expect((await bed.begin(first, bed.build('k2'))).unwrap().type).toBe('run');
+  });
+});
+
+describe('OwnerDirectory', () => {
+  // Guards against duplicates that wait for a lost agent, and against taking an agent that the
+  // lagging instance list does not show yet for a lost one.
+  it('knows ended lives by incarnation and by the instance list', () => {
+    const directory = new OwnerDirectory();
+    const instance = 'a' as InstanceId;
+    const [first, second] = [1 as Incarnation, 2 as Incarnation];
+    directory.acceptInstances(['b' as InstanceId]);
+    expect(directory.hasEnded({ instance, incarnation: first })).toBe(false);
+    directory.learn(instance, second);
+    directory.learn(instance, first);
+    expect(directory.hasEnded({ instance, incarnation: first })).toBe(true);
+    expect(directory.hasEnded({ instance, incarnation: second })).toBe(false);
+    directory.acceptInstances([instance]);
+    directory.acceptInstances([]);
+    expect(directory.hasEnded({ instance, incarnation: second })).toBe(true);
+  });
+});
+
+describe('AttemptLog', () => {
+  const attempt = {
+    requestId: 'r1' as RequestId,
+    attempt: 1,
+    incarnation: 5 as Incarnation,
+    repeatable: false,
+    idempotencyKey: '',
+    deadlineMs: 1000,
+  };
+
+  // Guards against a second run of an attempt that the network delivers twice, also after a restart
+  // of the target beside the agent, where a refusal would say that the first delivery was not run.
+  it('tells a second delivery from the first, before it looks at the incarnation', () => {
+    const log = new AttemptLog(new ManualClock(), 5 as Incarnation);
+    expect(log.accept(attempt).val).toBe('first');
+    expect(log.accept(attempt).val).toBe('duplicate');
+    log.setIncarnation(6 as Incarnation);
+    expect(log.accept(attempt).val).toBe('duplicate');
+  });
+
+  // Guards against a run by a new life of the target of what its earlier life may have run.
+  it('refuses an unrepeatable attempt that names no or another life', () => {
+    const log = new AttemptLog(new ManualClock(), 6 as Incarnation);
+    expect(readKind(log.accept(attempt))).toBe('stale_incarnation');
+    expect(readKind(log.accept({ ...attempt, incarnation: 0 as Incarnation }))).toBe(
+      'stale_incarnation',
+    );
+    expect(log.accept({ ...attempt, repeatable: true }).val).toBe('first');
+  });
+
+  // Guards against memory without bound, and against forgetting an attempt too early to make room.
+  it('forgets attempts after their time only, and refuses new ones when it is full', () => {
+    const clock = new ManualClock();
+    const log = new AttemptLog(clock, 5 as Incarnation, { delayMs: 500, maxAttempts: 2 });
+    log.accept(attempt);
+    log.accept({ ...attempt, attempt: 2 });
+    expect(readKind(log.accept({ ...attempt, attempt: 3 }))).toBe('overloaded');
+    clock.advance(1499);
+    expect(log.accept(attempt).val).toBe('duplicate');
+    clock.advance(1);
+    log.tick();
+    expect(log.getSize()).toBe(0);
+  });
 });
