Repeat a keyed request after a broken or silent stream

Cause: a booking with a key whose agent was lost was outcome_unknown at once, although its claim makes another attempt safe.

--- a/bench/src/benches/atMostOnce/SimEntry.ts
+++ b/bench/src/benches/atMostOnce/SimEntry.ts
@@ -223,6 +223,7 @@
       end: isUnsent ? 'unsent' : end,
       failure,
       repeatable: open.request.repeatable || (variant === 'retry-after-break' && isBroken),
+      keyed: open.request.key !== '',
       ranBefore: variant === 'forget-earlier-attempts' ? false : open.ran,
       headSent: open.headSent,
       resumable: true,
--- a/packages/core/src/answer/AttemptResult.ts
+++ b/packages/core/src/answer/AttemptResult.ts
@@ -7,6 +7,12 @@
   readonly failure: Failure;
   /** Whether the service allows the request to run more than once. */
   readonly repeatable: boolean;
+  /**
+   * Whether the request has a key that agents claim before they hand it over. Another attempt with
+   * the key cannot lead to a second run, so it may follow until the caller has the head of an answer.
+   * False where it is left out.
+   */
+  readonly keyed?: boolean;
   /** Whether an earlier attempt of the same request may have been run. */
   readonly ranBefore: boolean;
   /** Whether the caller has received the head of an answer. */
--- a/packages/core/src/answer/decideOutcome.ts
+++ b/packages/core/src/answer/decideOutcome.ts
@@ -21,15 +21,17 @@
 
 /**
  * Decides what follows an attempt that did not complete. A caller is told "not run" only if no
- * attempt of the request may have been run; a request that may not be repeated gets another attempt
- * only after one that surely was not handed over.
+ * attempt of the request may have been run; a request that may not be repeated and has no key gets
+ * another attempt only after one that surely was not handed over.
  */
 export function decideOutcome(result: AttemptResult): OutcomeDecision {
   const { end, failure, repeatable, headSent, resumable, retryAllowed } = result;
   const notRun = isNotRun(result);
   const ran = result.ranBefore || !notRun;
   const mayRetry = end === 'unsent' || answerTable[failure.kind].retryElsewhere;
-  const mayRepeat = ran ? repeatable && (mayRetry || !notRun) : mayRetry;
+  // The claim decides whether an attempt with a key runs. A target that failed ended the claim.
+  const isClaimed = result.keyed === true && !headSent && end !== 'failed';
+  const mayRepeat = ran ? (repeatable || isClaimed) && (mayRetry || !notRun) : mayRetry;
   // A refusal that says the request may have run (an earlier request with its key) is final.
   const isFinal = end === 'refused' && !notRun;
   if (retryAllowed && mayRepeat && !isFinal) {
--- a/packages/core/test/answer.test.ts
+++ b/packages/core/test/answer.test.ts
@@ -113,6 +113,17 @@
     expect(decideOutcome({ ...base, ...refused }).type).toBe('retry');
   });
 
+  // Guards against a keyed booking that is given up although its claim makes a repeat safe, and
+  // against a repeat after the caller has seen a part of the answer.
+  it('repeats a keyed request after a broken stream, before the head only', () => {
+    const keyed = { ...base, keyed: true };
+    expect(decideOutcome(keyed)).toEqual({ type: 'retry', ran: true });
+    expect(decideOutcome({ ...keyed, headSent: true }).type).toBe('abort');
+    expect(decideOutcome({ ...keyed, end: 'failed' }).type).toBe('tell');
+    const later = { ...keyed, ...refused, ranBefore: true, retryAllowed: false };
+    expect(decideOutcome(later)).toMatchObject({ failure: { kind: 'outcome_unknown' } });
+  });
+
   // Guards against "not run" that is true for the last attempt only.
   it('tells "not run" only if no attempt may have been run', () => {
     const last = { ...base, ...refused, repeatable: true, retryAllowed: false };
