--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,4 +1,7 @@
 import type { Bench } from './report/Bench.js';
+import { atMostOnceBench } from './benches/atMostOnce/atMostOnceBench.js';
+import { claimOutageBench } from './benches/claimOutage/claimOutageBench.js';
+import { claimRateBench } from './benches/claimRate/claimRateBench.js';
 import { overload } from './benches/overload.js';
 import { ramp } from './benches/ramp.js';
 import { routing } from './benches/routing.js';
@@ -12,4 +15,7 @@
   zoneDeath,
   overload,
   zoneLeave,
+  atMostOnceBench,
+  claimRateBench,
+  claimOutageBench,
 ];
--- a/packages/core/src/claims/ClaimLedger.ts
+++ b/packages/core/src/claims/ClaimLedger.ts
@@ -138,7 +138,7 @@
       this.#budget,
       this.#options,
       service,
-      (fetched) => this.#acceptLease(fetched),
+      () => this.#acceptLease(),
     );
     this.#memory = new OutcomeMemory(clock, this.#options.memoryBytes);
   }
@@ -196,6 +196,8 @@
           kind: 'overloaded',
           message: 'too many keyed requests in progress',
         });
+      } else if (this.#writer.isOut() || this.#leases.isOut()) {
+        this.#refuse(waiter, describeOutage());
       } else {
         entry = this.#createEntry(storeKey, waiter);
         this.#create(entry, 0);
@@ -238,6 +240,7 @@
       expected: entry.revision,
       value: this.#formatRecord(entry, end),
       lease: entry.lease,
+      dueMs: this.#clock.getNow() + this.#options.outcomeDelayMs,
       persistent: true,
       settle: (result) => {
         const isStored =
@@ -333,6 +336,7 @@
       expected: revision,
       value: this.#formatRecord(entry, 'claimed'),
       lease,
+      dueMs: this.#clock.getNow(),
       persistent: false,
       settle: (result) => {
         if (result.type === 'written') this.#hold(entry, result.revision);
@@ -343,11 +347,9 @@
     entry.update({ order });
   }
 
-  #acceptLease(fetched: boolean): void {
+  #acceptLease(): void {
     for (const entry of [...this.#entries.values()]) {
-      if (entry.state !== 'leasing') continue;
-      if (fetched) this.#create(entry, entry.revision);
-      else this.#refuseAll(entry, false);
+      if (entry.state === 'leasing') this.#create(entry, entry.revision);
     }
     this.#writer.tick();
   }
@@ -395,6 +397,7 @@
       expected: entry.revision,
       value: this.#formatRecord(entry, 'released'),
       lease: entry.lease,
+      dueMs: this.#clock.getNow(),
       persistent: true,
       settle: (result) => {
         if (result.type === 'written') this.#create(entry, result.revision);
--- a/packages/core/src/claims/WriteOrder.ts
+++ b/packages/core/src/claims/WriteOrder.ts
@@ -9,7 +9,12 @@
   /** Null deletes the key. */
   readonly value: string | null;
   readonly lease: string;
-  /** Retried until it is settled, even where the store surely did not apply it. */
+  /**
+   * From this monotonic time on the order starts a batch. Before it, the order rides in the batches
+   * of others, or uses the budget's last write but one.
+   */
+  readonly dueMs: number;
+  /** Retried until it is settled, however long the store is out. */
   readonly persistent: boolean;
   /** Some call with this order had no answer, so it may have taken effect or still do so. */
   uncertain: boolean;
