--- /dev/null
+++ b/packages/core/src/experts/computeSkew.ts
@@ -0,0 +1,19 @@
+import type { LayerPlacement } from './LayerPlacement.js';
+import { computeRankLoads } from './computeRankLoads.js';
+
+/**
+ * Computes the load of the slowest rank relative to the mean rank.
+ *
+ * @param loads load by expert id, any unit
+ * @returns 1 for perfect balance or no load
+ */
+export function computeSkew(layer: LayerPlacement, loads: ArrayLike<number>): number {
+  const rankLoads = computeRankLoads(layer, loads);
+  let sum = 0;
+  let highest = 0;
+  for (const load of rankLoads) {
+    sum += load;
+    if (load > highest) highest = load;
+  }
+  return sum > 0 ? (highest * rankLoads.length) / sum : 1;
+}
--- /dev/null
+++ b/packages/core/src/experts/createBaseLayer.ts
@@ -0,0 +1,26 @@
+import type { LayerPlacement } from './LayerPlacement.js';
+
+/**
+ * Creates the placement that needs no load data: slot by slot, the experts in order over the
+ * ranks. Where a group has more base slots than experts, the order starts again, so that base
+ * slots hold copies as well; spare slots continue the same order.
+ *
+ * @param slotsPerRank base and spare slots
+ */
+export function createBaseLayer(
+  experts: number,
+  ranks: number,
+  slotsPerRank: number,
+): LayerPlacement {
+  const layout: number[][] = Array.from({ length: ranks }, () => []);
+  let next = 0;
+  for (let slot = 0; slot < slotsPerRank; slot += 1) {
+    for (const slots of layout) {
+      // A rank that would hold the expert twice takes the next one.
+      for (let tries = 0; tries < experts && slots.includes(next % experts); tries += 1) next += 1;
+      slots.push(next % experts);
+      next += 1;
+    }
+  }
+  return { ranks: layout };
+}
