--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -5,6 +5,7 @@
 import { overload } from './benches/overload.js';
 import { ramp } from './benches/ramp.js';
 import { routing } from './benches/routing.js';
+import { skewBench } from './benches/skewBench.js';
 import { zoneDeath } from './benches/zoneDeath.js';
 import { zoneLeave } from './benches/zoneLeave.js';
 
@@ -18,4 +19,5 @@
   atMostOnceBench,
   claimRateBench,
   claimOutageBench,
+  skewBench,
 ];
