--- a/packages/core/src/config/ConfigFollower.ts
+++ b/packages/core/src/config/ConfigFollower.ts
@@ -78,6 +78,9 @@
 
   #self: AnnouncedInstance;
 
+  /** Relays of the own zone as this process sees them. */
+  #zoneRelays: InstanceRecord[] = [];
+
   /** Relays that this process wants to follow, in order of preference. */
   #wanted: InstanceRecord[] = [];
 
@@ -98,6 +101,8 @@
 
   #wasFresh = false;
 
+  #freshSince: number | null = null;
+
   /**
    * Whether any list of the instances has arrived. Before that every process would take itself for
    * the only one of its zone, and a fleet that starts together would watch the store as a whole.
@@ -140,6 +145,7 @@
     this.#openLinks(now);
     this.#source.tick();
     this.#noteConfirmation(this.#source.getConfirmedAt());
+    this.#freshSince = this.#isFresh(now) ? (this.#freshSince ?? now) : null;
     this.#askPeers(now);
     this.#readDirectly(now);
     this.#refreshInstances(now);
@@ -169,6 +175,11 @@
     return this.#source.isOn();
   }
 
+  /** Tells whether any list of the instances has arrived. */
+  hasInstances(): boolean {
+    return this.#knowsInstances;
+  }
+
   getConfirmedAt(): number | null {
     return this.#confirmedAt;
   }
@@ -290,7 +301,8 @@
   #choose(): void {
     const { record } = this.#self;
     const { membership } = this.#options;
-    const relays = this.#chooseZoneRelays(record.zone);
+    const relays = this.#chooseZoneRelays();
+    this.#zoneRelays = relays;
     this.#isChosen = this.#knowsInstances && relays.some(({ id }) => id === record.id);
     const others = this.#orderForSelf(relays.filter((relay) => relay.id !== record.id));
     if (!this.#isChosen) {
@@ -315,9 +327,11 @@
     }
   }
 
-  /** The relays of a zone as this process sees them, without those that failed it. */
-  #chooseZoneRelays(zone: InstanceRecord['zone']): InstanceRecord[] {
+  /** The relays of the own zone, without those that failed this process. */
+  #chooseZoneRelays(): InstanceRecord[] {
+    const { zone } = this.#self.record;
     const instances = this.#options.membership.listZone(zone);
+    if (this.#failed.size === 0) return chooseRelays(zone, instances, RELAYS_PER_ZONE);
     const usable = instances.filter((instance) => !this.#failed.has(instance.id));
     return chooseRelays(zone, usable, RELAYS_PER_ZONE);
   }
@@ -336,8 +350,7 @@
   /** While no relay is confirmed, one more relay shows whether only those followed lag. */
   #openSpareLink(now: number): void {
     if (this.#isChosen || this.#isFresh(now) || this.#countLive() === 0) return;
-    const relays = this.#orderForSelf(this.#chooseZoneRelays(this.#self.record.zone));
-    for (const relay of relays) this.#openLink(relay, 'relay', now);
+    for (const relay of this.#zoneRelays) this.#openLink(relay, 'relay', now);
   }
 
   /** A relay that failed is chosen again only after it has answered. */
@@ -366,9 +379,14 @@
     }
   }
 
+  /**
+   * Compared with the best source: at the start of an outage all sources grow old together, and at
+   * its end each needs a moment to return.
+   */
   #isLagging(link: RelayLink, now: number): boolean {
     if (link.kind === 'peer' || now - link.openedAt < FRESH_MS) return false;
-    return link.confirmedAt === null || now - link.confirmedAt > FRESH_MS;
+    if (this.#freshSince === null || now - this.#freshSince < FRESH_MS) return false;
+    return (this.#confirmedAt ?? -Infinity) - (link.confirmedAt ?? -Infinity) > FRESH_MS;
   }
 
   #openLink(peer: InstanceRecord, kind: RelayLink['kind'], now: number): void {
--- a/packages/core/src/config/ConfigNode.ts
+++ b/packages/core/src/config/ConfigNode.ts
@@ -41,6 +41,7 @@
       clock,
       table,
       membership,
+      hasInstances: () => this.follower.hasInstances(),
       getConfirmedAt: () => this.follower.getConfirmedAt(),
       getOutsideContactAt: () => this.follower.getOutsideContactAt(),
     });
--- a/packages/core/src/config/RelayFeed.ts
+++ b/packages/core/src/config/RelayFeed.ts
@@ -8,6 +8,8 @@
   readonly clock: Clock;
   readonly table: DocumentTable;
   readonly membership: Membership;
+  /** Tells whether the membership view is a whole one and not only a few statements. */
+  readonly hasInstances: () => boolean;
   /** Returns when the store last confirmed the table, or null. */
   readonly getConfirmedAt: () => number | null;
   /** Returns when a process of another zone was last heard, or null. */
@@ -72,7 +74,7 @@
     const now = this.#options.clock.getNow();
     // A heartbeat says that nothing is missing, so it waits until everything has been sent.
     if (!follower.sendDocuments()) return;
-    follower.sendInstances(now, INSTANCES_MS);
+    if (this.#options.hasInstances()) follower.sendInstances(now, INSTANCES_MS);
     follower.sendHeartbeat(now, HEARTBEAT_MS, () => this.#createHeartbeat(now));
   }
 
--- a/packages/core/src/config/chooseRelays.ts
+++ b/packages/core/src/config/chooseRelays.ts
@@ -10,14 +10,21 @@
   instances: readonly InstanceRecord[],
   count: number,
 ): InstanceRecord[] {
-  const scored: { readonly score: number; readonly record: InstanceRecord }[] = [];
+  const chosen: { readonly score: number; readonly record: InstanceRecord }[] = [];
   for (const record of instances) {
     if (record.state === 'leaving') continue;
-    scored.push({ score: scoreRelay(key, record.id), record });
+    const score = scoreRelay(key, record.id);
+    // Only few are chosen of many, so the list of the best is kept instead of sorting all.
+    let place = chosen.length;
+    while (place > 0) {
+      const before = chosen[place - 1] as (typeof chosen)[number];
+      if (before.score > score) break;
+      if (before.score === score && before.record.id < record.id) break;
+      place -= 1;
+    }
+    if (place >= count) continue;
+    chosen.splice(place, 0, { score, record });
+    if (chosen.length > count) chosen.pop();
   }
-  scored.sort((left, right) => {
-    if (left.score !== right.score) return right.score - left.score;
-    return left.record.id < right.record.id ? -1 : 1;
-  });
-  return scored.slice(0, count).map(({ record }) => record);
+  return chosen.map(({ record }) => record);
 }
--- a/packages/core/src/membership/Membership.ts
+++ b/packages/core/src/membership/Membership.ts
@@ -21,6 +21,7 @@
 const MAX_CHANGES = 4096;
 
 function isSame(left: InstanceRecord, right: InstanceRecord): boolean {
+  if (left === right) return true;
   return (
     left.role === right.role &&
     left.zone === right.zone &&
@@ -44,7 +45,8 @@
 
   readonly #statedAt = new Map<InstanceId, number>();
 
-  readonly #listStates = new Map<InstanceId, InstanceRecord['state']>();
+  /** Instances that the last list called leaving; null before the first list. */
+  #listedLeaving: ReadonlySet<InstanceId> | null = null;
 
   #changes: InstanceId[] = [];
 
@@ -71,24 +73,27 @@
    */
   applyList(records: readonly InstanceRecord[]): void {
     const listed = new Set<InstanceId>();
+    const leaving = new Set<InstanceId>();
     for (const record of records) {
       listed.add(record.id);
+      if (record.state === 'leaving') leaving.add(record.id);
       const known = this.#instances.get(record.id);
-      const began = this.#listStates.get(record.id) === 'live' && record.state === 'leaving';
-      this.#listStates.set(record.id, record.state);
-      if (known === undefined || known.sequence === 0) this.#set({ record, sequence: 0 });
-      else if (began) this.#set({ ...known, record: { ...known.record, state: 'leaving' } });
-    }
-    for (const id of [...this.#listStates.keys()]) {
-      if (!listed.has(id)) this.#listStates.delete(id);
+      if (known === undefined || known.sequence === 0) this.#set({ record, sequence: 0 }, known);
+      else if (this.#listedLeaving !== null && record.state === 'leaving') {
+        const began = !this.#listedLeaving.has(record.id);
+        const left = { ...known, record: { ...known.record, state: 'leaving' as const } };
+        if (began) this.#set(left, known);
+      }
     }
+    this.#listedLeaving = leaving;
     this.#removeMissing(listed);
   }
 
   /** Merges what a relay or peer says. */
   applyChanges(changes: MembershipChanges): void {
     for (const upsert of changes.upserts) this.acceptStatement(upsert);
-    if (changes.full) {
+    // Equal sizes show that nothing is missing, which is the common case at the design size.
+    if (changes.full && this.#instances.size > changes.upserts.length) {
       this.#removeMissing(new Set(changes.upserts.map(({ record }) => record.id)));
     }
     // The sender has already let the instance's own statement hold against the list.
@@ -98,11 +103,12 @@
   /** Records the statement of an instance about itself; older statements are ignored. */
   acceptStatement(instance: AnnouncedInstance): void {
     const known = this.#instances.get(instance.record.id);
+    if (known === instance) return;
     if (known !== undefined && known.sequence > instance.sequence) return;
     if (instance.sequence > (known?.sequence ?? 0)) {
       this.#statedAt.set(instance.record.id, this.#clock.getNow());
     }
-    this.#set(instance);
+    this.#set(instance, known);
   }
 
   getInstance(id: string): InstanceRecord | undefined {
@@ -163,8 +169,7 @@
     return { full: false, upserts, removed };
   }
 
-  #set(instance: AnnouncedInstance): void {
-    const known = this.#instances.get(instance.record.id);
+  #set(instance: AnnouncedInstance, known: AnnouncedInstance | undefined): void {
     this.#instances.set(instance.record.id, instance);
     // A statement that repeats the known record is no change worth sending to every follower.
     if (known === undefined || !isSame(known.record, instance.record)) {
