--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -2,6 +2,7 @@
 import { atMostOnceBench } from './benches/atMostOnce/atMostOnceBench.js';
 import { claimOutageBench } from './benches/claimOutage/claimOutageBench.js';
 import { claimRateBench } from './benches/claimRate/claimRateBench.js';
+import { configBench } from './benches/configBench.js';
 import { overload } from './benches/overload.js';
 import { ramp } from './benches/ramp.js';
 import { routing } from './benches/routing.js';
@@ -20,4 +21,5 @@
   claimRateBench,
   claimOutageBench,
   skewBench,
+  configBench,
 ];
