--- a/packages/core/src/routing/Router.ts
+++ b/packages/core/src/routing/Router.ts
@@ -248,7 +248,7 @@
   recordRestart(target: TargetId): void {
     const view = this.#views.get(target);
     if (view === undefined) return;
-    view.forgetLoad();
+    view.markCold(this.#clock.getNow());
     view.breaker.allowProbe(this.#clock.getNow());
     this.#markStale(target);
   }
