--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -9,6 +9,7 @@
 import { skewBench } from './benches/skewBench.js';
 import { zoneDeath } from './benches/zoneDeath.js';
 import { zoneLeave } from './benches/zoneLeave.js';
+import { rolling } from './benches/rolling.js';
 
 /** All benches by name, in the order in which they run. */
 export const registry: readonly Bench[] = [
@@ -22,4 +23,5 @@
   claimOutageBench,
   skewBench,
   configBench,
+  rolling,
 ];
--- a/packages/dev/src/fleet/DevFleet.ts
+++ b/packages/dev/src/fleet/DevFleet.ts
@@ -150,6 +150,20 @@
     });
   }
 
+  /** Replaces the agent of a target: graceful shutdown, then a new one. */
+  async replaceAgent(target: string, service: string, origin: string): Promise<void> {
+    await this.agents.get(target)?.stop();
+    await this.startAgent(target, service, origin);
+  }
+
+  /** Replaces an entry: starts the new one first, then stops the old one gracefully. */
+  async replaceEntry(id: string, zone: string): Promise<void> {
+    await this.startEntry(`${id}-next`, zone);
+    await this.entries.get(id)?.stop();
+    this.entries.delete(id);
+    this.removeInstance(id);
+  }
+
   /** Takes an instance off the list, as the platform does after it ended. */
   removeInstance(id: string): void {
     this.#records.delete(id);
