--- a/packages/core/src/routing/TargetView.ts
+++ b/packages/core/src/routing/TargetView.ts
@@ -115,6 +115,8 @@
 
   recordFinish(): void {
     this.ownInFlight = Math.max(0, this.ownInFlight - 1);
+    // Without reports, for example while every attempt fails, the list would grow without end.
+    if (this.#unreported.length > this.ownInFlight) this.#unreported.shift();
   }
 
   getIncarnation(): Incarnation {
