Test routing and retries; fix two faults that the tests found

Cause: (1) the mean cost per request was taken per group, so the light ranks of a group with one overloaded rank got 274 of 300 picks; (2) a new send restarted the silence of a target that already had attempts in progress, so a silent target under load was noticed late. Change: the mean cost is that of the service; silence counts from the last frame or the start of the busy period.

--- a/packages/core/src/routing/GroupLoad.ts
+++ b/packages/core/src/routing/GroupLoad.ts
@@ -18,10 +18,10 @@
   serviceLimit = 0;
 
   /** Sums over the peers, each weighted by the age of its report. */
-  sums = { weight: 0, limit: 0, tokens: 0 };
+  sums = { weight: 0, limit: 0, tokens: 0, inFlight: 0 };
 
-  /** Mean tokens of work per request in flight. */
-  meanCost = 0;
+  /** Mean tokens of work per request in flight over all groups of the service. */
+  serviceCost = 0;
 
   /** Mean requests in flight per unit of granted concurrency. */
   meanUse = 0;
@@ -51,9 +51,8 @@
     }
     if (weights > LEAST_WEIGHT) {
       this.tokensPerSlot = limits > 0 ? tokens / limits : 0;
-      this.sums = { weight: weights, limit: limits, tokens };
+      this.sums = { weight: weights, limit: limits, tokens, inFlight };
       this.meanUse = limits > 0 ? inFlight / limits : 0;
-      this.meanCost = inFlight > 0 ? tokens / inFlight : 0;
       this.stepTimeMs = stepMs / weights;
     }
   }
--- a/packages/core/src/routing/ServiceTable.ts
+++ b/packages/core/src/routing/ServiceTable.ts
@@ -96,15 +96,17 @@
    * @param weigh sampling weight of a member; 0 keeps it out
    */
   refresh(nowMs: number, weigh: (member: RouteMember) => number): void {
-    const sums = { weight: 0, limit: 0, tokens: 0 };
+    const sums = { weight: 0, limit: 0, tokens: 0, inFlight: 0 };
     for (const { load, views } of this.#groups.values()) {
       load.update(views, nowMs);
       sums.weight += load.sums.weight;
       sums.limit += load.sums.limit;
       sums.tokens += load.sums.tokens;
+      sums.inFlight += load.sums.inFlight;
     }
     for (const { load } of this.#groups.values()) {
       load.serviceTokensPerSlot = sums.limit > 0 ? sums.tokens / sums.limit : 0;
+      load.serviceCost = sums.inFlight > 0 ? sums.tokens / sums.inFlight : 0;
       load.serviceLimit = sums.weight > 0 ? sums.limit / sums.weight : 0;
     }
     const usable: RouteMember[] = [];
--- a/packages/core/src/routing/TargetView.ts
+++ b/packages/core/src/routing/TargetView.ts
@@ -65,8 +65,8 @@
 
   #lastFrameMs = -Infinity;
 
-  /** First send after the last frame. */
-  #unansweredMs: number | null = null;
+  /** Send since which there has always been an attempt in progress. */
+  #busySinceMs = -Infinity;
 
   readonly #settings: RouterSettings;
 
@@ -104,12 +104,11 @@
 
   recordFrame(nowMs: number): void {
     this.#lastFrameMs = nowMs;
-    this.#unansweredMs = null;
   }
 
   recordSend(cost: RequestCost, nowMs: number): void {
+    if (this.ownInFlight === 0) this.#busySinceMs = nowMs;
     this.ownInFlight += 1;
-    this.#unansweredMs ??= nowMs;
     this.#unreported.push({ atMs: nowMs, tokens: cost.promptTokens + cost.maxTokens / 2 });
   }
 
@@ -141,7 +140,7 @@
   /** Whether work is in progress there but no frame has arrived for too long. */
   isSuspect(nowMs: number): boolean {
     if (this.ownInFlight === 0) return false;
-    const sinceMs = Math.max(this.#lastFrameMs, this.#unansweredMs ?? -Infinity);
+    const sinceMs = Math.max(this.#lastFrameMs, this.#busySinceMs);
     return nowMs - sinceMs > this.#settings.suspectMs;
   }
 
--- a/packages/core/src/routing/scoreTarget.ts
+++ b/packages/core/src/routing/scoreTarget.ts
@@ -58,7 +58,7 @@
   const cost = request.promptTokens + answerTokens + settings.prefillWeight * prefillTokens;
   const tokens = view.estimateTokens(nowMs, load);
   const share = (tokens + cost / 2) / Math.max(1, load.serviceTokensPerSlot * limit);
-  const rise = (cost / Math.max(1, load.meanCost)) * share ** (NORM - 1);
+  const rise = (cost / Math.max(1, load.serviceCost)) * share ** (NORM - 1);
   const pressure = computeKvPressure(view, prefillTokens + answerTokens);
   const slotWait = Math.max(0, inFlight + 1 - limit) / limit;
   const prefillMs =
--- a/packages/core/test/routing.test.ts
+++ b/packages/core/test/routing.test.ts
@@ -117,4 +117,239 @@
       },
     );
   });
+
+  describe('lagging load', () => {
+    // Guards against a herd: many requests to the one target that an old report calls idle.
+    it('spreads sends although one stale report shows an idle target', () => {
+      reportAll();
+      router.acceptLoad(createReport('t0', { inFlight: 0, tokensInFlight: 0 }));
+      let toIdle = 0;
+      for (let index = 0; index < 60; index += 1) {
+        const decision = pickOne();
+        router.recordSend(decision, createRequest());
+        if (decision.target === 't0') toIdle += 1;
+      }
+      expect(toIdle).toBeGreaterThan(5);
+      expect(toIdle).toBeLessThan(30);
+    });
+
+    // Guards against an old report of a high load keeping a target unused for ever.
+    it('forgets a high load with time', () => {
+      reportAll();
+      router.acceptLoad(createReport('t0', { inFlight: 60, tokensInFlight: 60_000 }));
+      expect(countPicks(200).get('t0') ?? 0).toBeLessThan(5);
+      clock.advance(15_000);
+      let toLoaded = 0;
+      for (let index = 0; index < 60; index += 1) {
+        const decision = pickOne();
+        router.recordSend(decision, createRequest());
+        if (decision.target === 't0') toLoaded += 1;
+      }
+      expect(toLoaded).toBeGreaterThan(4);
+    });
+
+    // Guards against a late report of an earlier life replacing the present incarnation.
+    it('drops reports of an older incarnation', () => {
+      reportAll({ incarnation: Incarnation.parse(2) });
+      router.acceptLoad(createReport('t0', { state: 'leaving' }));
+      expect(countPicks(200).has('t0')).toBe(true);
+      expect(pickOne().incarnation).toBe(2);
+    });
+
+    // Guards against a ramping target getting the share of a warm one.
+    it('sends little to a target that grants little', () => {
+      reportAll();
+      router.acceptLoad(createReport('t0', { limit: 1, inFlight: 0, tokensInFlight: 0 }));
+      expect(countPicks(400).get('t0') ?? 0).toBeLessThan(40);
+    });
+
+    // Guards against a group with one overloaded rank attracting load to its other ranks.
+    it('does not prefer the light ranks of a group with an overloaded rank', () => {
+      const pairs = createTargets(6, 'g0').map((target, index) => ({
+        ...target,
+        group: index < 3 ? 'g0' : 'g1',
+      }));
+      router.updateTargets(service, pairs);
+      reportAll();
+      router.acceptLoad(createReport('t0', { tokensInFlight: 60_000 }));
+      let toFirst = 0;
+      for (const [target, count] of countPicks(300)) {
+        if (target === 't1' || target === 't2') toFirst += count;
+      }
+      expect(toFirst).toBeLessThan(160);
+    });
+  });
+
+  describe('early refusal', () => {
+    // Guards against work that is sent although no queue can reach it before its deadline.
+    it('refuses what no queue can reach in time, by priority', () => {
+      reportAll({ queueDelayMs: 5000 });
+      const refused = router.pick(createRequest({ deadlineMs: 2000 }));
+      expect(refused.err && refused.val.kind).toBe('overloaded');
+      expect(router.pick(createRequest({ deadlineMs: 2000, priority: 'high' })).ok).toBe(true);
+    });
+
+    // Guards against an entry that refuses everything and so never hears that the queues are empty.
+    it('sends again once the reports are old', () => {
+      reportAll({ queueDelayMs: 5000 });
+      clock.advance(10_000);
+      expect(router.pick(createRequest({ deadlineMs: 2000 })).ok).toBe(true);
+    });
+
+    it('names why nothing can be sent', () => {
+      const late = router.pick(createRequest({ deadlineMs: 0 }));
+      expect(late.err && late.val.kind).toBe('deadline_exceeded');
+      router.setZones(service, [], zones);
+      const none = router.pick(createRequest());
+      expect(none.err && none.val.kind).toBe('no_target');
+      const unknown = router.pick(createRequest({ service: ServiceName.parse('other') }));
+      expect(unknown.err && unknown.val.kind).toBe('unknown_service');
+    });
+  });
+
+  describe('prefix hints', () => {
+    const prefixHashes = ['h1', 'h2'];
+
+    function countCached(): number {
+      return countPicks(100, { prefixHashes }).get('t3') ?? 0;
+    }
+
+    function sendEvent(sequence: number, added: string[], removed: string[] = []): void {
+      const incarnation = Incarnation.parse(1);
+      router.acceptCacheEvent({
+        target: TargetId.parse('t3'),
+        incarnation,
+        sequence,
+        added,
+        removed,
+      });
+    }
+
+    // Guards against lost cache hits, and against hints from before a gap, which may be wrong.
+    it('prefers a cached prefix and forgets it after a gap', () => {
+      reportAll();
+      sendEvent(1, prefixHashes);
+      expect(countCached()).toBeGreaterThan(80);
+      sendEvent(3, ['h9']);
+      expect(countCached()).toBeLessThan(50);
+    });
+
+    // Guards against hints of a cache that a restart has emptied.
+    it('forgets the hints of an older incarnation', () => {
+      reportAll();
+      sendEvent(1, prefixHashes);
+      router.acceptLoad(createReport('t3', { incarnation: Incarnation.parse(2) }));
+      expect(countCached()).toBeLessThan(50);
+    });
+
+    // Guards against affinity that overloads the rank with a popular prefix.
+    it('ignores the cached prefix beyond the allowed skew', () => {
+      reportAll();
+      sendEvent(1, prefixHashes);
+      router.acceptLoad(createReport('t3', { tokensInFlight: 20_000 }));
+      expect(countCached()).toBeLessThan(20);
+    });
+  });
+
+  describe('failures', () => {
+    function failTarget(id: string): void {
+      for (let count = 0; count < 2; count += 1) {
+        router.recordFailure(TargetId.parse(id), 'answer_incomplete');
+      }
+    }
+
+    function countProbes(times: number, values: Partial<RouteRequest> = {}): number {
+      let probes = 0;
+      for (let index = 0; index < times; index += 1) {
+        clock.advance(25);
+        const decision = pickOne(values);
+        if (decision.probe) {
+          router.recordSend(decision, createRequest());
+          probes += 1;
+        }
+      }
+      return probes;
+    }
+
+    // Guards against a failed target that keeps getting work, or is tested by many requests at once.
+    it('opens after failures, probes one at a time and recovers slowly', () => {
+      reportAll();
+      failTarget('t0');
+      expect(countPicks(100).has('t0')).toBe(false);
+      clock.advance(1100);
+      let probe: RouteDecision | undefined;
+      for (let index = 0; index < 50 && probe === undefined; index += 1) {
+        clock.advance(25);
+        const decision = pickOne();
+        if (decision.probe) probe = decision;
+      }
+      expect(probe?.target).toBe('t0');
+      router.recordSend(probe!, createRequest());
+      expect(countProbes(50)).toBe(0);
+      router.recordFinish(probe!, 'complete');
+      expect(countPicks(200).get('t0') ?? 0).toBeLessThan(15);
+      clock.advance(6000);
+      expect(countPicks(400).get('t0') ?? 0).toBeGreaterThan(20);
+    });
+
+    // Guards against a request that may not be repeated being lost to a test of a failed target.
+    it('uses only repeatable requests as probes', () => {
+      reportAll();
+      failTarget('t0');
+      clock.advance(2000);
+      expect(countProbes(20, { repeatable: false })).toBe(0);
+      expect(countProbes(20)).toBe(1);
+    });
+
+    // Guards against sending to the rest of a dead zone until each of its targets has failed.
+    it('avoids the whole zone when most of its active targets fail', () => {
+      router.updateTargets(service, createTargets(12, 'g0'));
+      for (let rank = 0; rank < 12; rank += 1) router.acceptLoad(createReport(`t${rank}`));
+      router.recordSend(
+        { ...pickOne(), target: TargetId.parse('t0'), zone: zones[0]! },
+        createRequest(),
+      );
+      failTarget('t2');
+      failTarget('t5');
+      const counts = countPicks(300);
+      expect(counts.has('t8') || counts.has('t11')).toBe(false);
+    });
+
+    // Guards against an entry that cuts off all zones because its own network fails.
+    it('keeps trying when every zone seems to fail', () => {
+      reportAll();
+      for (let rank = 0; rank < 6; rank += 1) {
+        const id = TargetId.parse(`t${rank}`);
+        router.recordSend({ ...pickOne(), target: id }, createRequest());
+        router.recordFrame(id);
+      }
+      clock.advance(2500);
+      expect(router.pick(createRequest()).ok).toBe(true);
+    });
+
+    // Guards against new work for a target that has gone silent, before attempts are given up.
+    it('avoids a target that misses a progress frame', () => {
+      reportAll();
+      const id = TargetId.parse('t0');
+      const tried = new Set(['t1', 't2', 't3', 't4', 't5'].map((other) => TargetId.parse(other)));
+      router.recordSend({ ...pickOne(), target: id }, createRequest());
+      router.recordFrame(id);
+      clock.advance(1400);
+      router.recordSend({ ...pickOne(), target: id }, createRequest());
+      expect(pickOne({ tried }).reason).toBe('lowest score');
+      clock.advance(200);
+      expect(pickOne({ tried }).reason).toBe('no better target is left');
+      router.recordFrame(id);
+      clock.advance(60);
+      expect(pickOne({ tried }).reason).toBe('lowest score');
+    });
+
+    // Guards against a retry on the target that has just failed.
+    it('never picks a tried target', () => {
+      const tried = new Set(['t0', 't1', 't2', 't3', 't4'].map((id) => TargetId.parse(id)));
+      expect([...countPicks(50, { tried }).keys()]).toEqual(['t5']);
+      tried.add(TargetId.parse('t5'));
+      expect(router.pick(createRequest({ tried })).err).toBe(true);
+    });
+  });
 });
