--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -3,13 +3,14 @@
 import { claimOutageBench } from './benches/claimOutage/claimOutageBench.js';
 import { claimRateBench } from './benches/claimRate/claimRateBench.js';
 import { configBench } from './benches/configBench.js';
+import { decisionCost } from './benches/decisionCost.js';
 import { overload } from './benches/overload.js';
 import { ramp } from './benches/ramp.js';
+import { rolling } from './benches/rolling.js';
 import { routing } from './benches/routing.js';
 import { skewBench } from './benches/skewBench.js';
 import { zoneDeath } from './benches/zoneDeath.js';
 import { zoneLeave } from './benches/zoneLeave.js';
-import { rolling } from './benches/rolling.js';
 
 /** All benches by name, in the order in which they run. */
 export const registry: readonly Bench[] = [
@@ -24,4 +25,5 @@
   skewBench,
   configBench,
   rolling,
+  decisionCost,
 ];
