--- a/packages/core/src/admission/TargetAdmission.ts
+++ b/packages/core/src/admission/TargetAdmission.ts
@@ -641,8 +641,10 @@
     const ratios: number[] = [];
     for (const { entry, startedMs } of this.#running.values()) {
       if (startedMs < this.#rampChangedMs) continue;
-      const warmMs = this.#pace.getWarm(entry.paceClass);
-      const ratio = warmMs === null ? 0 : (nowMs - startedMs) / warmMs;
+      // Where the pace is a step time, the service time is compared with its usual spread.
+      const highMs = this.#estimator.estimateHigh(entry.paceClass, entry.cost);
+      const usualMs = this.#pace.getWarm(entry.paceClass) ?? highMs;
+      const ratio = usualMs > 0 ? (nowMs - startedMs) / usualMs : 0;
       if (ratio > paceLimits.near) ratios.push(ratio);
     }
     return ratios;
--- a/packages/core/test/ramp.test.ts
+++ b/packages/core/test/ramp.test.ts
@@ -110,6 +110,17 @@
     expect(admission.getStatus().rampLimit).toBeLessThanOrEqual(4);
   });
 
+  // Guards against a hanging target that keeps its grant because nothing ends that could be slow.
+  it('shrinks while requests hang', () => {
+    fixture.load(9000);
+    for (let index = 0; index < 8; index += 1) fixture.submit();
+    for (let index = 0; index < 40; index += 1) {
+      fixture.clock.advance(100);
+      admission.tick();
+    }
+    expect(fixture.getLimit()).toBeLessThanOrEqual(4);
+  });
+
   // Guards against a restarted target that is given what its warm predecessor could handle.
   it.each([
     ['a new incarnation', () => admission.restartIncarnation('engine restarted')],
