Keep a new claim when an old look at its key is answered late

Cause: a look at another agent's claim whose waiters had left removed the entry of a later request with the same key; its claim then stayed at the store without a run. Change: an entry removes only itself, and looks ignore entries that are gone. ClaimLedger.find answers known keys from memory before a request takes a slot.

--- a/packages/core/src/claims/ClaimLedger.ts
+++ b/packages/core/src/claims/ClaimLedger.ts
@@ -157,6 +157,24 @@
     return { ...this.#counts, open: this.#entries.size };
   }
 
+  /**
+   * Answers from memory alone: for an agent that looks at a repeated key before the request takes a
+   * slot or is refused.
+   *
+   * @returns what `begin` would return if the end of the key is known here, else null
+   */
+  find(request: ClaimRequest): Result<ClaimStart, Failure> | null {
+    if (this.#checkRequest(request) !== null) return null;
+    const storeKey = buildClaimKey(this.#service, request.workspace, request.key);
+    const entry = this.#entries.get(storeKey);
+    if (entry === undefined) {
+      const known = this.#memory.find(storeKey);
+      return known === null ? null : this.#answerEnd(known.end, known.bodyHash, request);
+    }
+    if (entry.end === null) return null;
+    return this.#answerEnd(entry.end, entry.holder.request.bodyHash, request);
+  }
+
   /**
    * Claims the key of a request, or finds out how an earlier request with that key ended. Resolves
    * at the latest at the first `tick()` after the deadline.
@@ -175,12 +193,12 @@
     }
     const storeKey = buildClaimKey(this.#service, request.workspace, request.key);
     return new Promise((resolve) => {
-      let entry = this.#entries.get(storeKey);
-      const known = entry === undefined ? this.#memory.find(storeKey) : null;
+      const known = this.find(request);
       if (known !== null) {
-        resolve(this.#answerEnd(known.end, known.bodyHash, request));
+        resolve(known);
         return;
       }
+      let entry = this.#entries.get(storeKey);
       const now = this.#clock.getNow();
       const waiter = {
         request,
@@ -313,11 +331,15 @@
     return entry;
   }
 
+  #remove(entry: ClaimEntry): void {
+    if (this.#entries.get(entry.storeKey) === entry) this.#entries.delete(entry.storeKey);
+  }
+
   /** Starts to write a claim for the first waiter. */
   #create(entry: ClaimEntry, revision: Revision | 0): void {
     const [first] = entry.waiters;
     if (first === undefined) {
-      this.#entries.delete(entry.storeKey);
+      this.#remove(entry);
       return;
     }
     entry.update({ holder: first, other: null, revision, claim: null });
@@ -356,7 +378,7 @@
 
   #refuseAll(entry: ClaimEntry, isLeaseLost: boolean): void {
     if (isLeaseLost) this.#leases.forget(entry.lease);
-    this.#entries.delete(entry.storeKey);
+    this.#remove(entry);
     for (const waiter of entry.waiters) this.#refuse(waiter, describeOutage());
   }
 
@@ -417,7 +439,7 @@
     const record = parseRecord(stored.value);
     if (record === null) {
       for (const waiter of entry.waiters) this.#refuse(waiter, describeUnreadable());
-      this.#entries.delete(entry.storeKey);
+      this.#remove(entry);
       return;
     }
     if (record.state === 'released') {
@@ -468,7 +490,8 @@
       const current = answer.ok ? answer.val.current : [];
       const records = new Map(current.map((record) => [record.key, record]));
       for (const entry of due) {
-        if (entry.state !== 'watching') continue;
+        // The entry may be gone, and a new one may stand for its key.
+        if (entry.state !== 'watching' || this.#entries.get(entry.storeKey) !== entry) continue;
         if (answer.err) this.#watch(entry, entry.revision);
         else if (answer.val.committed) this.#acceptUnchanged(entry);
         else this.#acceptRecord(entry, records.get(entry.storeKey) ?? null);
@@ -510,9 +533,9 @@
     });
     entry.update({ waiters });
     if (waiters.length > 0) return;
-    if (state === 'leasing' || state === 'watching') this.#entries.delete(entry.storeKey);
+    if (state === 'leasing' || state === 'watching') this.#remove(entry);
     if (state !== 'creating' || entry.order === null) return;
-    if (this.#writer.withdraw(entry.order)) this.#entries.delete(entry.storeKey);
+    if (this.#writer.withdraw(entry.order)) this.#remove(entry);
   }
 
   /** Answers the requests that need not wait any longer in the entry's present state. */
@@ -527,12 +550,12 @@
       return false;
     });
     entry.update({ waiters });
-    if (state === 'watching' && waiters.length === 0) this.#entries.delete(entry.storeKey);
+    if (state === 'watching' && waiters.length === 0) this.#remove(entry);
   }
 
   /** Answers all requests that wait for a key that ended elsewhere. */
   #settle(entry: ClaimEntry, end: ClaimEnd, bodyHash: string, remember: boolean): void {
-    this.#entries.delete(entry.storeKey);
+    this.#remove(entry);
     if (remember) this.#remember(entry, bodyHash, end);
     for (const waiter of entry.waiters) {
       waiter.resolve(this.#answerEnd(end, bodyHash, waiter.request));
@@ -542,7 +565,7 @@
   /** The end of an own claim is at the store, or cannot be stored. */
   #finish(entry: ClaimEntry): void {
     const { end } = entry;
-    this.#entries.delete(entry.storeKey);
+    this.#remove(entry);
     if (end === null) return;
     this.#endingBytes -= getEndBytes(end);
     this.#remember(entry, entry.holder.request.bodyHash, end);
--- a/packages/core/test/claims.test.ts
+++ b/packages/core/test/claims.test.ts
@@ -170,6 +170,23 @@
     expect(bed.store.getCounts().writes - before).toBeLessThanOrEqual(8);
   });
 
+  // Guards against a look at a key that is answered after its waiters left and removes the claim that
+  // a later request has begun meanwhile.
+  it('keeps a new claim when an old look at the same key is answered', async () => {
+    const bed = new Bed();
+    const [first, second] = [bed.addLedger('a'), bed.addLedger('b')];
+    const claim = await bed.start(first, 'k');
+    await bed.start(second, 'warm-up');
+    const short = { deadlineAtMs: bed.clock.getNow() + 200 };
+    const waiting = second.begin(bed.build('k', short));
+    await bed.run(10);
+    bed.store.setFaults({ latencyMs: [400, 400] });
+    first.release(claim);
+    await bed.run(300);
+    expect(readKind(await waiting)).toBe('key_in_progress');
+    expect(second.startRun(await bed.start(second, 'k')).ok).toBe(true);
+  });
+
   // Guards against a late run by an agent that was paused between its claim and the hand-over.
   it('withdraws a claim whose deadline passed before the hand-over', async () => {
     const bed = new Bed();
@@ -199,6 +216,8 @@
     first.complete(claim, outcome);
     await bed.run(50);
     bed.store.setFaults({ outage: 'down' });
+    expect(first.find(bed.build('k'))?.ok).toBe(true);
+    expect(first.find(bed.build('new'))).toBeNull();
     expect(readKind(await bed.begin(first, bed.build('new')))).toBe('store_unavailable');
     expect((await bed.begin(first, bed.build('k'))).unwrap().type).toBe('replay');
     bed.store.setFaults({ outage: 'silent' });
