Let schedules contend for keys and write each key once in a batch

Change: in three of ten schedules callers share two keys with short deadlines and a slow store, and a tenth of the claims is withdrawn before the hand-over. A batch holds each key once, and MemoryStore refuses a transaction that writes a key twice, as etcd does.

--- a/bench/src/benches/atMostOnce/SimAgent.ts
+++ b/bench/src/benches/atMostOnce/SimAgent.ts
@@ -172,6 +172,13 @@
   ): void {
     const { random, variant, queue } = this.#world;
     this.process.schedule(random.next() * 40, () => {
+      // The target turned cold after the claim.
+      if (claim !== null && random.next() < 0.1) {
+        finish();
+        if (this.#ledger.release(claim).ok) this.#refuse(stream, 'target_cold');
+        else this.#refuse(stream, 'deadline_exceeded');
+        return;
+      }
       const isLate = queue.clock.getNow() >= deadlineAtMs;
       let mayRun = claim === null ? !isLate : true;
       if (claim !== null && variant !== 'release-after-hand-over') {
--- a/bench/src/benches/atMostOnce/SimCaller.ts
+++ b/bench/src/benches/atMostOnce/SimCaller.ts
@@ -22,12 +22,16 @@
   /** Requests that were told "not run"; a target must never run them, also not later. */
   readonly #notRun: string[] = [];
 
-  constructor(world: World, name: string) {
+  readonly #leastDeadlineMs: number;
+
+  /** @param sharedKey number of a key that callers contend for within short deadlines, or null */
+  constructor(world: World, name: string, sharedKey: number | null) {
     this.#world = world;
     this.#name = name;
     const draw = world.random.next();
     this.#repeatable = draw < 0.2;
-    this.#key = draw < 0.5 ? '' : `key-${name}`;
+    this.#leastDeadlineMs = sharedKey === null ? 400 : 150;
+    this.#key = draw < 0.5 ? '' : `key-${sharedKey ?? name}`;
   }
 
   start(): void {
@@ -57,7 +61,7 @@
       key: this.#key,
       body,
       repeatable: this.#repeatable,
-      deadlineMs: 400 + random.next() * 2000,
+      deadlineMs: this.#leastDeadlineMs * (1 + random.next() * 5),
     };
     process.run(process.getLife(), () =>
       entry.submit(request, (reply) => this.#accept(request, reply)),
--- a/bench/src/benches/atMostOnce/runSchedule.ts
+++ b/bench/src/benches/atMostOnce/runSchedule.ts
@@ -8,6 +8,9 @@
 
 const CALLERS = 10;
 
+/** Share of schedules in which the callers have two keys between them and the store is slow. */
+const CONTENDED_SHARE = 0.3;
+
 const MOST_FAULTS = 6;
 
 /** Runs one random schedule of requests and faults, and checks it against what the targets ran. */
@@ -16,8 +19,10 @@
   const world = new World(random, variant);
   const { queue, tally, store } = world;
   const callers: SimCaller[] = [];
+  const contends = random.next() < CONTENDED_SHARE;
+  if (contends) store.setFaults({ latencyMs: [20, 250] });
   for (let index = 0; index < CALLERS; index += 1) {
-    const caller = new SimCaller(world, `c${index}`);
+    const caller = new SimCaller(world, `c${index}`, contends ? index % 2 : null);
     callers.push(caller);
     queue.schedule(random.next() * scale.activeMs * 0.7, () => caller.start());
   }
--- a/packages/core/src/claims/BatchWriter.ts
+++ b/packages/core/src/claims/BatchWriter.ts
@@ -111,8 +111,12 @@
   #pick(): WriteOrder[] {
     const { maxBatch, batchBytes } = this.#options;
     const picked: WriteOrder[] = [];
+    const keys = new Set<string>();
     let bytes = 0;
     for (const order of this.#queue) {
+      // etcd refuses a transaction with two writes of one key.
+      if (keys.has(order.key)) break;
+      keys.add(order.key);
       bytes += order.key.length * 2 + Buffer.byteLength(order.value ?? '');
       if (picked.length === maxBatch || (picked.length > 0 && bytes > batchBytes)) break;
       if (order.alone && picked.length > 0) break;
--- a/packages/standins/src/store/MemoryStore.ts
+++ b/packages/standins/src/store/MemoryStore.ts
@@ -289,6 +289,9 @@
 
   #apply({ conditions, writes }: StoreTransaction): Answer<CommitResult> {
     const revision = this.#revision as Revision;
+    if (new Set(writes.map(({ key }) => key)).size < writes.length) {
+      return fail('bad_request', 'a transaction writes a key twice');
+    }
     for (const condition of conditions) {
       const entry = this.#entries.get(condition.key);
       if ((entry?.revision ?? 0) === condition.revision) continue;
--- a/packages/standins/test/MemoryStore.test.ts
+++ b/packages/standins/test/MemoryStore.test.ts
@@ -23,6 +23,14 @@
     expect(second.current).toEqual([{ key: 'a', value: '1', revision: 2 }]);
   });
 
+  // Guards against a stand-in that accepts what etcd refuses.
+  it('refuses a transaction that writes a key twice', async () => {
+    const { store } = buildStore();
+    const write = { key: 'a', value: '1' };
+    const answer = await store.commit({ conditions: [], writes: [write, write] });
+    expect(answer.err && answer.val.kind).toBe('bad_request');
+  });
+
   // Guards against a lost answer that takes no effect, which would hide the fault to be tested.
   it('applies a write whose answer is lost', async () => {
     const { store } = buildStore();
