--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,5 +1,6 @@
+import { mapSwitchBench } from './benches/mapSwitchBench.js';
 import { skewBench } from './benches/skewBench.js';
 import type { Bench } from './report/Bench.js';
 
 /** All benches by name, in the order in which they run. */
-export const registry: readonly Bench[] = [skewBench];
+export const registry: readonly Bench[] = [skewBench, mapSwitchBench];
--- /dev/null
+++ b/bench/src/switchmodel/createSwitchConfig.ts
@@ -0,0 +1,26 @@
+import { MapSwitchPlanner, StepGate } from '@limpetbay/core';
+import type { SwitchWorld } from './SwitchWorld.js';
+
+type Config = ConstructorParameters<typeof SwitchWorld>[0];
+
+/** Creates the smallest group without faults: two ranks, one planner, two steps. */
+export function createSwitchConfig(change: Partial<Config> = {}): Config {
+  return {
+    ranks: 2,
+    planners: 1,
+    window: 1,
+    leadSteps: 0,
+    lastStep: 1,
+    faults: 0,
+    faultKinds: ['lose', 'repeat', 'lose answer', 'restart'],
+    outages: 0,
+    ticks: 0,
+    tickLength: 4,
+    proposals: 1,
+    isPrepareAtomic: true,
+    Gate: StepGate,
+    Planner: MapSwitchPlanner,
+    isLeaseChecked: true,
+    ...change,
+  };
+}
--- /dev/null
+++ b/bench/test/broken/ActsAfterLease.ts
@@ -0,0 +1,8 @@
+import { MapSwitchPlanner } from '@limpetbay/core';
+
+/** Broken rule: Never asks whether it holds the lease. */
+export class ActsAfterLease extends MapSwitchPlanner {
+  protected override isAllowed(): boolean {
+    return true;
+  }
+}
--- /dev/null
+++ b/bench/test/broken/CountsOldPromises.ts
@@ -0,0 +1,8 @@
+import { MapSwitchPlanner } from '@limpetbay/core';
+
+/** Broken rule: Counts the promise of any incarnation. */
+export class CountsOldPromises extends MapSwitchPlanner {
+  protected override isCounted(): boolean {
+    return true;
+  }
+}
--- /dev/null
+++ b/bench/test/mapSwitch.test.ts
@@ -0,0 +1,104 @@
+import { describe, expect, it } from 'vitest';
+import { SeededRandom } from '@limpetbay/core';
+import { createSwitchConfig } from '../src/switchmodel/createSwitchConfig.js';
+import { runLockStep } from '../src/switchmodel/runLockStep.js';
+import { runSchedule } from '../src/switchmodel/runSchedule.js';
+import { walkWorld } from '../src/switchmodel/walkWorld.js';
+import { AcceptsOldIncarnations } from './broken/AcceptsOldIncarnations.js';
+import { ActsAfterLease } from './broken/ActsAfterLease.js';
+import { CountsOldPromises } from './broken/CountsOldPromises.js';
+import { DecidesEarly } from './broken/DecidesEarly.js';
+import { ForgetsFloor } from './broken/ForgetsFloor.js';
+import { GrantsPastPromise } from './broken/GrantsPastPromise.js';
+import { GuessesAtBoundary } from './broken/GuessesAtBoundary.js';
+
+const RANDOM_BOUNDS = {
+  ranks: 3,
+  planners: 2,
+  window: 2,
+  leadSteps: 2,
+  lastStep: 12,
+  faults: 6,
+  outages: 2,
+  ticks: 8,
+  tickLength: 1,
+  proposals: 3,
+  isPrepareAtomic: false,
+};
+
+function findViolation(change: Parameters<typeof createSwitchConfig>[0], seeds = 20_000): string {
+  const config = createSwitchConfig({ ...RANDOM_BOUNDS, ...change });
+  for (let seed = 1; seed <= seeds; seed += 1) {
+    const { violation } = runSchedule(config, new SeededRandom(seed), 400, 0.1);
+    if (violation !== '') return violation;
+  }
+  return '';
+}
+
+describe('every interleaving of a small group', () => {
+  // Guards against two maps in a step, and a group that stays stuck, after any one fault.
+  it('keeps one map a step and recovers, with one fault of any kind', () => {
+    const result = walkWorld(createSwitchConfig({ faults: 1 }), 200_000, 200);
+    expect(result).toMatchObject({ violation: '', trace: [], isComplete: true });
+    expect(result.committed).toBeGreaterThan(1000);
+  }, 60_000);
+
+  // Guards against a CAS whose lost answer is taken for a failure while the store is away.
+  it('settles a lost answer of a CAS around an outage', () => {
+    const bounds = { faults: 1, outages: 1, faultKinds: ['lose answer'] as const };
+    const result = walkWorld(createSwitchConfig(bounds), 200_000, 200);
+    expect(result).toMatchObject({ violation: '', trace: [], isComplete: true });
+  }, 60_000);
+});
+
+describe('a broken rule is caught', () => {
+  it('grants past the promise', () => {
+    expect(findViolation({ Gate: GrantsPastPromise })).toContain('maps');
+  });
+
+  it('decision without all promises', () => {
+    expect(findViolation({ Planner: DecidesEarly })).toContain('maps');
+  });
+
+  it('guess at the boundary', () => {
+    expect(findViolation({ Gate: GuessesAtBoundary })).toContain('maps');
+  });
+
+  it('promise from an old incarnation counted', () => {
+    const broken = { Gate: AcceptsOldIncarnations, Planner: CountsOldPromises };
+    expect(findViolation({ ...broken, ranks: 2 })).toContain('maps');
+  }, 60_000);
+
+  it('floor not kept after restart', () => {
+    // A planner's late request to prepare reaches a rank that restarted after its successor's.
+    const bounds = {
+      ranks: 2,
+      lastStep: 60,
+      faults: 2,
+      faultKinds: ['restart'] as const,
+      ticks: 2,
+      tickLength: 4,
+    };
+    expect(findViolation({ ...bounds, Gate: ForgetsFloor })).toContain('obeyed epoch');
+    expect(findViolation({ ...bounds }, 2000)).toBe('');
+  }, 60_000);
+
+  it('planner acting after its lease', () => {
+    const broken = { Planner: ActsAfterLease, isLeaseChecked: false };
+    expect(findViolation(broken)).toContain('acted after its lease');
+  });
+});
+
+// Guards against a switch that makes the group wait although nothing failed.
+it('commits without a stalled step when nothing fails', () => {
+  const config = createSwitchConfig({ ranks: 16, window: 8, leadSteps: 16, lastStep: 100 });
+  const calm = {
+    isPlannerLost: false,
+    restartAt: -1,
+    outageFrom: -1,
+    outageUntil: -1,
+    usesEvidence: true,
+    patience: 20,
+  };
+  expect(runLockStep(config, calm)).toEqual({ stalledSteps: 0, isCommitted: true, violation: '' });
+});
