--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -4,6 +4,7 @@
 import { claimRateBench } from './benches/claimRate/claimRateBench.js';
 import { configBench } from './benches/configBench.js';
 import { decisionCost } from './benches/decisionCost.js';
+import { mapSwitchBench } from './benches/mapSwitchBench.js';
 import { overload } from './benches/overload.js';
 import { ramp } from './benches/ramp.js';
 import { rolling } from './benches/rolling.js';
@@ -26,4 +27,5 @@
   configBench,
   rolling,
   decisionCost,
+  mapSwitchBench,
 ];
