--- a/packages/core/src/config/ConfigFollower.ts
+++ b/packages/core/src/config/ConfigFollower.ts
@@ -386,6 +386,10 @@
   #isLagging(link: RelayLink, now: number): boolean {
     if (link.kind === 'peer' || now - link.openedAt < FRESH_MS) return false;
     if (this.#freshSince === null || now - this.#freshSince < FRESH_MS) return false;
+    return this.#isBehind(link);
+  }
+
+  #isBehind(link: RelayLink): boolean {
     return (this.#confirmedAt ?? -Infinity) - (link.confirmedAt ?? -Infinity) > FRESH_MS;
   }
 
@@ -430,8 +434,16 @@
     const { peer } = link;
     const age = event.confirmationAgeMs;
     link.recordHeartbeat(age === null ? null : now - age);
-    if (this.#failed.delete(peer.id)) this.#chosenVersion = -1;
     this.#noteConfirmation(link.confirmedAt);
+    if (this.#failed.has(peer.id)) {
+      // A relay that answers but still lags stays failed, and is asked again later.
+      if (this.#isFresh(now) && this.#isBehind(link)) {
+        this.#failLink(peer.id);
+        return;
+      }
+      this.#failed.delete(peer.id);
+      this.#chosenVersion = -1;
+    }
     if (event.outsideContactAgeMs !== null && peer.zone === this.#self.record.zone) {
       this.#noteContact(now - event.outsideContactAgeMs);
     }
