Limit the followers of a relay by a second level in large zones

Change: in a zone of more than about 40 processes further relays by score follow the three that watch the store, and the other processes follow those.

--- a/bench/src/benches/config/SimulatedFleet.ts
+++ b/bench/src/benches/config/SimulatedFleet.ts
@@ -40,6 +40,8 @@
 
   #revision = 0;
 
+  #documentBytes = 0;
+
   #starts = 0;
 
   constructor(options: FleetOptions) {
@@ -83,6 +85,7 @@
       keys: {},
     });
     const value = encodeStoredDocument(document, `write-${this.#writes}`);
+    this.#documentBytes = value.length;
     this.#revision = this.store.write(SERVICE, value);
     return this.#revision;
   }
@@ -92,6 +95,11 @@
     return this.#revision;
   }
 
+  /** Returns the size of a document in the store. */
+  getDocumentBytes(): number {
+    return this.#documentBytes;
+  }
+
   /** Starts or restarts a process. */
   start(record: InstanceRecord): SimulatedProcess {
     this.#starts += 1;
--- a/bench/src/benches/config/SimulatedProcess.ts
+++ b/bench/src/benches/config/SimulatedProcess.ts
@@ -46,7 +46,7 @@
   /** What reached the process while it was paused. */
   #waiting: (() => void)[] = [];
 
-  #sent = 0;
+  #heartbeats = 0;
 
   constructor(options: SimulatedProcessOptions) {
     const { timeline, random, record, sequence } = options;
@@ -69,9 +69,9 @@
     return this.#state === 'running';
   }
 
-  /** Events that this process has sent to followers. */
-  countSent(): number {
-    return this.#sent;
+  /** Heartbeats that this process has sent to followers. */
+  countHeartbeats(): number {
+    return this.#heartbeats;
   }
 
   /** Ends the process. A silent end leaves its connections open, as a lost machine does. */
@@ -118,7 +118,7 @@
       if (!isOpen) return;
       remove = this.node.addFollower(self, known, {
         send: (event) => {
-          this.#sent += 1;
+          if (event.kind === 'heartbeat') this.#heartbeats += 1;
           send(event);
         },
         isFull: () => false,
--- a/bench/src/benches/configBench.ts
+++ b/bench/src/benches/configBench.ts
@@ -15,6 +15,13 @@
 const CHANGE_INTERVAL_MS = 400;
 const OUTAGE_MS = 20_000;
 const SETTLE_MS = 5000;
+const MS_PER_SECOND = 1000;
+const CHANGES_PER_DAY = 3500;
+const SECONDS_PER_DAY = 86_400;
+/** gRPC and HTTP/2 frame headers, TCP and IP headers. */
+const FRAME_BYTES = 54;
+/** A heartbeat is 20 bytes of protocol buffers. */
+const HEARTBEAT_BYTES = FRAME_BYTES + 20;
 const STORE_MS = 4;
 /** Every such process is restarted during the outage. */
 const RESTART_STEP = 20;
@@ -140,6 +147,28 @@
   return store.countWatches() + store.countCalls(startedAt, timeline.clock.getNow());
 }
 
+/**
+ * Computes the load of the busiest relay: its heartbeats, counted, and 3,500 changes a day of the
+ * document of the bench to each of its followers.
+ */
+function measureRelay(fleet: SimulatedFleet): BenchResult {
+  const running = fleet.listRunning();
+  const before = running.map((process) => process.countHeartbeats());
+  fleet.timeline.advance(SETTLE_MS);
+  const documentBytes = fleet.getDocumentBytes() + FRAME_BYTES;
+  const changesPerSecond = CHANGES_PER_DAY / SECONDS_PER_DAY;
+  let busiest = 0;
+  for (const [index, process] of running.entries()) {
+    const heartbeats = process.countHeartbeats() - (before[index] as number);
+    const followers = process.node.feed.countFollowers();
+    const bytes =
+      (heartbeats * HEARTBEAT_BYTES) / (SETTLE_MS / MS_PER_SECOND) +
+      followers * documentBytes * changesPerSecond;
+    busiest = Math.max(busiest, bytes);
+  }
+  return createResult('config_relay_bytes', SEED, busiest, 'bytes/s');
+}
+
 function measureCalls(whole: SimulatedFleet): BenchResult[] {
   const results: BenchResult[] = [];
   const counts: number[] = [];
@@ -167,6 +196,6 @@
   run: async () => {
     const fleet = createFleet();
     const calls = measureCalls(fleet);
-    return [...calls, ...measureScenarios(fleet), ...measureOutage(fleet)];
+    return [...calls, measureRelay(fleet), ...measureScenarios(fleet), ...measureOutage(fleet)];
   },
 };
--- a/packages/core/src/config/ConfigFollower.ts
+++ b/packages/core/src/config/ConfigFollower.ts
@@ -28,7 +28,13 @@
   retryAt: number;
 }
 
-const RELAYS_PER_ZONE = 3;
+/** Relays of each zone that watch the store. */
+const WATCHING_PER_ZONE = 3;
+/**
+ * Mean followers of a relay. A follower costs its relay about 0.15 KB/s for heartbeats and 0.17
+ * KB/s for 3,500 changes a day of documents with 256 ranks; a node may use 14 KB/s.
+ */
+const FOLLOWERS_PER_RELAY = 16;
 const LINKS_PER_FOLLOWER = 2;
 /** Three missed heartbeats of 500 ms; leaves half of the 3 s for another relay. */
 const LINK_SILENCE_MS = 1500;
@@ -78,8 +84,8 @@
 
   #self: AnnouncedInstance;
 
-  /** Relays of the own zone as this process sees them. */
-  #zoneRelays: InstanceRecord[] = [];
+  /** A relay beside the wanted ones, asked while none of those is confirmed. */
+  #spare: InstanceRecord | null = null;
 
   /** Relays that this process wants to follow, in order of preference. */
   #wanted: InstanceRecord[] = [];
@@ -302,11 +308,15 @@
     const { record } = this.#self;
     const { membership } = this.#options;
     const relays = this.#chooseZoneRelays();
-    this.#zoneRelays = relays;
-    this.#isChosen = this.#knowsInstances && relays.some(({ id }) => id === record.id);
-    const others = this.#orderForSelf(relays.filter((relay) => relay.id !== record.id));
+    const watching = relays.slice(0, WATCHING_PER_ZONE);
+    this.#isChosen = this.#knowsInstances && watching.some(({ id }) => id === record.id);
+    const isRelay = relays.some(({ id }) => id === record.id);
+    const forwarding = relays.slice(WATCHING_PER_ZONE);
+    const candidates = isRelay || forwarding.length === 0 ? watching : forwarding;
+    const others = this.#orderForSelf(candidates.filter((relay) => relay.id !== record.id));
     if (!this.#isChosen) {
       this.#wanted = others.slice(0, LINKS_PER_FOLLOWER);
+      this.#spare = others[LINKS_PER_FOLLOWER] ?? null;
       return;
     }
     // A relay follows one relay of its own zone and one of each of two others: the next zone by
@@ -320,20 +330,27 @@
     for (const zone of rest) {
       // Only the first relays of another zone are tried: the next zone takes the place of one
       // that has failed as a whole.
-      const candidates = chooseRelays(zone, membership.listZone(zone), RELAYS_PER_ZONE);
-      const relay = this.#orderForSelf(candidates).find(({ id }) => !this.#failed.has(id));
+      const outside = chooseRelays(zone, membership.listZone(zone), WATCHING_PER_ZONE);
+      const relay = this.#orderForSelf(outside).find(({ id }) => !this.#failed.has(id));
       if (relay !== undefined) this.#wanted.push(relay);
       if (this.#wanted.length > LINKS_PER_FOLLOWER) break;
     }
   }
 
-  /** The relays of the own zone, without those that failed this process. */
+  /**
+   * The relays of the own zone, without those that failed this process. The first ones watch the
+   * store; in a large zone more follow those, so that none has more followers than its share of
+   * the network allows.
+   */
   #chooseZoneRelays(): InstanceRecord[] {
     const { zone } = this.#self.record;
     const instances = this.#options.membership.listZone(zone);
-    if (this.#failed.size === 0) return chooseRelays(zone, instances, RELAYS_PER_ZONE);
+    const links = instances.length * LINKS_PER_FOLLOWER;
+    const needed = Math.ceil(links / FOLLOWERS_PER_RELAY);
+    const count = needed < 2 * WATCHING_PER_ZONE ? WATCHING_PER_ZONE : needed;
+    if (this.#failed.size === 0) return chooseRelays(zone, instances, count);
     const usable = instances.filter((instance) => !this.#failed.has(instance.id));
-    return chooseRelays(zone, usable, RELAYS_PER_ZONE);
+    return chooseRelays(zone, usable, count);
   }
 
   #orderForSelf(relays: readonly InstanceRecord[]): InstanceRecord[] {
@@ -350,7 +367,7 @@
   /** While no relay is confirmed, one more relay shows whether only those followed lag. */
   #openSpareLink(now: number): void {
     if (this.#isChosen || this.#isFresh(now) || this.#countLive() === 0) return;
-    for (const relay of this.#zoneRelays) this.#openLink(relay, 'relay', now);
+    if (this.#spare !== null) this.#openLink(this.#spare, 'relay', now);
   }
 
   /** A relay that failed is chosen again only after it has answered. */
