Find silent engine streams and silent idle channels

Cause: an agent's progress frames hid the silence of its engine from the entry; the engine poll succeeded on new connections; and a retry met another channel that had gone silent while idle. Change: agents watch each stream of the engine, drop idle connections after 1 s, entries ping idle channels, and a target whose path failed may get another attempt once all others failed.

--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -12,6 +12,7 @@
 import { skewBench } from './benches/skewBench.js';
 import { zoneDeath } from './benches/zoneDeath.js';
 import { zoneLeave } from './benches/zoneLeave.js';
+import { entryOverhead } from './benches/entryOverhead.js';
 
 /** All benches by name, in the order in which they run. */
 export const registry: readonly Bench[] = [
@@ -28,4 +29,5 @@
   rolling,
   decisionCost,
   mapSwitchBench,
+  entryOverhead,
 ];
--- a/packages/agent/src/loop/Agent.ts
+++ b/packages/agent/src/loop/Agent.ts
@@ -1,5 +1,7 @@
 import {
+  ProgressWatch,
   answerTable,
+  computeEngineLimit,
   fail,
   hashRequest,
   isRepeatable,
@@ -24,6 +26,13 @@
 import { EngineMonitor } from './EngineMonitor.js';
 
 const SERVER_ERROR = 500;
+/**
+ * Least silence after which a stream of the engine is given up. A group that waits for a slow rank
+ * is silent on all its streams at once, and cutting them would turn a stall into a wave of retries.
+ */
+const LEAST_SILENCE_MS = 3000;
+/** Time that an engine may take to begin, per prompt token. */
+const PREFILL_MS_PER_TOKEN = 1;
 
 /**
  * The agent of one target: the only path to it and the authority for it. Attempts come in by
@@ -39,6 +48,9 @@
   /** Attempts that were submitted and have not ended. */
   readonly #runs = new Map<string, AttemptRun>();
 
+  /** Streams of the engine that should make progress. */
+  readonly #progress: ProgressWatch;
+
   readonly #unsubscribe: () => void;
 
   #progressAtMs: number;
@@ -46,6 +58,7 @@
   constructor(parts: AgentParts) {
     this.#parts = parts;
     this.#progressAtMs = parts.clock.getNow();
+    this.#progress = new ProgressWatch(parts.clock, parts.timing.tickMs);
     this.#loop = createEventLoop<AgentEvent>({
       handle: (event) => this.#handle(event),
       onError: (event, error) => {
@@ -275,6 +288,15 @@
       },
     );
     run.setCancel(cancel);
+    if (this.#parts.engine !== null && run.attempt.stream === true) this.#watch(run);
+  }
+
+  /** Watches the stream of the engine; other calls are bounded by their deadline. */
+  #watch(run: AttemptRun): void {
+    const { stepTimeMs } = this.#parts.admission.getLoad();
+    const firstTokenMs = run.attempt.promptTokens * PREFILL_MS_PER_TOKEN;
+    const limitMs = Math.max(LEAST_SILENCE_MS, computeEngineLimit(stepTimeMs, firstTokenMs));
+    this.#progress.open(run.key, 'engine', limitMs);
   }
 
   /** Checks the deadline once more: this process may have been paused since the slot was granted. */
@@ -300,6 +322,7 @@
   #acceptData(run: AttemptRun, data: Uint8Array, tokens: number): void {
     if (run.phase !== 'running') return;
     run.acceptData(data, tokens, this.#parts.clock.getNow());
+    this.#progress.mark(run.key);
     if (run.writer.hasHead()) run.writer.append(data, tokens);
   }
 
@@ -367,6 +390,7 @@
   }
 
   #end(run: AttemptRun): void {
+    this.#progress.close(run.key);
     run.end();
     this.#runs.delete(run.key);
   }
@@ -398,6 +422,10 @@
     const { admission, clock, config, ledger, timing } = this.#parts;
     ledger.tick();
     this.#apply(admission.setConnectivity(config.getConnectivity()));
+    for (const { stream, replaceChannel } of this.#progress.poll()) {
+      const run = this.#runs.get(stream);
+      if (run !== undefined) this.#giveUp(run, replaceChannel);
+    }
     const nowMs = clock.getNow();
     const isProgressDue = nowMs - this.#progressAtMs >= timing.progressMs;
     if (isProgressDue) this.#progressAtMs = nowMs;
@@ -408,6 +436,15 @@
     this.#apply(admission.tick());
   }
 
+  /** Gives up a silent stream of the engine; its connections are replaced unless others work. */
+  #giveUp(run: AttemptRun, replaceConnections: boolean): void {
+    const { log, target } = this.#parts;
+    log.warn('no token in time, call given up', { request: run.attempt.requestId });
+    if (replaceConnections) target.replaceConnections();
+    run.cancelCall();
+    this.#break(run, 'the engine sent nothing in time', false);
+  }
+
   #expire(run: AttemptRun): void {
     if (run.writer.isClosed()) return;
     const failure = fail('timed_out', 'the deadline passed while the target was working').val;
--- a/packages/core/src/answer/Attempt.ts
+++ b/packages/core/src/answer/Attempt.ts
@@ -33,6 +33,8 @@
   promptTokens: z.number().int().nonnegative(),
   maxTokens: z.number().int().nonnegative(),
   configRevision: z.number().nonnegative(),
+  /** Whether the answer comes token by token. */
+  stream: z.boolean().optional(),
 });
 
 export type Attempt = z.infer<typeof Attempt>;
--- a/packages/dev/src/fleet/DevFleet.ts
+++ b/packages/dev/src/fleet/DevFleet.ts
@@ -25,6 +25,8 @@
 
   readonly #records = new Map<string, InstanceRecord>();
 
+  #openLink: (address: string) => Promise<string> = (address) => Promise.resolve(address);
+
   readonly store: StoreServer;
 
   readonly instances: InstanceListServer;
@@ -55,6 +57,11 @@
     this.documents = createDocuments(options);
   }
 
+  /** Puts a link before each agent and target that is started from now on. */
+  setLink(open: (address: string) => Promise<string>): void {
+    this.#openLink = open;
+  }
+
   /** Starts everything and accepts the documents. */
   async start(): Promise<void> {
     await this.store.start();
@@ -104,7 +111,7 @@
         service,
         kind: service === 'canerota' ? 'model' : 'plain',
         target,
-        target_origin: origin,
+        target_origin: `http://${await this.#openLink(new URL(origin).host)}`,
       },
       platform: this.#describePlatform(),
       log: { level: this.#options.logLevel },
@@ -116,7 +123,7 @@
       id: settings.agent.id,
       role: 'agent',
       zone: settings.agent.zone,
-      address: agent.address,
+      address: await this.#openLink(agent.address),
       target: settings.agent.target,
       state: 'live',
     });
--- a/packages/entry/src/loop/Entry.ts
+++ b/packages/entry/src/loop/Entry.ts
@@ -196,15 +196,19 @@
     const { request, prefixHashes, tried } = run;
     const nowMs = clock.getNow();
     const cost = { promptTokens: request.promptTokens, maxTokens: request.maxTokens, prefixHashes };
-    const picked = router.pick({
+    const query = {
       service: request.service,
       workspace: request.workspace,
       priority: request.priority,
       deadlineMs: run.deadlineAtMs - nowMs,
       repeatable: run.repeatable,
-      tried,
       ...cost,
-    });
+    };
+    let picked = router.pick({ ...query, tried });
+    if (picked.err && picked.val.kind === 'no_target' && run.canTryAgain) {
+      // Every target failed once; by now their silent connections have been replaced.
+      picked = router.pick({ ...query, tried: new Set() });
+    }
     if (picked.err) {
       // The last refusal says more than that no target is left.
       const failure = picked.val.kind === 'no_target' ? (run.failure ?? picked.val) : picked.val;
--- a/packages/entry/src/request/EntryRun.ts
+++ b/packages/entry/src/request/EntryRun.ts
@@ -1,5 +1,6 @@
 import {
   AnswerAssembler,
+  answerTable,
   type Attempt,
   type Failure,
   type Incarnation,
@@ -93,6 +94,13 @@
     return this.#isEnded;
   }
 
+  /** Whether a target that failed before may get another attempt: its path failed, not the request. */
+  get canTryAgain(): boolean {
+    return (
+      this.#failure !== null && this.isRetrySafe && answerTable[this.#failure.kind].run !== 'no'
+    );
+  }
+
   /** The attempt in progress, if any. */
   get current(): CurrentAttempt | null {
     return this.#current;
@@ -126,6 +134,7 @@
       promptTokens: request.promptTokens,
       maxTokens: request.maxTokens,
       configRevision: this.#configRevision,
+      stream: request.stream,
     };
   }
 
--- a/packages/rpc/src/channel/channelOptions.ts
+++ b/packages/rpc/src/channel/channelOptions.ts
@@ -1,6 +1,7 @@
 import type { ChannelOptions } from '@grpc/grpc-js';
 
-const KEEPALIVE_MS = 2000;
+const KEEPALIVE_MS = 4000;
+const KEEPALIVE_TIMEOUT_MS = 2000;
 
 /** Options of every channel between limpetbay processes. */
 export const channelOptions: ChannelOptions = {
@@ -9,8 +10,9 @@
   // A replaced channel must open a connection of its own.
   'grpc.use_local_subchannel_pool': 1,
   'grpc.keepalive_time_ms': KEEPALIVE_MS,
-  'grpc.keepalive_timeout_ms': KEEPALIVE_MS,
-  'grpc.keepalive_permit_without_calls': 0,
+  'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
+  // An idle channel that went silent is found before the next attempt needs it.
+  'grpc.keepalive_permit_without_calls': 1,
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.max_reconnect_backoff_ms': 2000,
   'grpc.service_config_disable_resolution': 1,
--- a/packages/targets/src/http/HttpTarget.ts
+++ b/packages/targets/src/http/HttpTarget.ts
@@ -7,6 +7,8 @@
 import type { TargetListener } from './TargetListener.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
+const IDLE_TIMEOUT_MS = 1000;
+const TCP_KEEPALIVE_MS = 1000;
 const END_OF_STREAM = '[DONE]';
 const RESUME_HEADER = 'limpetbay-resume-from';
 
@@ -57,7 +59,14 @@
 
 function createPool(origin: string): Pool {
   return new Pool(origin, {
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: {
+      timeout: CONNECT_TIMEOUT_MS,
+      keepAlive: true,
+      keepAliveInitialDelay: TCP_KEEPALIVE_MS,
+    },
+    // An idle connection that went silent is dropped before a later call can take it.
+    keepAliveTimeout: IDLE_TIMEOUT_MS,
+    keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
     // Progress is watched by the agent, which knows the step time and the deadline.
     headersTimeout: 0,
     bodyTimeout: 0,
