--- a/packages/core/src/routing/scoreTarget.ts
+++ b/packages/core/src/routing/scoreTarget.ts
@@ -15,12 +15,16 @@
 /** Most KV pressure that counts; beyond it the request waits for memory in any case. */
 const MOST_KV_PRESSURE = 4;
 
-/** Returns the request's tokens as a share of the KV memory that is free. */
-function computeKvPressure(view: TargetView, tokens: number): number {
+/**
+ * Returns the request's tokens as a share of the KV memory that is free. It fades with the age of the
+ * report, so that a target whose memory was once full is tried again.
+ */
+function computeKvPressure(view: TargetView, tokens: number, nowMs: number): number {
   const { report } = view;
   if (report === null || report.kvFree >= 1 || report.tokensInFlight <= 0) return 0;
   const capacity = report.tokensInFlight / (1 - report.kvFree);
-  return Math.min(MOST_KV_PRESSURE, tokens / Math.max(1, capacity * report.kvFree));
+  const pressure = Math.min(MOST_KV_PRESSURE, tokens / Math.max(1, capacity * report.kvFree));
+  return pressure * view.getReportWeight(nowMs);
 }
 
 /**
@@ -59,7 +63,7 @@
   const tokens = view.estimateTokens(nowMs, load);
   const share = (tokens + cost / 2) / Math.max(1, load.serviceTokensPerSlot * limit);
   const rise = (cost / Math.max(1, load.serviceCost)) * share ** (NORM - 1);
-  const pressure = computeKvPressure(view, prefillTokens + answerTokens);
+  const pressure = computeKvPressure(view, prefillTokens + answerTokens, nowMs);
   const slotWait = Math.max(0, inFlight + 1 - limit) / limit;
   const prefillMs =
     settings.prefillMsPerToken * (view.getQueuedPromptTokens(nowMs) + prefillTokens);
--- a/packages/core/test/routing-subset.test.ts
+++ b/packages/core/test/routing-subset.test.ts
@@ -37,7 +37,9 @@
     const subset = chooseSubset(entries[0]!, entries, listTargets(400), limits);
     expect(subset.length).toBeLessThan(60);
     expect(new Set(subset.map(({ zone }) => zone)).size).toBe(4);
-    expect(chooseSubset(entries[0]!, [], listTargets(400), limits).length).toBe(24);
+    const alone = chooseSubset(entries[0]!, [], listTargets(400), limits);
+    expect(alone.length).toBe(24);
+    expect(chooseSubset(entries[1]!, [], listTargets(400), limits)).not.toEqual(alone);
   });
 
   // Guards against new connections for most targets whenever one entry or target comes or goes.
--- a/packages/core/test/routing.test.ts
+++ b/packages/core/test/routing.test.ts
@@ -118,6 +118,30 @@
     );
   });
 
+  describe('places that come back', () => {
+    // Guards against a target that stays unused because it gets no work and so sends no report, and
+    // against all requests asking it at once.
+    it('asks a target again with a single request', () => {
+      reportAll();
+      router.acceptLoad(createReport('t0', { state: 'not_ready' }));
+      let asked = 0;
+      for (let index = 0; index < 150; index += 1) {
+        clock.advance(30);
+        if (pickOne().target === 't0') asked += 1;
+      }
+      expect(asked).toBe(1);
+    });
+
+    // Guards against the full load on cold targets when a zone is taken in again.
+    it('sends little to a zone that has just returned', () => {
+      reportAll();
+      router.setZones(service, [], [zones[0]!]);
+      router.setZones(service, [], []);
+      const counts = countPicks(200);
+      expect((counts.get('t0') ?? 0) + (counts.get('t3') ?? 0)).toBeLessThan(20);
+    });
+  });
+
   describe('lagging load', () => {
     // Guards against a herd: many requests to the one target that an old report calls idle.
     it('spreads sends although one stale report shows an idle target', () => {
@@ -157,10 +181,29 @@
     });
 
     // Guards against a ramping target getting the share of a warm one.
-    it('sends little to a target that grants little', () => {
+    it('sends little to an idle target that grants little', () => {
+      reportAll();
+      router.acceptLoad(createReport('t0', { limit: 8, inFlight: 0, tokensInFlight: 0 }));
+      expect(countPicks(600).get('t0') ?? 0).toBeLessThan(150);
+    });
+
+    // Guards against a full target at the start of its ramp looking idle beside loaded warm ones.
+    it('sends nothing to a ramping target that is full', () => {
       reportAll();
-      router.acceptLoad(createReport('t0', { limit: 1, inFlight: 0, tokensInFlight: 0 }));
-      expect(countPicks(400).get('t0') ?? 0).toBeLessThan(40);
+      router.acceptLoad(
+        createReport('t0', { limit: 4, inFlight: 4, tokensInFlight: 4000, kvFree: 0.9 }),
+      );
+      expect(countPicks(200).get('t0') ?? 0).toBeLessThan(2);
+    });
+
+    // Guards against a ramping target that is left for ever with the limit and the free memory of its
+    // last report.
+    it('expects a low limit to grow since its report', () => {
+      reportAll();
+      router.acceptLoad(createReport('t0', { limit: 1, inFlight: 1, tokensInFlight: 1000 }));
+      clock.advance(12_000);
+      for (let rank = 1; rank < 6; rank += 1) router.acceptLoad(createReport(`t${rank}`));
+      expect(countPicks(200).get('t0') ?? 0).toBeGreaterThan(10);
     });
 
     // Guards against a group with one overloaded rank attracting load to its other ranks.
@@ -246,8 +289,9 @@
     it('ignores the cached prefix beyond the allowed skew', () => {
       reportAll();
       sendEvent(1, prefixHashes);
-      router.acceptLoad(createReport('t3', { tokensInFlight: 20_000 }));
-      expect(countCached()).toBeLessThan(20);
+      router.acceptLoad(createReport('t3', { tokensInFlight: 12_000 }));
+      const counts = countPicks(100, { prefixHashes, promptTokens: 4000 });
+      expect(counts.get('t3') ?? 0).toBeLessThan(80);
     });
   });
 
@@ -313,6 +357,28 @@
       failTarget('t5');
       const counts = countPicks(300);
       expect(counts.has('t8') || counts.has('t11')).toBe(false);
+      // The zone may come back cold: one answer from it must not bring its full share at once.
+      const answered = { ...pickOne(), target: TargetId.parse('t8'), zone: zones[2]! };
+      router.recordSend(answered, createRequest());
+      router.recordFinish(answered, 'complete');
+      clock.advance(4500);
+      for (const rank of [0, 1, 3, 4, 6, 7, 9, 10]) router.acceptLoad(createReport(`t${rank}`));
+      expect(countPicks(400).get('t11') ?? 0).toBeLessThan(25);
+    });
+
+    // Guards against taking the refusal of a working agent for the recovery of its broken engine.
+    it('keeps the breaker of an engine open when the probe is refused', () => {
+      reportAll();
+      for (let count = 0; count < 2; count += 1) {
+        router.recordFailure(TargetId.parse('t0'), 'target_error');
+      }
+      clock.advance(1100);
+      const probe = pickOne();
+      expect(probe.probe).toBe(true);
+      router.recordSend(probe, createRequest());
+      router.recordFinish(probe, 'overloaded');
+      clock.advance(6000);
+      expect(countPicks(300, { repeatable: false }).has('t0')).toBe(false);
     });
 
     // Guards against an entry that cuts off all zones because its own network fails.
@@ -325,6 +391,9 @@
       }
       clock.advance(2500);
       expect(router.pick(createRequest()).ok).toBe(true);
+      for (let rank = 0; rank < 6; rank += 1) router.recordFrame(TargetId.parse(`t${rank}`));
+      clock.advance(60);
+      expect(pickOne().reason).toBe('lowest score');
     });
 
     // Guards against new work for a target that has gone silent, before attempts are given up.
