Admit to an idle target whatever the estimate, and compare only settled bands

Cause: with exponential service times the target refused everything for ever once the estimate exceeded the callers' deadlines, as only new samples correct it. One lucky sample became the warm value, and bands of almost equal concurrency were compared. Change: an idle target takes any request; estimates end with a restart of the ramp; the warm value is a plain mean until settled; bands need 16 samples and a tenth more concurrency; silently cold needs five of nine samples.

--- a/packages/core/src/admission/TargetAdmission.ts
+++ b/packages/core/src/admission/TargetAdmission.ts
@@ -452,7 +452,9 @@
     if (blocked !== null) return blocked;
     const { item } = entry;
     if (this.#isStale(item)) return this.#buildStale(item);
-    const serviceMs = this.#estimator.estimate(entry.paceClass, entry.cost);
+    // An idle target takes any request: without samples a wrong estimate would never be corrected.
+    const idle = this.#running.size === 0;
+    const serviceMs = idle ? 0 : this.#estimator.estimate(entry.paceClass, entry.cost);
     if (entry.deadlineMs - serviceMs <= nowMs) return this.#buildLate(nowMs, entry);
     const closed = nowMs < this.#closedUntilMs || this.#memory.isFull();
     if (item.repeatable !== true && closed) {
@@ -590,6 +592,7 @@
     this.#ramp?.restart();
     this.#adaptive?.reset();
     this.#pace.clearRecent();
+    this.#estimator.clear();
     this.#rampWindow.reset(nowMs);
     this.#adaptiveWindow.reset(nowMs);
     this.#rampChangedMs = nowMs;
--- a/packages/core/src/overload/ConcurrencyGradient.ts
+++ b/packages/core/src/overload/ConcurrencyGradient.ts
@@ -13,6 +13,10 @@
 const BANDS_PER_DOUBLING = 4;
 /** Measurements of this many samples replace half of what was known of a band. */
 const HALF_SAMPLES = 64;
+/** Measurements closer than this differ by less than their noise. */
+const LEAST_INCREASE = 1.1;
+/** Bands with fewer samples are not compared: their spread is not known either. */
+const LEAST_SAMPLES = 16;
 /**
  * Older measurements are forgotten: a target that has become faster or slower meanwhile must not
  * be held at a limit that the old ones suggest.
@@ -81,12 +85,13 @@
   compute(concurrency: number): number {
     const index = this.#findBand(concurrency);
     const here = this.#bands[index];
-    if (here === undefined) return Infinity;
+    if (here === undefined || here.samples < LEAST_SAMPLES) return Infinity;
     let gradient = Infinity;
-    for (let lower = 0; lower <= index - 1; lower += 1) {
+    for (let lower = 0; lower < index; lower += 1) {
       const band = this.#bands[lower];
-      if (band === undefined) continue;
+      if (band === undefined || band.samples < LEAST_SAMPLES) continue;
       const increase = here.concurrency / band.concurrency;
+      if (increase < LEAST_INCREASE) continue;
       const gain = ((increase * band.ratio) / here.ratio) * (1 + computeError(here, band));
       gradient = Math.min(gradient, gain / increase ** Math.log2(WORTHWHILE_GAIN));
     }
@@ -95,9 +100,9 @@
 
   /** Tells whether a concurrency between half of this one and clearly below it is known. */
   hasNear(concurrency: number): boolean {
-    const index = this.#findBand(concurrency);
-    for (let lower = index - BANDS_PER_DOUBLING; lower <= index - 1; lower += 1) {
-      if (this.#bands[lower] !== undefined) return true;
+    for (const band of this.#bands) {
+      const increase = band === undefined ? 0 : concurrency / band.concurrency;
+      if (increase >= LEAST_INCREASE && increase <= 2) return true;
     }
     return false;
   }
--- a/packages/core/src/overload/ServiceTimeEstimator.ts
+++ b/packages/core/src/overload/ServiceTimeEstimator.ts
@@ -25,6 +25,12 @@
 
   #all: Estimate | null = null;
 
+  /** Forgets everything, as it belongs to the time before a restart. */
+  clear(): void {
+    this.#classes.clear();
+    this.#all = null;
+  }
+
   record(name: string, cost: number, timeMs: number): void {
     const first = { timeMs, deviationMs: 0, cost };
     this.#all = this.#all === null ? first : updateEstimate(this.#all, timeMs, cost);
--- a/packages/core/src/ramp/PaceTracker.ts
+++ b/packages/core/src/ramp/PaceTracker.ts
@@ -12,13 +12,18 @@
 /** A service has few routes and cost bands; more classes than this are not compared. */
 const MAX_CLASSES = 64;
 const MAX_WINDOW = 64;
-/** One slow request must not restart a ramp; the median of five needs three. */
-const RECENT = 5;
+/**
+ * One slow request must not restart a ramp; the median of nine needs five. With three of five, a
+ * target with exponential service times would restart about once an hour by chance.
+ */
+const RECENT = 9;
 /**
  * Samples after which the warm value follows only slowly. Before that it is the mean of what was
  * seen: following the faster windows alone would end at the luckiest one.
  */
 const SETTLED_SAMPLES = 64;
+/** A single short request is no proof that the target became faster. */
+const IMPROVED_SAMPLES = 8;
 /** A slower window at light load counts for less, so that a slow decline stays visible. */
 const RISE_FACTOR = 0.2;
 /** Steady windows after which a slower pace becomes the new warm value (changed model). */
@@ -97,13 +102,14 @@
       paceClass.window = [];
       const oldMs = paceClass.warmMs;
       const improving = (paceLimits.improving / computeSlack(samples)) * (oldMs ?? Infinity);
-      if (oldMs === null || relearn || median < improving) {
+      const improved = samples >= IMPROVED_SAMPLES && median < improving;
+      if (oldMs === null || relearn || improved) {
         paceClass.warmMs = median;
         paceClass.seen = samples;
       } else {
         const settled = paceClass.seen >= SETTLED_SAMPLES;
         const rises = median > oldMs;
-        if (rises && (median > paceLimits.near * oldMs || (settled && loaded))) continue;
+        if (settled && rises && (loaded || median > paceLimits.near * oldMs)) continue;
         paceClass.seen = Math.min(SETTLED_SAMPLES, paceClass.seen + samples);
         const weight = samples / (paceClass.seen + (settled ? samples : 0));
         const factor = settled && rises ? RISE_FACTOR : 1;
--- a/packages/core/src/ramp/Ramp.ts
+++ b/packages/core/src/ramp/Ramp.ts
@@ -91,7 +91,7 @@
     const grown = this.#limit > this.#provenLimit;
     const slack = computeSlack(usage.samples, usage.paceSpread);
     const slow = ratio !== null && ratio > paceLimits.slow * slack;
-    if (slow || (grown && worse > WORSE_SHRINK * slack) || usage.errorShare >= FAILING_SHARE) {
+    if (slow || (grown && worse > WORSE_SHRINK * slack ** 2) || usage.errorShare >= FAILING_SHARE) {
       const floor = Math.min(this.#settings.start, this.#full);
       // Back to the last grant that did well, or to half if that one is at fault.
       const target = grown ? this.#provenLimit : this.#limit * SHRINK_FACTOR;
@@ -104,7 +104,7 @@
     if (usage.errorShare >= CLEAN_SHARE) return 'held';
     if (ratio === null || ratio > paceLimits.near * slack) return 'held';
     if (ratio < paceLimits.improving / slack) return 'held';
-    if (grown && worse > WORSE_HOLD * slack) return 'held';
+    if (grown && worse > WORSE_HOLD * slack ** 2) return 'held';
     if (usage.waiting > Math.max(1, this.#limit * WAITING_SHARE)) return 'held';
     this.#provenLimit = this.#limit;
     this.#provenRatio = ratio;
--- a/packages/core/test/admission.test.ts
+++ b/packages/core/test/admission.test.ts
@@ -199,6 +199,16 @@
     expect(listRefused(admission.tick())).toEqual([[queued, 'deadline_exceeded']]);
   });
 
+  // Guards against a target that refuses everything for ever after its requests took longer than
+  // callers wait: only new samples correct the estimate.
+  it('takes a request when idle although the estimate exceeds its deadline', () => {
+    const item = fixture.buildItem();
+    fixture.submit(item);
+    admission.finish(item, { ...WARM, serviceTimeMs: 60_000 });
+    expect(fixture.submit()).toBe('start');
+    expect(fixture.submit()).toBe('deadline_exceeded');
+  });
+
   // Guards against a slot that leaks with a cancelled request, and a cancelled one that runs.
   it('frees the slot of a cancelled request and never starts a cancelled one', () => {
     const running = fixture.buildItem();
