Skip the requests of the old limit by number instead of by start

Cause: after each change of a limit only requests started since counted, which kept the short ones; the low limit then looked fast, and the limit spiralled down. Change: as many finished requests as are in flight at the change are left out.

--- a/packages/core/src/admission/TargetAdmission.ts
+++ b/packages/core/src/admission/TargetAdmission.ts
@@ -122,10 +122,8 @@
 
   readonly #adaptiveWindow: UsageWindow;
 
-  /** Samples of requests started before say nothing about the present limit. */
-  #rampChangedMs: number;
-
-  #adaptiveChangedMs: number;
+  /** Samples of requests started before say nothing about the target as it is now. */
+  #restartedMs: number;
 
   #rampRestarts = 0;
 
@@ -157,8 +155,7 @@
     this.#incarnation = Incarnation.parse(this.#clock.getWallTime().getTime() * 1000);
     this.#rampWindow = new UsageWindow(nowMs);
     this.#adaptiveWindow = new UsageWindow(nowMs);
-    this.#rampChangedMs = nowMs;
-    this.#adaptiveChangedMs = nowMs;
+    this.#restartedMs = nowMs;
   }
 
   /** Takes over a document; null means that none is known. Older revisions are ignored. */
@@ -207,7 +204,10 @@
     }
     this.#rampWindow.recordWaiting(status.waiting);
     if (status.stepTimeMs > 0 && this.#running.size > 0) {
-      this.#recordPace(nowMs, STEP_CLASS, status.stepTimeMs, nowMs);
+      const ratio = this.#pace.record(STEP_CLASS, status.stepTimeMs);
+      this.#rampWindow.recordPace(ratio, true);
+      this.#adaptiveWindow.recordPace(ratio, true);
+      this.#checkCold(nowMs);
     }
     return this.tick();
   }
@@ -289,13 +289,17 @@
     if (running === null) return this.tick();
     this.#finishedCount += 1;
     const { entry, startedMs } = running;
-    if (startedMs >= this.#rampChangedMs) this.#rampWindow.recordFinish(sample.error);
-    if (startedMs >= this.#adaptiveChangedMs) this.#adaptiveWindow.recordFinish(sample.error);
+    const current = startedMs >= this.#restartedMs;
+    const inRamp = current && this.#rampWindow.recordFinish(sample.error);
+    const inAdaptive = current && this.#adaptiveWindow.recordFinish(sample.error);
     if (!sample.error) {
       this.#estimator.record(entry.paceClass, entry.cost, sample.serviceTimeMs);
-      const step = sample.stepTimeMs > 0;
-      const paceMs = step ? sample.stepTimeMs : sample.serviceTimeMs;
-      this.#recordPace(nowMs, step ? STEP_CLASS : entry.paceClass, paceMs, startedMs);
+      const isStep = sample.stepTimeMs > 0;
+      const name = isStep ? STEP_CLASS : entry.paceClass;
+      const ratio = this.#pace.record(name, isStep ? sample.stepTimeMs : sample.serviceTimeMs);
+      if (inRamp) this.#rampWindow.recordPace(ratio, isStep);
+      if (inAdaptive) this.#adaptiveWindow.recordPace(ratio, isStep);
+      this.#checkCold(nowMs);
     }
     return this.tick();
   }
@@ -574,12 +578,7 @@
     } else this.#remember(nowMs, entry);
   }
 
-  #recordPace(nowMs: number, name: string, paceMs: number, startedMs: number): void {
-    const ratio = this.#pace.record(name, paceMs);
-    if (startedMs >= this.#rampChangedMs) this.#rampWindow.recordPace(ratio, name === STEP_CLASS);
-    if (startedMs >= this.#adaptiveChangedMs) {
-      this.#adaptiveWindow.recordPace(ratio, name === STEP_CLASS);
-    }
+  #checkCold(nowMs: number): void {
     const ramp = this.#ramp;
     if (ramp === null || ramp.isAtStart()) return;
     const known = this.#adaptive?.getExpectedRatio(this.#running.size) ?? 1;
@@ -595,8 +594,7 @@
     this.#estimator.clear();
     this.#rampWindow.reset(nowMs);
     this.#adaptiveWindow.reset(nowMs);
-    this.#rampChangedMs = nowMs;
-    this.#adaptiveChangedMs = nowMs;
+    this.#restartedMs = nowMs;
     this.#rampRestarts += 1;
     this.#rampReason = reason;
     this.#updateUse(nowMs);
@@ -614,10 +612,7 @@
       // While the ramp is the lower limit it alone decides.
       const binding = adaptive.getLimit() <= ramp.getLimit();
       const change = binding ? adaptive.advance(nowMs, usage, this.#getLimit()) : 'held';
-      if (change === 'shrank') {
-        this.#adaptiveChangedMs = nowMs;
-      }
-      this.#adaptiveWindow.reset(nowMs);
+      this.#adaptiveWindow.reset(nowMs, change === 'shrank' ? this.#running.size : 0);
     }
     if (this.#rampWindow.getLength(nowMs) < ramp.getIntervalMs()) return;
     const usage = this.#rampWindow.describe(nowMs, this.#listSlow(nowMs));
@@ -628,22 +623,21 @@
     // Without enough samples the interval is extended: it says nothing about the target yet.
     if (change === 'held' && (usage.samples === 0 || !usage.complete)) return;
     this.#paceRatio = usage.paceRatio;
-    if (change !== 'held') this.#rampChangedMs = nowMs;
     if (change === 'shrank' && !atStart) {
       adaptive.lower(ramp.getProvenLimit());
-      this.#adaptiveChangedMs = nowMs;
+      this.#adaptiveWindow.reset(nowMs, this.#running.size);
     }
     const loaded = usage.reachedLimit && !atStart;
     const factor = this.#pace.closeWindow(usage.paceRatio, loaded, usage.errorShare > 0);
     adaptive.scale(factor);
-    this.#rampWindow.reset(nowMs);
+    this.#rampWindow.reset(nowMs, change === 'held' ? 0 : this.#running.size);
   }
 
   /** Lists the pace so far of requests in progress that are slow already. */
   #listSlow(nowMs: number): number[] {
     const ratios: number[] = [];
     for (const { entry, startedMs } of this.#running.values()) {
-      if (startedMs < this.#rampChangedMs) continue;
+      if (startedMs < this.#restartedMs) continue;
       // Where the pace is a step time, the service time is compared with its usual spread.
       const highMs = this.#estimator.estimateHigh(entry.paceClass, entry.cost);
       const usualMs = this.#pace.getWarm(entry.paceClass) ?? highMs;
--- a/packages/core/src/ramp/UsageWindow.ts
+++ b/packages/core/src/ramp/UsageWindow.ts
@@ -33,6 +33,8 @@
 
   #samples = 0;
 
+  #skipped = 0;
+
   #steps = 0;
 
   #waiting = 0;
@@ -44,8 +46,15 @@
     this.#updatedMs = nowMs;
   }
 
-  /** Begins a new window; the present use carries over. */
-  reset(nowMs: number): void {
+  /**
+   * Begins a new window; the present use carries over.
+   *
+   * @param skipped finished requests to leave out first: after a change of the limit, about as
+   *   many as are in flight belong to the old one. Leaving out requests by their start instead
+   *   would keep the short ones only.
+   */
+  reset(nowMs: number, skipped = 0): void {
+    this.#skipped = skipped;
     this.#integrate(nowMs);
     this.#startMs = nowMs;
     this.#useMs = 0;
@@ -67,9 +76,15 @@
     if (this.#use >= 1) this.#reachedLimit = true;
   }
 
-  recordFinish(error: boolean): void {
+  /** @returns whether the request counts */
+  recordFinish(error: boolean): boolean {
+    if (this.#skipped > 0 && !error) {
+      this.#skipped -= 1;
+      return false;
+    }
     this.#finished += 1;
     if (error) this.#failed += 1;
+    return true;
   }
 
   /**
