Add the planner and rank roles over the injected interfaces

Cause: the agent daemon needs the switch as something it can start, with the store, the peers, the engine and the counts behind interfaces. Change: RankRole reads the store or asks its peers after a start, seeks a decision, abandons a switch that stays undecided, and tells the engine each map before it grants steps of it. PlannerRole acquires and renews the lease, follows the counts and runs the actions of MapSwitchPlanner.

--- /dev/null
+++ b/packages/core/src/mapswitch/PlannerRole.ts
@@ -0,0 +1,294 @@
+import type { Clock } from '../clock/Clock.js';
+import type { ChangeCost } from '../experts/ChangeCost.js';
+import { ExpertLoad } from '../experts/ExpertLoad.js';
+import type { ExpertMap } from '../experts/ExpertMap.js';
+import type { LayerPlacement } from '../experts/LayerPlacement.js';
+import { PlacementPlanner } from '../experts/PlacementPlanner.js';
+import type { Epoch } from '../ids/Epoch.js';
+import type { Incarnation } from '../ids/Incarnation.js';
+import type { Revision } from '../ids/Revision.js';
+import type { Store } from '../store/Store.js';
+import type { ExpertCounts } from './ExpertCounts.js';
+import type { GroupPeers } from './GroupPeers.js';
+import type { MapRecord } from './MapRecord.js';
+import { MapSwitchPlanner } from './MapSwitchPlanner.js';
+import type { PlannerAction } from './PlannerAction.js';
+import { PlannerLease } from './PlannerLease.js';
+import type { PlannerRecord } from './PlannerRecord.js';
+import { formatGroupKey } from './formatGroupKey.js';
+import { readGroup } from './readGroup.js';
+
+interface PlannerRoleOptions {
+  readonly group: string;
+  readonly ranks: number;
+  /** Name of this process and its start; unique, because it begins every operation id. */
+  readonly holder: string;
+  readonly leaseTtlMs: number;
+  readonly leadSteps: number;
+  /** Time after which a switch that waits for promises is abandoned, milliseconds. */
+  readonly patienceMs: number;
+  /** Time after which weights that are not loaded end the proposal, milliseconds. */
+  readonly loadTimeoutMs: number;
+  readonly cost: ChangeCost;
+  /** The map of a group that has no record yet. */
+  readonly firstMap: ExpertMap;
+}
+
+/**
+ * Runs the planner of a group in an agent: seeks the lease, follows the counts, and drives a switch
+ * where a change is worthwhile. The agent calls `tick` about once a second.
+ */
+export class PlannerRole {
+  readonly #options: PlannerRoleOptions;
+
+  readonly #clock: Clock;
+
+  readonly #store: Store;
+
+  readonly #peers: GroupPeers;
+
+  readonly #counts: ExpertCounts;
+
+  readonly #lease: PlannerLease;
+
+  #planner: MapSwitchPlanner;
+
+  #leaseName = '';
+
+  #loads: ExpertLoad[] = [];
+
+  #placements: PlacementPlanner[] = [];
+
+  #forceVersion = -1;
+
+  #phaseSinceMs = 0;
+
+  #lastPhase = '';
+
+  #attempts = 0;
+
+  #isTicking = false;
+
+  constructor(
+    options: PlannerRoleOptions,
+    clock: Clock,
+    store: Store,
+    peers: GroupPeers,
+    counts: ExpertCounts,
+  ) {
+    this.#options = options;
+    this.#clock = clock;
+    this.#store = store;
+    this.#peers = peers;
+    this.#counts = counts;
+    this.#lease = new PlannerLease(clock);
+    this.#planner = this.#createPlanner();
+  }
+
+  isHolder(): boolean {
+    return this.#lease.isHeld();
+  }
+
+  getState(): ReturnType<MapSwitchPlanner['getState']> {
+    return this.#planner.getState();
+  }
+
+  /** Does what is due. Returns when it is done. */
+  async tick(): Promise<void> {
+    if (this.#isTicking) return;
+    this.#isTicking = true;
+    try {
+      if (this.#lease.isHeld()) await this.#renew();
+      else await this.#acquire();
+      if (this.#lease.isHeld()) await this.#drive();
+    } finally {
+      this.#isTicking = false;
+    }
+  }
+
+  /** Gives the lease up, on a planned stop. */
+  async release(): Promise<void> {
+    if (!this.#lease.isHeld()) return;
+    this.#lease.drop();
+    await this.#store.revokeLease(this.#leaseName);
+  }
+
+  #createPlanner(): MapSwitchPlanner {
+    const { ranks, leadSteps, holder } = this.#options;
+    return new MapSwitchPlanner({ ranks, leadSteps, operations: holder }, this.#lease);
+  }
+
+  async #renew(): Promise<void> {
+    const sentAtMs = this.#clock.getNow();
+    const leftMs = this.#lease.getState().heldUntilMs - sentAtMs;
+    if (leftMs > this.#options.leaseTtlMs / 2) return;
+    const renewed = await this.#store.renewLease(this.#leaseName);
+    if (renewed.ok) this.#lease.renew(sentAtMs, renewed.val.ttlMs);
+    else if (renewed.val.kind === 'stale_epoch') this.#lease.drop();
+  }
+
+  async #acquire(): Promise<void> {
+    const { group, holder, leaseTtlMs } = this.#options;
+    const read = await readGroup(this.#store, group);
+    if (read.err || read.val.isLeased) return;
+    const sentAtMs = this.#clock.getNow();
+    const granted = await this.#store.grantLease(leaseTtlMs);
+    if (granted.err) return;
+    const { lease, ttlMs } = granted.val;
+    this.#attempts += 1;
+    const epoch = (read.val.epoch + 1) as Epoch;
+    const record: PlannerRecord = {
+      epoch,
+      holder,
+      operation: `${holder}/acquire/${this.#attempts}`,
+    };
+    const planner = formatGroupKey(group, 'planner');
+    const leaseKey = formatGroupKey(group, 'planner-lease');
+    const committed = await this.#store.commit({
+      conditions: [
+        { key: planner, revision: read.val.plannerRevision },
+        { key: leaseKey, revision: 0 },
+      ],
+      writes: [
+        { key: planner, value: JSON.stringify(record) },
+        { key: leaseKey, value: holder, lease },
+      ],
+    });
+    if (committed.ok && !committed.val.committed) {
+      await this.#store.revokeLease(lease);
+      return;
+    }
+    // A lost answer is settled by the operation id, and the map record must be read in any case.
+    const after = await readGroup(this.#store, group);
+    if (after.err || after.val.planner?.operation !== record.operation) return;
+    this.#leaseName = lease;
+    this.#lease.accept(sentAtMs, ttlMs, epoch, after.val.plannerRevision as Revision);
+    this.#planner = this.#createPlanner();
+    if (after.val.map === null) await this.#createRecord(epoch);
+    else {
+      await this.#run(this.#planner.acceptRecord(after.val.map, after.val.mapRevision as Revision));
+    }
+  }
+
+  /** Writes the first map record of a group; the next tick reads it. */
+  async #createRecord(epoch: Epoch): Promise<void> {
+    const { group, holder, firstMap, ranks } = this.#options;
+    const record: MapRecord = {
+      epoch,
+      operation: `${holder}/first`,
+      status: 'committed',
+      boundary: 0,
+      incarnations: Array.from({ length: ranks }, () => 0 as Incarnation),
+      map: firstMap,
+      previous: firstMap,
+    };
+    const key = formatGroupKey(group, 'map');
+    await this.#store.commit({
+      conditions: [{ key, revision: 0 }],
+      writes: [{ key, value: JSON.stringify(record) }],
+    });
+  }
+
+  async #drive(): Promise<void> {
+    const { phase, record } = this.#planner.getState();
+    const nowMs = this.#clock.getNow();
+    if (phase !== this.#lastPhase) this.#phaseSinceMs = nowMs;
+    this.#lastPhase = phase;
+    const waitedMs = nowMs - this.#phaseSinceMs;
+    if (phase === 'idle' && record !== null) await this.#propose(record);
+    else if (phase === 'preparing') {
+      if (waitedMs < this.#options.loadTimeoutMs) await this.#run(this.#planner.askAgain());
+      else this.#planner.cancel();
+    } else if (phase !== 'promising') await this.#run(this.#planner.handleTimeout());
+    else if (waitedMs >= this.#options.patienceMs) await this.#run(this.#planner.handleTimeout());
+  }
+
+  async #propose(record: MapRecord): Promise<void> {
+    const inForce = record.status === 'committed' ? record.map : record.previous;
+    this.#noteForce(inForce);
+    const counts = await this.#counts.read();
+    if (counts.err) return;
+    let hasChange = false;
+    const layers = inForce.layers.map((layer, index): LayerPlacement => {
+      const load = this.#loads[index];
+      const placement = this.#placements[index];
+      const seen = counts.val.layers[index];
+      if (load === undefined || placement === undefined || seen === undefined) return layer;
+      load.acceptCounts(seen, counts.val.endMs);
+      if (load.getShares().length === 0) return layer;
+      const { next } = placement.choosePlacement(layer, load.getShares());
+      if (next !== null) hasChange = true;
+      return next ?? layer;
+    });
+    if (hasChange) await this.#run(this.#planner.begin(layers));
+  }
+
+  /** Keeps one estimator and one placement planner a layer, and tells them of a new map. */
+  #noteForce(map: ExpertMap): void {
+    if (this.#loads.length !== map.layers.length) {
+      this.#loads = map.layers.map(() => new ExpertLoad());
+      this.#placements = map.layers.map(
+        () => new PlacementPlanner(this.#clock, this.#options.cost),
+      );
+    } else if (map.version !== this.#forceVersion) {
+      for (const placement of this.#placements) placement.recordChange();
+    }
+    this.#forceVersion = map.version;
+  }
+
+  async #run(actions: readonly PlannerAction[]): Promise<void> {
+    await Promise.all(
+      actions.map(async (action) => {
+        // Time has passed since the decision to act, for instance in a pause of the process.
+        if (this.#lease.isHeld()) await this.#run(await this.#runAction(action));
+      }),
+    );
+  }
+
+  async #runAction(action: PlannerAction): Promise<PlannerAction[]> {
+    switch (action.kind) {
+      case 'prepare': {
+        const reply = await this.#peers.prepare(action.rank, action.request);
+        return reply.ok ? this.#planner.acceptPrepared(reply.val) : [];
+      }
+      case 'promise': {
+        const reply = await this.#peers.promise(action.rank, action.record);
+        return reply.ok ? this.#planner.acceptPromise(reply.val) : [];
+      }
+      case 'tell':
+        await this.#peers.tell(action.rank, action.record);
+        return [];
+      case 'read': {
+        const read = await readGroup(this.#store, this.#options.group);
+        if (read.err || read.val.map === null) return [];
+        return this.#planner.acceptRecord(read.val.map, read.val.mapRevision as Revision);
+      }
+      default:
+        return this.#write(action);
+    }
+  }
+
+  async #write(action: PlannerAction & { kind: 'write' }): Promise<PlannerAction[]> {
+    const { group } = this.#options;
+    const key = formatGroupKey(group, 'map');
+    const committed = await this.#store.commit({
+      conditions: [
+        { key, revision: action.mapRevision },
+        { key: formatGroupKey(group, 'planner'), revision: action.plannerRevision },
+      ],
+      writes: [{ key, value: JSON.stringify(action.record) }],
+    });
+    const { operation } = action.record;
+    // The next tick reads again; a read at once would repeat without pause in an outage.
+    if (committed.err) return [];
+    const planner = committed.val.current.find((it) => it.key === formatGroupKey(group, 'planner'));
+    const isReplaced = planner !== undefined && planner.revision !== action.plannerRevision;
+    if (!committed.val.committed && isReplaced) {
+      // Another planner raised the epoch; no write of this one can succeed any more.
+      this.#lease.drop();
+      return [];
+    }
+    const outcome = committed.val.committed ? committed.val.revision : 'conflict';
+    return this.#planner.acceptWrite(operation, outcome);
+  }
+}
--- /dev/null
+++ b/packages/core/src/mapswitch/RankRole.ts
@@ -0,0 +1,229 @@
+import type { Clock } from '../clock/Clock.js';
+import type { ExpertMap } from '../experts/ExpertMap.js';
+import type { Incarnation } from '../ids/Incarnation.js';
+import type { Store } from '../store/Store.js';
+import type { EngineSteps } from './EngineSteps.js';
+import type { GroupPeers } from './GroupPeers.js';
+import type { MapRecord } from './MapRecord.js';
+import type { PrepareReply } from './PrepareReply.js';
+import type { PrepareRequest } from './PrepareRequest.js';
+import type { PromiseReply } from './PromiseReply.js';
+import type { RankEvidence } from './RankEvidence.js';
+import { StepGate } from './StepGate.js';
+import { formatGroupKey } from './formatGroupKey.js';
+import { readGroup } from './readGroup.js';
+
+interface RankRoleOptions {
+  readonly group: string;
+  readonly rank: number;
+  readonly ranks: number;
+  /** Steps granted ahead of the engine. */
+  readonly window: number;
+  /** Time after which an undecided switch is abandoned, milliseconds. */
+  readonly patienceMs: number;
+  readonly incarnation: Incarnation;
+  /** The engine's next step when the agent starts. */
+  readonly engineStep: number;
+}
+
+/**
+ * Runs the rank side of the map switch for an agent. The agent hands over peers' calls and the
+ * engine's steps, and calls `tick` several times in each window of steps.
+ */
+export class RankRole {
+  readonly #options: RankRoleOptions;
+
+  readonly #clock: Clock;
+
+  readonly #store: Store;
+
+  readonly #peers: GroupPeers;
+
+  readonly #engine: EngineSteps;
+
+  readonly #gate: StepGate;
+
+  #undecidedSinceMs = Infinity;
+
+  /** Versions that the engine has been told since its or the agent's start. */
+  readonly #told = new Set<number>();
+
+  #isTicking = false;
+
+  /** Request whose weights are being loaded; a repeated request starts no second load. */
+  #loading = '';
+
+  constructor(
+    options: RankRoleOptions,
+    clock: Clock,
+    store: Store,
+    peers: GroupPeers,
+    engine: EngineSteps,
+  ) {
+    this.#options = options;
+    this.#clock = clock;
+    this.#store = store;
+    this.#peers = peers;
+    this.#engine = engine;
+    const { incarnation, engineStep } = options;
+    this.#gate = new StepGate(options, StepGate.createState(options, incarnation, engineStep));
+  }
+
+  getState(): ReturnType<StepGate['getState']> {
+    return this.#gate.getState();
+  }
+
+  /** Answers a planner. Loading goes on behind the answer; the planner asks again. */
+  handlePrepare(request: PrepareRequest): PrepareReply {
+    const reply = this.#gate.answerPrepare(request);
+    const name = `${request.epoch}/${request.map.version}`;
+    if (reply.refusal === null && !reply.isLoaded && this.#loading !== name) {
+      this.#loading = name;
+      void this.#load(request, name);
+    }
+    return reply;
+  }
+
+  handlePromise(record: MapRecord): PromiseReply {
+    const reply = this.#gate.answerPromise(record);
+    this.#noteUndecided();
+    return reply;
+  }
+
+  handleTell(record: MapRecord): void {
+    this.#gate.learnDecision(record);
+    this.#noteUndecided();
+  }
+
+  handleAsk(rank: number, incarnation: Incarnation): RankEvidence {
+    return this.#gate.answerResume(rank, incarnation);
+  }
+
+  /** Notes the engine's next step. */
+  acceptStep(engineStep: number): void {
+    this.#gate.acceptStep(engineStep);
+  }
+
+  /** Notes an engine restart: it has lost its weights and the map it was told. */
+  restartEngine(incarnation: Incarnation): void {
+    this.#gate.restartEngine(incarnation);
+    this.#told.clear();
+    this.#loading = '';
+  }
+
+  /** Does what is due: reads the store, seeks a decision, grants steps. Returns when it is done. */
+  async tick(): Promise<void> {
+    if (this.#isTicking) return;
+    this.#isTicking = true;
+    try {
+      if (this.#gate.getState().source !== 'store') await this.#resume();
+      if (this.#gate.isUndecided()) await this.#seekDecision();
+      await this.#grant();
+    } finally {
+      this.#isTicking = false;
+    }
+  }
+
+  async #load(request: PrepareRequest, name: string): Promise<void> {
+    const loaded = await this.#engine.loadWeights(request.map);
+    if (this.#loading !== name) return;
+    this.#loading = '';
+    if (loaded.ok) this.#gate.confirmLoaded(request);
+  }
+
+  async #resume(): Promise<void> {
+    const read = await readGroup(this.#store, this.#options.group);
+    if (read.ok) {
+      if (read.val.map !== null) this.#gate.acceptStoreRecord(read.val.map, read.val.epoch);
+    } else if (this.#gate.getState().source === 'none') {
+      this.#gate.acceptEvidence(await this.#askPeers());
+    }
+    this.#noteUndecided();
+  }
+
+  async #askPeers(): Promise<RankEvidence[]> {
+    const { rank, ranks } = this.#options;
+    const { incarnation } = this.#gate.getState();
+    const others = Array.from({ length: ranks }, (_, other) => other).filter((it) => it !== rank);
+    const answers = await Promise.all(
+      others.map((other) => this.#peers.ask(other, { rank, incarnation })),
+    );
+    const evidence: RankEvidence[] = [];
+    for (const answer of answers) if (answer.ok) evidence.push(answer.val);
+    return evidence;
+  }
+
+  /** Asks peers, then the store; ends the switch by CAS where it stays undecided for too long. */
+  async #seekDecision(): Promise<void> {
+    const isLate = this.#clock.getNow() - this.#undecidedSinceMs >= this.#options.patienceMs;
+    if (!isLate && !this.#gate.isWaiting()) return;
+    for (const evidence of await this.#askPeers()) {
+      if (evidence.record !== null) this.#gate.learnDecision(evidence.record);
+    }
+    if (this.#gate.isUndecided()) await this.#askStore(isLate);
+    this.#noteUndecided();
+  }
+
+  async #askStore(isLate: boolean): Promise<void> {
+    const { group, rank } = this.#options;
+    const read = await readGroup(this.#store, group);
+    if (read.err || read.val.map === null) return;
+    const { map, mapRevision } = read.val;
+    this.#gate.learnDecision(map);
+    if (!isLate || map.status !== 'pending') return;
+    const { record, incarnation } = this.#gate.getState();
+    if (record?.map.version !== map.map.version) return;
+    const next = this.#gate.buildAbandon(`rank-${rank}/${incarnation}/${map.map.version}`);
+    if (next === null) return;
+    const key = formatGroupKey(group, 'map');
+    // Whatever becomes of this write, the decision is learned from a read.
+    await this.#store.commit({
+      conditions: [{ key, revision: mapRevision }],
+      writes: [{ key, value: JSON.stringify(next) }],
+    });
+    const after = await readGroup(this.#store, group);
+    if (after.ok && after.val.map !== null) this.#gate.learnDecision(after.val.map);
+  }
+
+  async #grant(): Promise<void> {
+    if (this.#gate.isWaiting()) {
+      this.#gate.recordStall();
+      return;
+    }
+    if (!(await this.#tellMaps())) return;
+    const grant = this.#gate.grant();
+    // A decision that came during the calls above goes to the engine first, in the next tick.
+    if (grant !== null && this.#listMaps().length === 0) await this.#engine.grant(grant);
+  }
+
+  /** Tells the engine the maps of the known record. @returns whether it knows all of them */
+  async #tellMaps(): Promise<boolean> {
+    for (const { map, boundary } of this.#listMaps()) {
+      // After a restart nobody knows what the engine holds; loading again what it holds is quick.
+      const loaded = await this.#engine.loadWeights(map);
+      if (loaded.err) return false;
+      const switched = await this.#engine.switchMap(map, boundary);
+      if (switched.err) return false;
+      this.#told.add(map.version);
+    }
+    return true;
+  }
+
+  /** Lists the maps that the engine needs and has not been told, in order of their first step. */
+  #listMaps(): { readonly map: ExpertMap; readonly boundary: number }[] {
+    const { record, engineStep } = this.#gate.getState();
+    if (record === null) return [];
+    const isCommitted = record.status === 'committed';
+    const maps = [];
+    if (!isCommitted || engineStep < record.boundary) {
+      maps.push({ map: record.previous, boundary: 0 });
+    }
+    if (isCommitted) maps.push({ map: record.map, boundary: record.boundary });
+    return maps.filter(({ map }) => !this.#told.has(map.version));
+  }
+
+  #noteUndecided(): void {
+    if (!this.#gate.isUndecided()) this.#undecidedSinceMs = Infinity;
+    else if (this.#undecidedSinceMs === Infinity) this.#undecidedSinceMs = this.#clock.getNow();
+  }
+}
--- /dev/null
+++ b/packages/core/src/mapswitch/parseMapRecord.ts
@@ -0,0 +1,17 @@
+import type { Result } from 'ts-results';
+import type { Failure } from '../errors/Failure.js';
+import { fail } from '../errors/fail.js';
+import { Ok } from '../errors/results.js';
+import { MapRecord } from './MapRecord.js';
+
+/** Parses the value of a map record. Fails with `internal`. */
+export function parseMapRecord(value: string): Result<MapRecord, Failure> {
+  let json: unknown;
+  try {
+    json = JSON.parse(value);
+  } catch {
+    return fail('internal', 'the map record is not JSON');
+  }
+  const parsed = MapRecord.safeParse(json);
+  return parsed.success ? Ok(parsed.data) : fail('internal', 'the map record has another shape');
+}
--- /dev/null
+++ b/packages/core/test/fakes/FakeGroup.ts
@@ -0,0 +1,157 @@
+import { ManualClock, Ok, PlannerRole, RankRole, fail, packLayer } from '@limpetbay/core';
+import type {
+  EngineSteps,
+  ExpertCounts,
+  Failure,
+  GroupPeers,
+  Incarnation,
+  Result,
+  StepGrant,
+} from '@limpetbay/core';
+import { FakeStore } from './FakeStore.js';
+
+interface FakeEngine extends EngineSteps {
+  until: number;
+  /** Versions and the first step of each, as told. */
+  readonly maps: { readonly version: number; readonly boundary: number }[];
+}
+
+const RANKS = 4;
+const EXPERTS = 16;
+const CALM = Array.from({ length: EXPERTS }, () => 1000);
+const COST = {
+  bytesPerCopy: 1e6,
+  weightBytesPerSecond: 1e8,
+  lossPerLoadSecond: 0.1,
+  stallSeconds: 0,
+  expertShare: 0.5,
+  maxLoadsPerRank: 2,
+};
+
+/** Four ranks and any number of planners over a fake store, run in lock-step by `runSteps`. */
+export class FakeGroup {
+  readonly clock = new ManualClock();
+
+  readonly store = new FakeStore(this.clock);
+
+  readonly engines: FakeEngine[] = [];
+
+  readonly ranks: RankRole[] = [];
+
+  /** Ranks whose calls fail. */
+  readonly lost = new Set<number>();
+
+  /** Whether the last rank's promises are lost. */
+  isPromiseLost = false;
+
+  counts = CALM;
+
+  step = 0;
+
+  stalledSteps = 0;
+
+  /** Steps that ran with more than one map. */
+  mixedSteps = 0;
+
+  readonly #peers: GroupPeers = {
+    prepare: (rank, request) => this.#call(rank, (role) => role.handlePrepare(request)),
+    promise: async (rank, record) => {
+      const reply = await this.#call(rank, (role) => role.handlePromise(record));
+      return this.isPromiseLost && rank === RANKS - 1 ? fail('timed_out', 'no answer') : reply;
+    },
+    tell: (rank, record) => this.#call(rank, (role) => role.handleTell(record)),
+    ask: (rank, asker) => this.#call(rank, (role) => role.handleAsk(asker.rank, asker.incarnation)),
+  };
+
+  constructor() {
+    for (let rank = 0; rank < RANKS; rank += 1) {
+      this.engines.push(FakeGroup.#createEngine());
+      this.restartRank(rank);
+    }
+  }
+
+  static #createEngine(): FakeEngine {
+    return {
+      until: -1,
+      maps: [],
+      loadWeights: async () => Ok(undefined),
+      async grant(grant: StepGrant) {
+        this.until = Math.max(this.until, grant.until);
+        return Ok(undefined);
+      },
+      async switchMap(map, boundary) {
+        this.maps.push({ version: map.version, boundary });
+        return Ok(undefined);
+      },
+    };
+  }
+
+  createPlanner(holder: string): PlannerRole {
+    const source: ExpertCounts = {
+      read: async () => Ok({ layers: [this.counts], endMs: this.clock.getNow() }),
+    };
+    const options = {
+      group: 'g0',
+      ranks: RANKS,
+      holder,
+      leaseTtlMs: 4000,
+      leadSteps: 20,
+      patienceMs: 500,
+      loadTimeoutMs: 5000,
+      cost: COST,
+      firstMap: { version: 1, layers: [packLayer(CALM, RANKS, 6)] },
+    };
+    return new PlannerRole(options, this.clock, this.store, this.#peers, source);
+  }
+
+  restartRank(rank: number): void {
+    const engine = this.engines[rank];
+    if (engine === undefined) return;
+    const options = {
+      group: 'g0',
+      rank,
+      ranks: RANKS,
+      window: 10,
+      patienceMs: 500,
+      incarnation: (this.clock.getNow() + 1) as Incarnation,
+      engineStep: this.step,
+    };
+    this.ranks[rank] = new RankRole(options, this.clock, this.store, this.#peers, engine);
+  }
+
+  /** Runs steps of 50 ms; the planners tick in each. */
+  async runSteps(count: number, planners: readonly PlannerRole[] = []): Promise<void> {
+    for (let index = 0; index < count; index += 1) {
+      this.clock.advance(50);
+      for (const planner of planners) await planner.tick();
+      for (const role of this.ranks) await role.tick();
+      if (this.engines.some((engine) => engine.until < this.step)) {
+        this.stalledSteps += 1;
+        continue;
+      }
+      const versions = this.engines.map((engine) => this.#getVersion(engine));
+      if (new Set(versions).size > 1) this.mixedSteps += 1;
+      this.step += 1;
+      for (const role of this.ranks) role.acceptStep(this.step);
+    }
+  }
+
+  getVersion(): number {
+    const [engine] = this.engines;
+    return engine === undefined ? -1 : this.#getVersion(engine);
+  }
+
+  #getVersion(engine: FakeEngine): number {
+    let version = -1;
+    for (const told of engine.maps) {
+      if (told.boundary <= this.step) version = Math.max(version, told.version);
+    }
+    return version;
+  }
+
+  async #call<T>(rank: number, use: (role: RankRole) => T): Promise<Result<T, Failure>> {
+    const role = this.ranks[rank];
+    if (role === undefined || this.lost.has(rank)) return fail('timed_out', 'no answer');
+    return Ok(use(role));
+  }
+}
--- /dev/null
+++ b/packages/core/test/mapswitch.test.ts
@@ -0,0 +1,81 @@
+import { describe, expect, it } from 'vitest';
+import { ManualClock, PlannerLease, StepGate } from '@limpetbay/core';
+import type { Epoch, Incarnation, MapRecord, Revision } from '@limpetbay/core';
+
+const CONFIG = { rank: 0, ranks: 2, window: 4 };
+const RECORD: MapRecord = {
+  epoch: 3 as Epoch,
+  operation: 'a',
+  status: 'committed',
+  boundary: 0,
+  incarnations: [5 as Incarnation, 5 as Incarnation],
+  map: { version: 7, layers: [] },
+  previous: { version: 6, layers: [] },
+};
+
+function createPending(boundary: number): MapRecord {
+  const map = { version: 8, layers: [] };
+  return { ...RECORD, status: 'pending', operation: 'b', boundary, map, previous: RECORD.map };
+}
+
+function createGate(): StepGate {
+  const gate = new StepGate(CONFIG, StepGate.createState(CONFIG, 5 as Incarnation, 10));
+  gate.acceptStoreRecord(RECORD, 3 as Epoch);
+  gate.confirmLoaded({ epoch: 3 as Epoch, map: { version: 8, layers: [] } });
+  return gate;
+}
+
+describe('StepGate', () => {
+  // Guards against a restarted agent that grants before it knows the map.
+  it('grants nothing before it has read the store', () => {
+    const gate = new StepGate(CONFIG, StepGate.createState(CONFIG, 5 as Incarnation, 10));
+    expect(gate.grant()).toBeNull();
+    expect(gate.isWaiting()).toBe(true);
+  });
+
+  // Guards against a promise for steps that the agent before this one may have granted.
+  it('refuses a boundary within a window of the engine after its start', () => {
+    expect(createGate().answerPromise(createPending(13)).refusal).toBe('granted');
+    expect(createGate().answerPromise(createPending(14)).refusal).toBeNull();
+  });
+
+  // Guards against a promise without weights, which would stall the group at the boundary.
+  it('refuses a promise without weights, of another planner or of an old incarnation', () => {
+    const gate = createGate();
+    gate.restartEngine(6 as Incarnation);
+    expect(gate.answerPromise(createPending(20)).refusal).toBe('old_incarnation');
+    const record = createPending(20);
+    const incarnations = [6, 5] as Incarnation[];
+    expect(gate.answerPromise({ ...record, incarnations }).refusal).toBe('not_loaded');
+    const stale = { ...record, epoch: 2 as Epoch };
+    expect(createGate().answerPromise(stale).refusal).toBe('stale_epoch');
+  });
+
+  // Guards against a change of map without a decision.
+  it('grants up to the boundary, and on with the decided map', () => {
+    const gate = createGate();
+    gate.answerPromise(createPending(14));
+    gate.acceptStep(13);
+    expect(gate.grant()).toMatchObject({ until: 13, versionBefore: 7, versionFrom: null });
+    gate.acceptStep(14);
+    expect(gate.grant()).toBeNull();
+    gate.learnDecision({ ...createPending(14), status: 'committed' });
+    expect(gate.grant()).toMatchObject({ until: 17, boundary: 14, versionFrom: 8 });
+  });
+});
+
+describe('PlannerLease', () => {
+  // Guards against a holder that counts its lease from the answer, or that wakes and acts.
+  it('ends by its own clock from before the request, and stays ended', () => {
+    const clock = new ManualClock();
+    const lease = new PlannerLease(clock);
+    clock.advance(800);
+    lease.accept(0, 4000, 1 as Epoch, 2 as Revision);
+    clock.advance(2199);
+    expect(lease.isHeld()).toBe(true);
+    clock.advance(1);
+    expect(lease.isHeld()).toBe(false);
+    lease.renew(3000, 4000);
+    expect(lease.isHeld()).toBe(false);
+  });
+});
