--- a/packages/core/src/mapswitch/PlannerRole.ts
+++ b/packages/core/src/mapswitch/PlannerRole.ts
@@ -195,6 +195,7 @@
     if (phase !== this.#lastPhase) this.#phaseSinceMs = nowMs;
     this.#lastPhase = phase;
     const waitedMs = nowMs - this.#phaseSinceMs;
+    if (record !== null) await this.#followCounts(record);
     if (phase === 'idle' && record !== null) await this.#propose(record);
     else if (phase === 'preparing') {
       if (waitedMs < this.#options.loadTimeoutMs) await this.#run(this.#planner.askAgain());
@@ -203,20 +204,23 @@
     else if (waitedMs >= this.#options.patienceMs) await this.#run(this.#planner.handleTimeout());
   }
 
-  async #propose(record: MapRecord): Promise<void> {
-    const inForce = record.status === 'committed' ? record.map : record.previous;
-    this.#noteForce(inForce);
+  /** Follows the counts in every phase, so that a jump is known when a switch ends. */
+  async #followCounts(record: MapRecord): Promise<void> {
+    this.#noteForce(record.status === 'committed' ? record.map : record.previous);
     const counts = await this.#counts.read();
     if (counts.err) return;
+    for (const [index, layer] of counts.val.layers.entries()) {
+      this.#loads[index]?.acceptCounts(layer, counts.val.endMs);
+    }
+  }
+
+  async #propose(record: MapRecord): Promise<void> {
+    const inForce = record.status === 'committed' ? record.map : record.previous;
     let hasChange = false;
     const layers = inForce.layers.map((layer, index): LayerPlacement => {
-      const load = this.#loads[index];
-      const placement = this.#placements[index];
-      const seen = counts.val.layers[index];
-      if (load === undefined || placement === undefined || seen === undefined) return layer;
-      load.acceptCounts(seen, counts.val.endMs);
-      if (load.getShares().length === 0) return layer;
-      const { next } = placement.choosePlacement(layer, load.getShares());
+      const shares = this.#loads[index]?.getShares() ?? [];
+      if (shares.length === 0) return layer;
+      const next = this.#placements[index]?.choosePlacement(layer, shares).next ?? null;
       if (next !== null) hasChange = true;
       return next ?? layer;
     });
--- a/packages/core/src/mapswitch/RankRole.ts
+++ b/packages/core/src/mapswitch/RankRole.ts
@@ -21,6 +21,8 @@
   readonly window: number;
   /** Time after which an undecided switch is abandoned, milliseconds. */
   readonly patienceMs: number;
+  /** Usual time of a step, milliseconds; the unit in which stalls are counted. */
+  readonly stepTimeMs: number;
   readonly incarnation: Incarnation;
   /** The engine's next step when the agent starts. */
   readonly engineStep: number;
@@ -45,6 +47,8 @@
 
   #undecidedSinceMs = Infinity;
 
+  #stalledSinceMs = Infinity;
+
   /** Versions that the engine has been told since its or the agent's start. */
   readonly #told = new Set<number>();
 
@@ -187,9 +191,10 @@
 
   async #grant(): Promise<void> {
     if (this.#gate.isWaiting()) {
-      this.#gate.recordStall();
+      this.#countStall();
       return;
     }
+    this.#stalledSinceMs = Infinity;
     if (!(await this.#tellMaps())) return;
     const grant = this.#gate.grant();
     // A decision that came during the calls above goes to the engine first, in the next tick.
@@ -222,6 +227,15 @@
     return maps.filter(({ map }) => !this.#told.has(map.version));
   }
 
+  #countStall(): void {
+    const nowMs = this.#clock.getNow();
+    if (this.#stalledSinceMs === Infinity) this.#stalledSinceMs = nowMs;
+    while (nowMs - this.#stalledSinceMs >= this.#options.stepTimeMs) {
+      this.#gate.recordStall();
+      this.#stalledSinceMs += this.#options.stepTimeMs;
+    }
+  }
+
   #noteUndecided(): void {
     if (!this.#gate.isUndecided()) this.#undecidedSinceMs = Infinity;
     else if (this.#undecidedSinceMs === Infinity) this.#undecidedSinceMs = this.#clock.getNow();
--- a/packages/core/src/mapswitch/StepGateState.ts
+++ b/packages/core/src/mapswitch/StepGateState.ts
@@ -19,6 +19,6 @@
   readonly loaded: { readonly version: number; readonly epoch: Epoch } | null;
   /** Newest known incarnation by rank; the pledges of `RankEvidence`. */
   readonly seen: readonly Incarnation[];
-  /** Steps, or times of a step, for which the engine waited for this gate. */
+  /** Times of a step for which this gate could not grant the engine's next step. */
   readonly stalledSteps: number;
 }
--- a/packages/core/test/fakes/FakeGroup.ts
+++ b/packages/core/test/fakes/FakeGroup.ts
@@ -113,6 +113,7 @@
       ranks: RANKS,
       window: 10,
       patienceMs: 500,
+      stepTimeMs: 50,
       incarnation: (this.clock.getNow() + 1) as Incarnation,
       engineStep: this.step,
     };
--- a/packages/core/test/mapswitchRoles.test.ts
+++ b/packages/core/test/mapswitchRoles.test.ts
@@ -76,6 +76,7 @@
     group.lost.add(2);
     await group.runSteps(50, [planner]);
     expect(group.stalledSteps).toBeGreaterThan(30);
+    expect(group.ranks[1]?.getState().stalledSteps).toBeGreaterThan(30);
     group.store.isDown = false;
     const { step } = group;
     await group.runSteps(20, [planner]);
