--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -4,7 +4,9 @@
 import { claimRateBench } from './benches/claimRate/claimRateBench.js';
 import { configBench } from './benches/configBench.js';
 import { decisionCost } from './benches/decisionCost.js';
+import { entryOverhead } from './benches/entryOverhead.js';
 import { mapSwitchBench } from './benches/mapSwitchBench.js';
+import { mapSwitchWalkBench } from './benches/mapSwitchWalkBench.js';
 import { overload } from './benches/overload.js';
 import { ramp } from './benches/ramp.js';
 import { rolling } from './benches/rolling.js';
@@ -12,7 +14,6 @@
 import { skewBench } from './benches/skewBench.js';
 import { zoneDeath } from './benches/zoneDeath.js';
 import { zoneLeave } from './benches/zoneLeave.js';
-import { entryOverhead } from './benches/entryOverhead.js';
 
 /** All benches by name, in the order in which they run. */
 export const registry: readonly Bench[] = [
@@ -30,4 +31,5 @@
   decisionCost,
   mapSwitchBench,
   entryOverhead,
+  mapSwitchWalkBench,
 ];
