--- a/packages/cli/src/commands/runAccept.ts
+++ b/packages/cli/src/commands/runAccept.ts
@@ -53,7 +53,7 @@
     context.warn(`cannot tell where it is in force: ${list.val.message}`);
     return ExitStatus.unconfirmed;
   }
-  const { confirmed, elapsedMs, missing } = await confirmInForce({
+  const { confirmed, lastMs, missing } = await confirmInForce({
     service: name,
     revision,
     instances: list.val,
@@ -63,7 +63,9 @@
     fetchReport: (address, timeoutMs) => context.relays.fetchReport(address, timeoutMs),
   });
   const total = list.val.length;
-  context.print(`in force in ${confirmed} of ${total} processes after ${Math.round(elapsedMs)} ms`);
+  context.print(
+    `in force in ${confirmed} of ${total} processes, the last after ${Math.round(lastMs)} ms`,
+  );
   if (missing.length === 0) return ExitStatus.ok;
   for (const { instance, reason } of missing.slice(0, MAX_SHOWN)) {
     context.warn(`not confirmed: ${instance.id} (zone ${instance.zone}): ${reason}`);
--- /dev/null
+++ b/packages/operators/test/confirmInForce.test.ts
@@ -0,0 +1,55 @@
+import { expect, it } from 'vitest';
+import { InstanceRecord, ManualClock, Ok, fail } from '@limpetbay/core';
+import { confirmInForce } from '@limpetbay/operators';
+import type { RevisionReport } from '@limpetbay/rpc';
+
+function createInstance(id: string): InstanceRecord {
+  return InstanceRecord.parse({ id, role: 'agent', zone: 'a', address: id, state: 'live' });
+}
+
+function createReport(id: string, revision: number, inForceMs: number): RevisionReport {
+  return {
+    self: { record: createInstance(id), sequence: 1 },
+    revisions: new Map([['x', { revision, deleted: false, inForceMs }]]),
+    state: 'fresh',
+    ready: true,
+    isRelay: false,
+    followers: 0,
+    zoneCount: 1,
+    confirmationAgeMs: 0,
+    outsideContactAgeMs: 0,
+  };
+}
+
+// Guards against an accept that blames processes which it only asked late, that overlooks one in
+// which the document came late, or that forgets one that does not answer.
+it('tells by the age of the revision who had it in force in time', async () => {
+  const clock = new ManualClock();
+  let isAsked = false;
+  const names = ['prompt', 'late', 'dead', 'old', 'newer'];
+  const { confirmed, missing, lastMs } = await confirmInForce({
+    service: 'x',
+    revision: 7,
+    instances: names.map(createInstance),
+    clock,
+    limitMs: 3000,
+    sleep: async (delayMs) => clock.advance(delayMs),
+    fetchReport: async (id) => {
+      // The answers come after the limit.
+      if (!isAsked) clock.advance(4000);
+      isAsked = true;
+      const now = clock.getNow();
+      if (id === 'dead') return fail('timed_out', 'no answer');
+      if (id === 'old') return Ok(createReport(id, 6, now));
+      if (id === 'newer') return Ok(createReport(id, 8, 0));
+      return Ok(createReport(id, 7, now - (id === 'late' ? 3500 : 20)));
+    },
+  });
+  expect(confirmed).toBe(2);
+  expect(lastMs).toBe(20);
+  expect(missing.map(({ instance, reason }) => [instance.id, reason])).toEqual([
+    ['late', 'in force only after 3500 ms'],
+    ['dead', 'no answer at dead'],
+    ['old', 'at revision 6'],
+  ]);
+});
--- a/packages/rpc/src/relay/ConfigService.ts
+++ b/packages/rpc/src/relay/ConfigService.ts
@@ -54,6 +54,8 @@
 
   readonly #listeners = new Set<(document: VersionedDocument) => void>();
 
+  readonly #inForceSince = new Map<string, number>();
+
   #self: AnnouncedInstance;
 
   #timer: NodeJS.Timeout | null = null;
@@ -144,9 +146,10 @@
     const now = this.#options.clock.getNow();
     const confirmedAt = freshness.lastStoreConfirmationAt;
     const contactAt = freshness.lastOutsideContactAt;
-    const revisions = new Map<string, { revision: number; deleted: boolean }>();
+    const revisions = new Map<string, { revision: number; deleted: boolean; inForceMs: number }>();
     for (const { name, revision, document } of table.listDocuments()) {
-      revisions.set(name, { revision, deleted: document === null });
+      const inForceMs = now - (this.#inForceSince.get(name) ?? now);
+      revisions.set(name, { revision, deleted: document === null, inForceMs });
     }
     return {
       self: this.#self,
@@ -178,6 +181,7 @@
 
   #acceptChange(document: VersionedDocument): void {
     const { name, revision } = document;
+    this.#inForceSince.set(name, this.#options.clock.getNow());
     const sentence = document.document === null ? 'document deleted' : 'document in force';
     this.#options.log.report(sentence, { service: name, revision });
     for (const listener of this.#listeners) listener(document);
--- a/packages/rpc/src/relay/RelayClient.ts
+++ b/packages/rpc/src/relay/RelayClient.ts
@@ -100,9 +100,12 @@
           resolve(fail('timed_out', `${address}: ${error?.details ?? 'not a report'}`));
           return;
         }
-        const revisions = new Map<string, { revision: number; deleted: boolean }>();
-        for (const { name, revision, deleted } of message.revisions) {
-          revisions.set(name, { revision, deleted });
+        const revisions = new Map<
+          string,
+          { revision: number; deleted: boolean; inForceMs: number }
+        >();
+        for (const { name, revision, deleted, inForceMs } of message.revisions) {
+          revisions.set(name, { revision, deleted, inForceMs });
         }
         resolve(
           Ok({
--- a/packages/rpc/src/relay/RelayMessages.ts
+++ b/packages/rpc/src/relay/RelayMessages.ts
@@ -13,6 +13,7 @@
   readonly name: string;
   readonly revision: number;
   readonly deleted: boolean;
+  readonly inForceMs: number;
 }
 
 /** The messages of `relay.proto` as proto-loader decodes them. */
