Test what the isolation rule is computed from

Cause: a zone that is cut off must notice it although its processes confirm each other, and a store outage must not look like a partition.

--- a/bench/src/benches/config/SimulatedFleet.ts
+++ b/bench/src/benches/config/SimulatedFleet.ts
@@ -38,6 +38,8 @@
 
   #writes = 0;
 
+  #cutZone: string | null = null;
+
   #revision = 0;
 
   #documentBytes = 0;
@@ -111,12 +113,19 @@
       sequence: this.#starts,
       listInstances: () => this.#records,
       findProcess: (id) => this.#processes.get(id),
+      isConnected: (zone, other) =>
+        zone === other || (zone !== this.#cutZone && other !== this.#cutZone),
       pickLatency: (from, to) => this.#pickLatency(from, to),
     });
     this.#processes.set(record.id, process);
     return process;
   }
 
+  /** Drops everything between a zone and the rest, the store included; null ends it. */
+  setPartition(zone: string | null): void {
+    this.#cutZone = zone;
+  }
+
   /** Lists the running processes. */
   listRunning(): SimulatedProcess[] {
     return [...this.#processes.values()].filter((process) => process.isRunning);
--- a/bench/src/benches/config/SimulatedProcess.ts
+++ b/bench/src/benches/config/SimulatedProcess.ts
@@ -1,6 +1,7 @@
 import {
   ConfigNode,
   Ok,
+  fail,
   type AnnouncedInstance,
   type ConfigPorts,
   type InstanceRecord,
@@ -19,12 +20,15 @@
   readonly sequence: number;
   readonly listInstances: () => readonly InstanceRecord[];
   readonly findProcess: (id: string) => SimulatedProcess | undefined;
+  /** Tells whether messages between a zone and another one, or the store, arrive. */
+  readonly isConnected: (zone: string, other: string | null) => boolean;
   /** One-way latency between two zones, milliseconds. */
   readonly pickLatency: (from: string, to: string) => number;
 }
 
 const TICK_MS = 100;
 const LIST_LATENCY_MS = 20;
+const STORE_TIMEOUT_MS = 1000;
 
 /** One process of the fleet: the real configuration logic over links inside this process. */
 export class SimulatedProcess {
@@ -138,15 +142,29 @@
     this.#options.timeline.schedule(TICK_MS, () => this.#tick());
   }
 
+  #reachesStore(): boolean {
+    return this.#options.isConnected(this.record.zone, null);
+  }
+
   #createPorts(): ConfigPorts {
     const { timeline, store, listInstances } = this.#options;
     return {
-      readDocuments: (respond) =>
-        store.readDocuments((answer) => this.receive(() => respond(answer))),
+      readDocuments: (respond) => {
+        if (this.#reachesStore()) {
+          store.readDocuments((answer) => this.receive(() => respond(answer)));
+          return;
+        }
+        const answer = fail('store_unavailable', 'timed out');
+        timeline.schedule(STORE_TIMEOUT_MS, () => this.receive(() => respond(answer)));
+      },
       watchDocuments: (fromRevision, listener) =>
         store.watchDocuments(fromRevision, {
-          acceptChange: (change) => this.receive(() => listener.acceptChange(change)),
-          acceptProgress: (revision) => this.receive(() => listener.acceptProgress(revision)),
+          acceptChange: (change) => {
+            if (this.#reachesStore()) this.receive(() => listener.acceptChange(change));
+          },
+          acceptProgress: (revision) => {
+            if (this.#reachesStore()) this.receive(() => listener.acceptProgress(revision));
+          },
           acceptEnd: (reason) => this.receive(() => listener.acceptEnd(reason)),
         }),
       fetchInstances: (respond) =>
@@ -169,16 +187,17 @@
     known: ReadonlyMap<string, number>,
     listener: Parameters<ConfigPorts['followPeer']>[3],
   ): () => void {
-    const { timeline, findProcess, pickLatency } = this.#options;
+    const { timeline, findProcess, pickLatency, isConnected } = this.#options;
     // One latency for the whole link keeps its events in order.
     const latencyMs = pickLatency(this.record.zone, peer.zone);
     let isOpen = true;
     let remove: (() => void) | null = null;
     const accept = (event: () => void): void => {
+      if (!isConnected(this.record.zone, peer.zone)) return;
       timeline.schedule(latencyMs, () => this.receive(() => isOpen && event()));
     };
     timeline.schedule(latencyMs, () => {
-      if (!isOpen) return;
+      if (!isOpen || !isConnected(this.record.zone, peer.zone)) return;
       const end = (): void => accept(() => listener.acceptEnd());
       const other = findProcess(peer.id);
       if (other === undefined) end();
