--- /dev/null
+++ b/packages/agent/src/group/EngineCommands.ts
@@ -0,0 +1,59 @@
+import { z } from 'zod';
+import {
+  Ok,
+  type EngineSteps,
+  type ExpertCounts,
+  type ExpertMap,
+  type Failure,
+  type Result,
+  type StepGrant,
+} from '@limpetbay/core';
+import type { EngineClient } from '@limpetbay/targets';
+
+const StepReport = z.object({
+  /** Last step that the engine ran. */
+  step: z.number().int().nonnegative(),
+  /** Wall-clock start of the engine, Unix milliseconds. */
+  startedAtMs: z.number(),
+});
+const CountReport = z.object({ layers: z.array(z.array(z.number())), endMs: z.number() });
+
+/** Gives the commands of the map switch to an engine by its control paths. */
+export class EngineCommands implements EngineSteps, ExpertCounts {
+  readonly #engine: EngineClient;
+
+  readonly #getEpoch: () => number;
+
+  /** @param getEpoch returns the fencing number to send with each command */
+  constructor(engine: EngineClient, getEpoch: () => number) {
+    this.#engine = engine;
+    this.#getEpoch = getEpoch;
+  }
+
+  /** Returns the engine's last step and its start. */
+  readStep(): Promise<Result<z.infer<typeof StepReport>, Failure>> {
+    return this.#engine.read('/steps', StepReport);
+  }
+
+  loadWeights(map: ExpertMap): Promise<Result<void, Failure>> {
+    return this.#send('/orders', { type: 'load_weights', version: map.version, map });
+  }
+
+  grant(grant: StepGrant): Promise<Result<void, Failure>> {
+    return this.#send('/steps', { grantedUntil: grant.until });
+  }
+
+  switchMap(map: ExpertMap, boundary: number): Promise<Result<void, Failure>> {
+    return this.#send('/orders', { type: 'switch_map', version: map.version, atStep: boundary });
+  }
+
+  read(): ReturnType<ExpertCounts['read']> {
+    return this.#engine.read('/experts', CountReport);
+  }
+
+  async #send(path: string, body: object): Promise<Result<void, Failure>> {
+    const epoch = this.#getEpoch();
+    const answer = await this.#engine.send(path, { epoch, ...body }, StepReport);
+    return answer.ok ? Ok(undefined) : answer;
+  }
+}
--- a/packages/agent/src/process/startAgent.ts
+++ b/packages/agent/src/process/startAgent.ts
@@ -5,12 +5,15 @@
   ConfigService,
   createConfigSource,
   createDispatchService,
+  createGroupService,
   createOwnerView,
   dispatchService,
+  groupService,
   openServer,
 } from '@limpetbay/rpc';
 import { MetricRegistry, createLog, waitUntil, type RunningProcess } from '@limpetbay/runtime';
 import { EngineClient, HttpTarget } from '@limpetbay/targets';
+import { GroupRunner } from '../group/GroupRunner.js';
 import { Agent } from '../loop/Agent.js';
 import type { AgentSettings } from '../settings/AgentSettings.js';
 
@@ -59,10 +62,11 @@
   });
   const target = new HttpTarget(own.target_origin);
   const engine = own.kind === 'model' ? new EngineClient(own.target_origin) : null;
+  const source = createConfigSource(config);
   const agent = new Agent({
     clock,
     service: own.service,
-    config: createConfigSource(config),
+    config: source,
     admission,
     ledger,
     target,
@@ -77,9 +81,28 @@
     },
   });
   server.server.addService(dispatchService, createDispatchService(agent));
+  const runner =
+    engine === null || settings.experts.experts === 0
+      ? null
+      : new GroupRunner({
+          id: own.id,
+          service: own.service,
+          target: own.target,
+          clock,
+          store,
+          config: source,
+          engine,
+          settings: settings.experts,
+          getIncarnation: () => admission.getIncarnation(),
+          log: createLog(`group ${own.id}`, logOptions),
+          metrics,
+        });
+  const findHandler = (group: string, rank: number) => runner?.findHandler(group, rank) ?? null;
+  server.server.addService(groupService, createGroupService(findHandler));
   config.start();
   log.report('started', { address: server.address, target: own.target, zone: own.zone });
   const close = (): void => {
+    runner?.stop();
     agent.stop();
     config.stop();
     server.close();
@@ -97,6 +120,7 @@
       await sleep(timing.leave_ms);
       const isDone = await waitUntil(() => agent.countRuns() === 0, timing.stop_grace_ms);
       if (!isDone) log.warn('stopped with requests in progress', { count: agent.countRuns() });
+      await runner?.release();
       await sleep(Math.min(FLUSH_MS, timing.leave_ms));
       log.report('stopped');
       close();
--- a/packages/dev/src/fleet/DevFleet.ts
+++ b/packages/dev/src/fleet/DevFleet.ts
@@ -48,7 +48,11 @@
     this.#options = options;
     this.store = new StoreServer({ clock: this.#clock });
     this.instances = new InstanceListServer({ clock: this.#clock });
-    this.engines = new EngineGroup({ ranks: options.ranks, stepMs: options.stepMs });
+    this.engines = new EngineGroup({
+      ranks: options.ranks,
+      stepMs: options.stepMs,
+      needsGrants: options.experts > 0,
+    });
     const services: PlainService[] = [];
     for (let index = 0; index < options.services; index += 1) {
       services.push(new PlainService(this.bookings));
@@ -116,6 +120,7 @@
       platform: this.#describePlatform(),
       log: { level: this.#options.logLevel },
       timing: { leave_ms: this.#options.leaveMs },
+      experts: { experts: this.#options.experts, step_ms: this.#options.stepMs },
     });
     const agent = await startAgent(settings, this.#clock, this.#random);
     this.agents.set(target, agent);
--- a/packages/dev/src/fleet/DevFleetOptions.ts
+++ b/packages/dev/src/fleet/DevFleetOptions.ts
@@ -4,6 +4,8 @@
   readonly entriesPerZone: number;
   readonly ranks: number;
   readonly services: number;
+  /** Experts of the model group; 0 leaves its steps and maps alone. */
+  readonly experts: number;
   /** Port of the first entry; 0 takes a free one. */
   readonly port: number;
   readonly logLevel: 'info' | 'warn' | 'silent';
--- a/packages/dev/src/fleet/defaultFleetOptions.ts
+++ b/packages/dev/src/fleet/defaultFleetOptions.ts
@@ -6,6 +6,7 @@
   entriesPerZone: 2,
   ranks: 8,
   services: 3,
+  experts: 128,
   port: 0,
   logLevel: 'info',
   stepMs: 20,
--- a/packages/standins/src/engine/EngineGroup.ts
+++ b/packages/standins/src/engine/EngineGroup.ts
@@ -29,6 +29,12 @@
   /** Steps in which two ranks used different maps; must stay empty. */
   readonly mixedSteps: number[] = [];
 
+  /** Tokens that each expert handled in the last interval, by layer. */
+  expertCounts: number[][] = [];
+
+  /** Map version of the last step. */
+  mapVersion = 0;
+
   /** Times that the group waited for a grant. */
   stalls = 0;
 
@@ -43,6 +49,7 @@
           needsGrants: options.needsGrants ?? false,
           coldCapacity: options.coldCapacity ?? Number.POSITIVE_INFINITY,
           warmAfter: options.warmAfter ?? 0,
+          readCounts: () => ({ layers: this.expertCounts, endMs: performance.now() }),
         }),
       );
     }
@@ -54,6 +61,11 @@
     this.#schedule(this.#stepMs);
   }
 
+  /** Returns the last step that the group ran. */
+  getStep(): number {
+    return this.#step;
+  }
+
   /** Ends all ranks. */
   stop(): void {
     if (this.#timer !== null) clearTimeout(this.#timer);
@@ -69,7 +81,7 @@
     let busiest = 0;
     for (const rank of this.ranks) {
       if (!rank.isRunning()) continue;
-      if (rank.isFrozen() || rank.grantedUntil < next) {
+      if (rank.isFrozen() || !rank.isReady(next)) {
         this.stalls += 1;
         this.#schedule(1);
         return;
@@ -80,6 +92,7 @@
     const versions = new Set<number>();
     for (const rank of this.ranks) if (rank.isRunning()) versions.add(rank.advance(next));
     if (versions.size > 1) this.mixedSteps.push(next);
+    for (const version of versions) this.mapVersion = version;
     const stepTimeMs = this.#stepMs * Math.max(1, busiest / NOMINAL_REQUESTS);
     for (const rank of this.ranks) rank.stepTimeMs = stepTimeMs;
     this.#schedule(stepTimeMs);
--- a/packages/standins/src/engine/EngineRank.ts
+++ b/packages/standins/src/engine/EngineRank.ts
@@ -18,6 +18,7 @@
   epoch: z.number(),
   type: z.enum(['load_weights', 'switch_map']),
   version: z.number(),
+  /** First step with the map. */
   atStep: z.number().optional(),
 });
 const Grant = z.object({ epoch: z.number(), grantedUntil: z.number() });
@@ -32,6 +33,8 @@
   readonly coldCapacity: number;
   /** Answers after which a cold rank is warm. */
   readonly warmAfter: number;
+  /** Returns the tokens that each expert handled lately, by layer. */
+  readonly readCounts: () => { readonly layers: number[][]; readonly endMs: number };
 }
 
 /** One rank of the engine stand-in, with its HTTP interface. */
@@ -52,11 +55,13 @@
 
   #frozen = false;
 
-  #mapVersion = 0;
+  /** Map of the last step; null where none was ordered since the start. */
+  #mapVersion: number | null = null;
 
-  #nextMap: { version: number; atStep: number } | null = null;
+  /** Maps that are ordered for later steps, by first step. */
+  #ordered: { version: number; atStep: number }[] = [];
 
-  readonly #loadedVersions = new Set<number>([0]);
+  readonly #loadedVersions = new Set<number>();
 
   /** Last step that the rank may run. */
   grantedUntil: number;
@@ -83,6 +88,11 @@
     this.#startedAtMs = Date.now();
     this.#answered = 0;
     this.#frozen = false;
+    this.#highestEpoch = 0;
+    this.#mapVersion = null;
+    this.#ordered = [];
+    this.#loadedVersions.clear();
+    this.grantedUntil = this.#options.needsGrants ? 0 : Number.POSITIVE_INFINITY;
     const server = createServer((request, response) => {
       void this.#serve(request, response);
     });
@@ -124,19 +134,26 @@
     return this.#server !== null;
   }
 
+  /** Whether the rank may run a step: it was granted, and a map is ordered for it. */
+  isReady(step: number): boolean {
+    if (!this.#options.needsGrants) return true;
+    const hasMap = this.#mapVersion !== null || this.#ordered.some(({ atStep }) => atStep <= step);
+    return hasMap && this.grantedUntil >= step;
+  }
+
   /** Runs one step and returns the map version that it used. */
   advance(step: number): number {
     this.step = step;
-    if (this.#nextMap !== null && step >= this.#nextMap.atStep) {
-      this.#mapVersion = this.#nextMap.version;
-      this.#nextMap = null;
+    for (const { version, atStep } of this.#ordered) {
+      if (step >= atStep) this.#mapVersion = version;
     }
+    this.#ordered = this.#ordered.filter(({ atStep }) => atStep > step);
     for (const generation of this.#active) {
       if (!generation.advance()) continue;
       this.#active.delete(generation);
       this.#answered += 1;
     }
-    return this.#mapVersion;
+    return this.#mapVersion ?? 0;
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -145,7 +162,9 @@
     if (request.url === '/v1/chat/completions') this.#startGeneration(request, response, body);
     else if (request.url === '/load') sendJson(response, 200, this.#describeLoad());
     else if (request.url === '/orders') this.#acceptOrder(response, body);
+    else if (request.url === '/steps' && request.method === 'GET') this.#sendStep(response);
     else if (request.url === '/steps') this.#acceptGrant(response, body);
+    else if (request.url === '/experts') sendJson(response, 200, this.#options.readCounts());
     else sendJson(response, 404, { error: 'no such path' });
   }
 
@@ -186,9 +205,11 @@
     if (!this.#checkEpoch(response, order.data.epoch)) return;
     if (order.data.type === 'load_weights') this.#loadedVersions.add(order.data.version);
     else if (this.#loadedVersions.has(order.data.version)) {
-      this.#nextMap = { version: order.data.version, atStep: order.data.atStep ?? this.step + 1 };
+      const { version, atStep = this.step + 1 } = order.data;
+      this.#ordered.push({ version, atStep });
+      this.#ordered.sort((left, right) => left.atStep - right.atStep);
     }
-    sendJson(response, 200, { step: this.step, mapVersion: this.#mapVersion });
+    this.#sendStep(response);
   }
 
   #acceptGrant(response: ServerResponse, body: unknown): void {
@@ -199,7 +220,13 @@
     }
     if (!this.#checkEpoch(response, grant.data.epoch)) return;
     this.grantedUntil = Math.max(this.grantedUntil, grant.data.grantedUntil);
-    sendJson(response, 200, { step: this.step, grantedUntil: this.grantedUntil });
+    this.#sendStep(response);
+  }
+
+  #sendStep(response: ServerResponse): void {
+    const { grantedUntil, step } = this;
+    const startedAtMs = this.#startedAtMs;
+    sendJson(response, 200, { step, grantedUntil, startedAtMs, mapVersion: this.#mapVersion });
   }
 
   /** Refuses an old fencing number where this engine checks them. */
--- a/packages/targets/src/engine/EngineClient.ts
+++ b/packages/targets/src/engine/EngineClient.ts
@@ -16,7 +16,15 @@
 
   /** Reads the engine's load report. */
   getLoad(): Promise<Result<EngineLoad, Failure>> {
-    return this.#ask('GET', '/load', undefined, EngineLoad);
+    return this.read('/load', EngineLoad);
+  }
+
+  /** Reads a control path and checks the answer. @returns `target_error` where it does not fit */
+  read<Schema extends z.ZodType>(
+    path: string,
+    schema: Schema,
+  ): Promise<Result<z.infer<Schema>, Failure>> {
+    return this.#ask('GET', path, undefined, schema);
   }
 
   /**
