Widen the tolerance of the gradient for service times that spread widely

Cause: the worst of several noisy comparisons counts, so a pool with exponential service times spiralled down to a few slots. Change: the tolerance gains a term in the square of the error.

--- a/packages/core/src/overload/ConcurrencyGradient.ts
+++ b/packages/core/src/overload/ConcurrencyGradient.ts
@@ -26,10 +26,16 @@
 const WORTHWHILE_GAIN = 1.1;
 /** Standard error of a median over the mean absolute deviation of the samples, about. */
 const ERROR_FACTOR = 1.5;
+/**
+ * The worst of several comparisons counts, which with service times that spread as much as their
+ * mean is often wrong by chance. The square widens the tolerance for these and hardly for others.
+ */
+const ERROR_SQUARE_FACTOR = 14;
 
-/** Returns the relative standard error of the difference of two bands. */
-function computeError(a: Band, b: Band): number {
-  return ERROR_FACTOR * Math.sqrt(a.spread ** 2 / a.samples + b.spread ** 2 / b.samples);
+/** Returns the tolerance for the relative difference of two bands. */
+function computeTolerance(a: Band, b: Band): number {
+  const error = Math.sqrt(a.spread ** 2 / a.samples + b.spread ** 2 / b.samples);
+  return ERROR_FACTOR * error + ERROR_SQUARE_FACTOR * error ** 2;
 }
 
 /**
@@ -92,7 +98,7 @@
       if (band === undefined || band.samples < LEAST_SAMPLES) continue;
       const increase = here.concurrency / band.concurrency;
       if (increase < LEAST_INCREASE) continue;
-      const gain = ((increase * band.ratio) / here.ratio) * (1 + computeError(here, band));
+      const gain = ((increase * band.ratio) / here.ratio) * (1 + computeTolerance(here, band));
       gradient = Math.min(gradient, gain / increase ** Math.log2(WORTHWHILE_GAIN));
     }
     return gradient;
