--- a/bench/src/switchmodel/SwitchWorld.ts
+++ b/bench/src/switchmodel/SwitchWorld.ts
@@ -86,7 +86,6 @@
   readonly ticks: number;
   readonly outages: number;
   readonly proposals: number;
-  readonly stalledTicks: number;
   /** What went wrong; empty while every invariant holds. */
   readonly violation: string;
 }
@@ -172,7 +171,7 @@
 
   /** Builds a key that is equal for equal states. */
   buildKey(): string {
-    const { net, ranks, planners, record, stalledTicks, violation, ...rest } = this.#state;
+    const { net, ranks, planners, record, violation, ...rest } = this.#state;
     const parts = [...ranks, ...planners, record].map(getId).join();
     const messages = net.map(getId).sort().join();
     return `${Object.values(rest).map(Number).join()};${parts};${messages}`;
@@ -244,7 +243,6 @@
       ticks: 0,
       outages: 0,
       proposals: 0,
-      stalledTicks: 0,
       violation: '',
     };
   }
--- a/bench/test/mapSwitch.test.ts
+++ b/bench/test/mapSwitch.test.ts
@@ -11,6 +11,7 @@
 import { ForgetsFloor } from './broken/ForgetsFloor.js';
 import { GrantsPastPromise } from './broken/GrantsPastPromise.js';
 import { GuessesAtBoundary } from './broken/GuessesAtBoundary.js';
+import { IgnoresEvidenceOfPromise } from './broken/IgnoresEvidenceOfPromise.js';
 
 const RANDOM_BOUNDS = {
   ranks: 3,
@@ -69,6 +70,10 @@
     expect(findViolation({ ...broken, ranks: 2 })).toContain('maps');
   }, 60_000);
 
+  it('promise known from the evidence of peers ignored', () => {
+    expect(findViolation({ Gate: IgnoresEvidenceOfPromise, ranks: 2 })).toContain('maps');
+  }, 60_000);
+
   it('floor not kept after restart', () => {
     // A planner's late request to prepare reaches a rank that restarted after its successor's.
     const bounds = {
--- a/packages/core/src/experts/PlacementPlanner.ts
+++ b/packages/core/src/experts/PlacementPlanner.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock/Clock.js';
 import type { ChangeCost } from './ChangeCost.js';
 import type { LayerPlacement } from './LayerPlacement.js';
+import type { PlacementChoice } from './PlacementChoice.js';
 import { PlacementSearch } from './PlacementSearch.js';
 import type { SearchStep } from './SearchStep.js';
 import { computeSkew } from './computeSkew.js';
@@ -23,17 +24,6 @@
   readonly urgentSkew: number;
 }
 
-/** The choice for a layer, with the figures for the log line. */
-interface PlacementChoice {
-  /** Null to keep the placement. */
-  readonly next: LayerPlacement | null;
-  readonly skewNow: number;
-  readonly skewNext: number;
-  readonly moves: number;
-  readonly netSavingSeconds: number;
-  readonly reason: 'balanced' | 'recent' | 'small_gain' | 'not_worthwhile' | 'change';
-}
-
 const DEFAULT_OPTIONS: PlannerOptions = {
   startSkew: 1.06,
   stopSkew: 1.02,
--- a/packages/core/src/mapswitch/PlannerRole.ts
+++ b/packages/core/src/mapswitch/PlannerRole.ts
@@ -14,6 +14,7 @@
 import { MapSwitchPlanner } from './MapSwitchPlanner.js';
 import type { PlannerAction } from './PlannerAction.js';
 import { PlannerLease } from './PlannerLease.js';
+import type { PlannerListener } from './PlannerListener.js';
 import type { PlannerRecord } from './PlannerRecord.js';
 import { formatGroupKey } from './formatGroupKey.js';
 import { readGroup } from './readGroup.js';
@@ -49,6 +50,8 @@
 
   readonly #counts: ExpertCounts;
 
+  readonly #listener: PlannerListener | null;
+
   readonly #lease: PlannerLease;
 
   #planner: MapSwitchPlanner;
@@ -65,6 +68,9 @@
 
   #lastPhase = '';
 
+  /** Operation id of the decision that the listener heard last. */
+  #lastDecision = '';
+
   #attempts = 0;
 
   #isTicking = false;
@@ -75,12 +81,14 @@
     store: Store,
     peers: GroupPeers,
     counts: ExpertCounts,
+    listener: PlannerListener | null = null,
   ) {
     this.#options = options;
     this.#clock = clock;
     this.#store = store;
     this.#peers = peers;
     this.#counts = counts;
+    this.#listener = listener;
     this.#lease = new PlannerLease(clock);
     this.#planner = this.#createPlanner();
   }
@@ -191,6 +199,7 @@
 
   async #drive(): Promise<void> {
     const { phase, record } = this.#planner.getState();
+    this.#noteDecision(record);
     const nowMs = this.#clock.getNow();
     if (phase !== this.#lastPhase) this.#phaseSinceMs = nowMs;
     this.#lastPhase = phase;
@@ -220,9 +229,11 @@
     const layers = inForce.layers.map((layer, index): LayerPlacement => {
       const shares = this.#loads[index]?.getShares() ?? [];
       if (shares.length === 0) return layer;
-      const next = this.#placements[index]?.choosePlacement(layer, shares).next ?? null;
-      if (next !== null) hasChange = true;
-      return next ?? layer;
+      const choice = this.#placements[index]?.choosePlacement(layer, shares);
+      if (choice === undefined) return layer;
+      this.#listener?.acceptChoice(index, choice);
+      if (choice.next !== null) hasChange = true;
+      return choice.next ?? layer;
     });
     if (hasChange) await this.#run(this.#planner.begin(layers));
   }
@@ -240,6 +251,13 @@
     this.#forceVersion = map.version;
   }
 
+  #noteDecision(record: MapRecord | null): void {
+    if (record === null || record.status === 'pending') return;
+    if (record.operation === this.#lastDecision) return;
+    this.#lastDecision = record.operation;
+    this.#listener?.acceptDecision(record);
+  }
+
   async #run(actions: readonly PlannerAction[]): Promise<void> {
     await Promise.all(
       actions.map(async (action) => {
--- a/packages/core/test/fakes/FakeGroup.ts
+++ b/packages/core/test/fakes/FakeGroup.ts
@@ -5,6 +5,7 @@
   Failure,
   GroupPeers,
   Incarnation,
+  PlannerListener,
   Result,
   StepGrant,
 } from '@limpetbay/core';
@@ -46,6 +47,9 @@
 
   counts = CALM;
 
+  /** What the planners reported: version and status. */
+  readonly decisions: string[] = [];
+
   step = 0;
 
   stalledSteps = 0;
@@ -101,7 +105,11 @@
       cost: COST,
       firstMap: { version: 1, layers: [packLayer(CALM, RANKS, 6)] },
     };
-    return new PlannerRole(options, this.clock, this.store, this.#peers, source);
+    const listener: PlannerListener = {
+      acceptChoice: () => undefined,
+      acceptDecision: (record) => this.decisions.push(`${record.map.version} ${record.status}`),
+    };
+    return new PlannerRole(options, this.clock, this.store, this.#peers, source, listener);
   }
 
   restartRank(rank: number): void {
--- a/packages/core/test/mapswitchRoles.test.ts
+++ b/packages/core/test/mapswitchRoles.test.ts
@@ -32,6 +32,7 @@
     expect(group.store.lostAnswers).toBe(0);
     expect(group).toMatchObject({ mixedSteps: 0, stalledSteps: 0 });
     expect(group.getVersion()).toBe(2);
+    expect(group.decisions).toEqual(['1 committed', '2 committed']);
   });
 
   // Guards against a group that waits for a planner that died between intent and decision.
