Show what is in force in status while the store is down

Cause: with the store down, status showed no services at all, which is when an operator needs them most. Change: the accepted revisions then come from the processes; problems state how many of how many instances, and who hears no other zone. Conclusion: status answers without the store.

--- a/packages/cli/test/runApp.test.ts
+++ b/packages/cli/test/runApp.test.ts
@@ -162,6 +162,9 @@
     const status = await run('status', '--settings', settings);
     expect(status.status).toBe(1);
     expect(status.out).toMatch(/^PROBLEMS: 2\n1\. the store does not answer/);
+    expect(status.out).toContain('2. no answer: 1 of 2 instances');
     expect(status.out).toContain('entry-a-1 (zone a, entry, 127.0.0.1');
+    // While the store is down, the processes still tell what is in force.
+    expect(status.out).toMatch(/^bookings +2 +1 of 2 /m);
   });
 });
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -17,3 +17,4 @@
 export { collectStatus } from './status/collectStatus.js';
 export { findProblems } from './status/findProblems.js';
 export { formatStatus } from './status/formatStatus.js';
+export { listAccepted } from './status/listAccepted.js';
--- a/packages/operators/src/status/findProblems.ts
+++ b/packages/operators/src/status/findProblems.ts
@@ -1,6 +1,10 @@
 import type { InstanceRecord } from '@limpetbay/core';
 import type { RevisionReport } from '@limpetbay/rpc';
 import type { StatusView } from './StatusView.js';
+import { listAccepted } from './listAccepted.js';
+
+/** Section 6 of the design page: `isolation_grace`. */
+const ISOLATION_GRACE_MS = 3000;
 
 interface Problem {
   readonly summary: string;
@@ -37,7 +41,7 @@
 
 function findBehind(view: StatusView, report: RevisionReport): string[] {
   const behind: string[] = [];
-  for (const { name, revision } of view.documents ?? []) {
+  for (const { name, revision } of listAccepted(view)) {
     const known = report.revisions.get(name)?.revision;
     if (known !== undefined && known >= revision) continue;
     behind.push(`${name} at ${known ?? 'none'} instead of ${revision}`);
@@ -45,6 +49,14 @@
   return behind;
 }
 
+function describeAge(report: RevisionReport): string {
+  const { state, confirmationAgeMs, outsideContactAgeMs, zoneCount } = report;
+  const confirmed =
+    confirmationAgeMs === null ? 'never' : `${Math.round(confirmationAgeMs / 1000)} s ago`;
+  const isAlone = (outsideContactAgeMs ?? Infinity) >= ISOLATION_GRACE_MS && zoneCount > 1;
+  return `${state}, confirmed ${confirmed}${isAlone ? ', hears no other zone' : ''}`;
+}
+
 /** Finds what an operator should act on, most important first. */
 export function findProblems(view: StatusView): Problem[] {
   const problems = findSharedProblems(view);
@@ -60,32 +72,29 @@
       continue;
     }
     const missing = findBehind(view, report);
-    const ageMs = report.confirmationAgeMs;
     if (!report.ready) notReady.push(label);
     else if (missing.length > 0) behind.push(`${label}: ${missing.join('; ')}`);
-    else if (report.state !== 'fresh') {
-      const age = ageMs === null ? 'never' : `${Math.round(ageMs / 1000)} s ago`;
-      old.push(`${label}: ${report.state}, confirmed ${age}`);
-    }
+    else if (report.state !== 'fresh') old.push(`${label}: ${describeAge(report)}`);
   }
   const add = (details: string[], what: string, advice: string): void => {
     if (details.length === 0) return;
-    problems.push({ summary: `${details.length} ${what}`, advice, details });
+    const total = view.instances?.length ?? 0;
+    problems.push({ summary: `${what}: ${details.length} of ${total} instances`, advice, details });
   };
   add(
     silent,
-    'instances do not answer',
+    'no answer',
     'dead, unreachable from here, or just replaced (the list lags); entries avoid them',
   );
-  add(notReady, 'instances have no configuration', 'they refuse all work (not_ready)');
+  add(notReady, 'no configuration', 'they refuse all work (not_ready)');
   add(
     behind,
-    'instances are behind the store',
+    'older documents than accepted',
     'normal for 3 s after an accept; longer means that no relay of their zone reaches them',
   );
   add(
     old,
-    'instances have an unconfirmed configuration',
+    'unconfirmed configuration',
     'expected in a store outage; otherwise check the network of their zone. An agent that also ' +
       'hears no other zone refuses work where the document says isolation = refuse',
   );
--- a/packages/operators/src/status/formatStatus.ts
+++ b/packages/operators/src/status/formatStatus.ts
@@ -1,5 +1,6 @@
 import type { StatusView } from './StatusView.js';
 import { findProblems } from './findProblems.js';
+import { listAccepted } from './listAccepted.js';
 
 const MAX_DETAILS = 10;
 
@@ -32,24 +33,25 @@
 }
 
 function formatServices(view: StatusView): string[] {
-  if (view.documents === null) return ['services: unknown, the store does not answer'];
   const rows = [['SERVICE', 'REVISION', 'IN FORCE', 'ZONES IN', 'ZONES OUT']];
   const total = view.instances?.length ?? 0;
-  for (const { name, revision, document } of view.documents) {
+  for (const { name, revision, zones } of listAccepted(view)) {
     let inForce = 0;
     for (const report of view.reports.values()) {
       if ((report?.revisions.get(name)?.revision ?? -1) >= revision) inForce += 1;
     }
-    const zonesIn = document?.zones.in.join(' ') || '-';
-    const zonesOut = document?.zones.out.join(' ') || '-';
+    const zonesIn = zones === null ? '?' : zones.in.join(' ') || '-';
+    const zonesOut = zones === null ? '?' : zones.out.join(' ') || '-';
     rows.push([name, String(revision), `${inForce} of ${total}`, zonesIn, zonesOut]);
   }
-  return formatTable(rows);
+  const lines = formatTable(rows);
+  if (view.documents === null) lines.push('(highest revisions of the processes, not of the store)');
+  return lines;
 }
 
 function formatZones(view: StatusView): string[] {
   const rows = [
-    ['ZONE', 'ENTRIES', 'AGENTS', 'RELAYS', 'FRESH', 'STALE', 'CUT OFF', 'NO ANSWER', 'LEAVING'],
+    ['ZONE', 'ENTRIES', 'AGENTS', 'WATCHING', 'FRESH', 'STALE', 'CUT OFF', 'NO ANSWER', 'LEAVING'],
   ];
   const zones = [...new Set(view.instances?.map(({ zone }) => zone))].sort();
   for (const zone of zones) {
