--- a/bench/src/benches/config/SimulatedFleet.ts
+++ b/bench/src/benches/config/SimulatedFleet.ts
@@ -113,8 +113,10 @@
       sequence: this.#starts,
       listInstances: () => this.#records,
       findProcess: (id) => this.#processes.get(id),
-      isConnected: (zone, other) =>
-        zone === other || (zone !== this.#cutZone && other !== this.#cutZone),
+      isConnected: (zone, other) => {
+        if (this.#cutZone === null || zone === other) return true;
+        return zone !== this.#cutZone && other !== this.#cutZone;
+      },
       pickLatency: (from, to) => this.#pickLatency(from, to),
     });
     this.#processes.set(record.id, process);
--- a/bench/test/configPartition.test.ts
+++ b/bench/test/configPartition.test.ts
@@ -10,8 +10,15 @@
 
   beforeEach(() => {
     fleet = new SimulatedFleet({ seed: SEED, entries: 40, agents: 200, zones: 4 });
+    // A fleet that never reached the store would pass the counts below for the wrong reason.
+    expect(countStates('fresh')).toBe(240);
   });
 
+  function countStates(state: string): number {
+    const processes = fleet.listRunning();
+    return processes.filter(({ node }) => node.follower.getFreshness().state === state).length;
+  }
+
   /** Counts by zone whose last sign of the store and of other zones is older than the grace. */
   function countIsolated(): { inside: number; outside: number } {
     const now = fleet.timeline.clock.getNow();
@@ -42,6 +49,7 @@
     fleet.setPartition(null);
     fleet.timeline.advance(GRACE_MS);
     expect(countIsolated()).toEqual({ inside: 0, outside: 0 });
+    expect(countStates('fresh')).toBe(240);
     expect(measureChanges(fleet.listRunning(), [{ revision, at }], 34_000).share).toBe(1);
   });
 
@@ -53,6 +61,7 @@
     for (let step = 0; step < 10; step += 1) {
       fleet.timeline.advance(1000);
       expect(countIsolated()).toEqual({ inside: 0, outside: 0 });
+      expect(countStates('fresh')).toBe(0);
     }
   });
 });
