Probe with any request as a last resort and keep new subset members warm

Cause: a service without repeatable requests never used a recovered target again; after a change of the entries, targets new in a subset counted as cold; after a missed revision, a returned zone could stay unused for 60 s. Change: other requests may probe 10 s after a probe was due; only targets new in the list are cold; a refusal with zone_out holds for 3 s, leaving for 10 s. Conclusion: no state of a target is kept for ever without asking it.

--- a/packages/core/src/routing/RouteRequest.ts
+++ b/packages/core/src/routing/RouteRequest.ts
@@ -11,7 +11,7 @@
   readonly priority: Priority;
   /** Milliseconds left until the caller's deadline. */
   readonly deadlineMs: number;
-  /** Whether the request may run twice. Only such a request is used as a probe. */
+  /** Whether the request may run twice. Others are probes only as a last resort. */
   readonly repeatable: boolean;
   /** Targets that earlier attempts of this request used. */
   readonly tried: ReadonlySet<TargetId>;
--- a/packages/core/src/routing/Router.ts
+++ b/packages/core/src/routing/Router.ts
@@ -114,7 +114,9 @@
   /** Sets the live entries, including this one, so that the subsets of all entries fit together. */
   setEntries(entries: readonly InstanceId[]): void {
     this.#entries = [...entries];
-    for (const table of this.#tables.values()) this.#rebuild(table);
+    for (const table of this.#tables.values()) {
+      this.#rebuild(table, new Map(table.targets.map((target) => [target.id, target])));
+    }
   }
 
   /** Sets all targets of a service. An empty list removes the service. */
@@ -124,7 +126,7 @@
     else this.#tables.set(service, table);
     const before = new Map(table.targets.map((target) => [target.id, target]));
     table.targets = [...targets];
-    this.#rebuild(table);
+    this.#rebuild(table, before);
     for (const target of targets) {
       const wasLeaving = before.get(target.id)?.state === 'leaving';
       if (wasLeaving && target.state === 'live') this.#views.get(target.id)?.releaseHold();
@@ -291,12 +293,15 @@
     return statuses;
   }
 
-  #rebuild(table: ServiceTable): void {
+  /** @param before targets of the service until now */
+  #rebuild(table: ServiceTable, before: ReadonlyMap<TargetId, RouteTarget>): void {
     const subset = chooseSubset(this.#entry, this.#entries, table.targets, this.#settings);
-    // Targets that appear beside known ones have just started; at the entry's own start none is
+    // Targets that are listed beside known ones have just started. At the entry's own start none is
     // known, and to take all of them for cold would overload the first that answers.
-    const isCold = table.members.some(({ view }) => view.report !== null);
-    table.setMembers(subset, (target) => this.#getView(target, isCold));
+    const hasReports = table.members.some(({ view }) => view.report !== null);
+    table.setMembers(subset, (target) =>
+      this.#getView(target, hasReports && !before.has(target.id)),
+    );
     const share = Math.ceil(MOST_HINTS / Math.max(1, this.#views.size));
     const limit = Math.min(this.#settings.hintsPerTarget, share);
     for (const view of this.#views.values()) view.hints.setLimit(limit);
@@ -397,7 +402,7 @@
 
   /** Finds a failed target or zone whose next probe is due. */
   #findProbe(table: ServiceTable, request: RouteRequest, nowMs: number): RouteMember | null {
-    if (!request.repeatable || request.tried.size > 0) return null;
+    if (request.tried.size > 0) return null;
     if (nowMs - table.probedMs < this.#settings.probeSpacingMs) return null;
     if (table.usable.length === table.members.length) return null;
     table.recordProbe(nowMs);
@@ -405,17 +410,27 @@
     const first = Math.floor(this.#random.next() * members.length);
     for (let index = 0; index < members.length; index += 1) {
       const member = members[(first + index) % members.length];
-      if (member !== undefined && this.#isProbeDue(table, member, nowMs)) return member;
+      if (member !== undefined && this.#isProbeDue(table, member, request, nowMs)) return member;
     }
     return null;
   }
 
-  #isProbeDue(table: ServiceTable, member: RouteMember, nowMs: number): boolean {
+  /**
+   * A request that may not be repeated is a probe only where none other came for a long time;
+   * a service without repeatable requests would otherwise never use a recovered target again.
+   */
+  #isProbeDue(
+    table: ServiceTable,
+    member: RouteMember,
+    request: RouteRequest,
+    nowMs: number,
+  ): boolean {
     const { target, view } = member;
     if (target.state !== 'live' || !table.isZoneIn(target.zone) || view.isHeld(nowMs)) return false;
     const zone = this.#getZone(view.zone).breaker;
-    if (zone.isOpen()) return zone.isProbeDue(nowMs);
-    if (view.breaker.isOpen()) return view.breaker.isProbeDue(nowMs);
+    const dueMs = request.repeatable ? nowMs : nowMs - this.#settings.openMaxMs;
+    if (zone.isOpen()) return zone.isProbeDue(dueMs);
+    if (view.breaker.isOpen()) return view.breaker.isProbeDue(dueMs);
     if (view.report === null || view.report.state === 'serving') return false;
     view.withdraw(nowMs, ASK_AGAIN_MS);
     return true;
@@ -532,7 +547,7 @@
       const target = table.targets[(first + index) % table.targets.length];
       if (target === undefined || request.tried.has(target.id)) continue;
       const known = table.getMember(target.id);
-      const view = known?.view ?? this.#getView(target, true);
+      const view = known?.view ?? this.#getView(target, false);
       const member = known ?? { target, view, load: table.getLoad(target.group) };
       if (!this.#isOffered(table, member, nowMs) || view.breaker.isOpen()) continue;
       const candidate = this.#score(member, request, nowMs);
--- a/packages/core/src/routing/TargetView.ts
+++ b/packages/core/src/routing/TargetView.ts
@@ -13,15 +13,15 @@
 
 /**
  * Time for which a reported state keeps new work away. After it, one request asks again, because a
- * target that gets no work sends no reports. A target that leaves or whose zone is out normally
- * changes through the instance list or the document.
+ * target that gets no work sends no reports. A target that leaves normally vanishes from the instance
+ * list instead, so it is asked less often.
  */
 const HOLD_MS: Readonly<Record<AdmissionState, number>> = {
   serving: 0,
   not_ready: 3000,
   isolated: 3000,
-  zone_out: 60_000,
-  leaving: 60_000,
+  zone_out: 3000,
+  leaving: 10_000,
 };
 
 /** Lower bound of a granted limit in estimates, so that the growth has something to begin with. */
--- a/packages/core/test/routing.test.ts
+++ b/packages/core/test/routing.test.ts
@@ -356,6 +356,26 @@
       expect(countProbes(20)).toBe(1);
     });
 
+    // Guards against a recovered target that stays unused in a service without repeatable requests.
+    it('probes with any request where no other came for a long time', () => {
+      reportAll();
+      failTarget('t0');
+      clock.advance(12_000);
+      expect(countProbes(20, { repeatable: false })).toBe(1);
+    });
+
+    // Guards against load concentrated on a few targets when another entry leaves.
+    it('takes targets that are new in the subset for warm', () => {
+      const entries = Array.from({ length: 20 }, (_, index) => InstanceId.parse(`entry-${index}`));
+      router.setEntries(entries);
+      router.updateTargets(service, createTargets(300, null));
+      for (let rank = 0; rank < 300; rank += 1) router.acceptLoad(createReport(`t${rank}`));
+      const before = router.getStatus()[0]!.subset;
+      router.setEntries(entries.slice(0, 4));
+      expect(router.getStatus()[0]!.subset).toBeGreaterThan(3 * before);
+      expect(countPicks(400).size).toBeGreaterThan(2 * before);
+    });
+
     // Guards against sending to the rest of a dead zone until each of its targets has failed.
     it('avoids the whole zone when most of its active targets fail', () => {
       router.updateTargets(service, createTargets(12, 'g0'));
