Test that a late report of an older incarnation keeps the prefix hints

Cause: the variant that clears the hints on such a report passed the tests. Change: one more expectation. Conclusion: of the broken variants, one is left that no test sees: the check of the reported state, which the hold repeats.

--- a/packages/core/test/routing.test.ts
+++ b/packages/core/test/routing.test.ts
@@ -292,6 +292,8 @@
     it('forgets the hints of an older incarnation', () => {
       reportAll();
       sendEvent(1, prefixHashes);
+      router.acceptLoad(createReport('t3', { incarnation: Incarnation.parse(0) }));
+      expect(countCached()).toBeGreaterThan(80);
       router.acceptLoad(createReport('t3', { incarnation: Incarnation.parse(2) }));
       expect(countCached()).toBeLessThan(50);
     });
