Keep granting steps while the store or a peer does not answer

Cause: a tick of RankRole awaited the store before it granted, so a store that never answers kept a restarted agent from asking its peers and held up grants. Change: store reads, peer calls and grants run side by side, one of each kind; a restarted agent asks peers and store at the same time. The random schedules now let it ask while the store answers. The fake group lets calls finish within the time of a step.

--- a/bench/src/benches/mapSwitchBench.ts
+++ b/bench/src/benches/mapSwitchBench.ts
@@ -31,6 +31,7 @@
       tickLength: 1,
       proposals: 3,
       isPrepareAtomic: false,
+      isAskFree: true,
     });
     const result = runSchedule(config, new SeededRandom(FIRST_SEED + index), 400, 0.06);
     faults += result.faults;
--- a/bench/src/switchmodel/SwitchWorld.ts
+++ b/bench/src/switchmodel/SwitchWorld.ts
@@ -106,6 +106,8 @@
   readonly proposals: number;
   /** Whether ranks answer a request to prepare at once; leaves fewer states. */
   readonly isPrepareAtomic: boolean;
+  /** Whether a restarted rank asks its peers also while the store answers. */
+  readonly isAskFree: boolean;
   readonly Gate: typeof StepGate;
   readonly Planner: typeof MapSwitchPlanner;
   /** Whether a planner whose lease has ended must not act; off for a broken planner too. */
@@ -469,7 +471,8 @@
         };
         events.push({ name: `read ${rank}`, isFault: false, apply: read });
       }
-      if (!state.hasAsked && !isStoreUp && gate.source === 'none') {
+      const mayAsk = this.#config.isAskFree || !isStoreUp;
+      if (!state.hasAsked && mayAsk && gate.source === 'none') {
         events.push({ name: `ask ${rank}`, isFault: false, apply: () => this.#askPeers(rank) });
       }
     } else if (probe.isUndecided() && isStoreUp) {
--- a/bench/src/switchmodel/createSwitchConfig.ts
+++ b/bench/src/switchmodel/createSwitchConfig.ts
@@ -18,6 +18,7 @@
     tickLength: 4,
     proposals: 1,
     isPrepareAtomic: true,
+    isAskFree: false,
     Gate: StepGate,
     Planner: MapSwitchPlanner,
     isLeaseChecked: true,
--- a/bench/test/mapSwitch.test.ts
+++ b/bench/test/mapSwitch.test.ts
@@ -25,6 +25,7 @@
   tickLength: 1,
   proposals: 3,
   isPrepareAtomic: false,
+  isAskFree: true,
 };
 
 function findViolation(change: Parameters<typeof createSwitchConfig>[0], seeds = 20_000): string {
--- a/packages/core/src/mapswitch/GroupPeers.ts
+++ b/packages/core/src/mapswitch/GroupPeers.ts
@@ -7,7 +7,10 @@
 import type { PromiseReply } from './PromiseReply.js';
 import type { RankEvidence } from './RankEvidence.js';
 
-/** The agents of a group, by rank. Each call has a deadline of its own and may fail at any time. */
+/**
+ * The agents of a group, by rank. Each call may fail at any time and ends by a deadline of its own,
+ * well under a quarter of the planner lease, so that the holder comes to renew it.
+ */
 export interface GroupPeers {
   prepare(rank: number, request: PrepareRequest): Promise<Result<PrepareReply, Failure>>;
   promise(rank: number, record: MapRecord): Promise<Result<PromiseReply, Failure>>;
--- a/packages/core/src/mapswitch/RankRole.ts
+++ b/packages/core/src/mapswitch/RankRole.ts
@@ -52,7 +52,10 @@
   /** Versions that the engine has been told since its or the agent's start. */
   readonly #told = new Set<number>();
 
-  #isTicking = false;
+  #isGranting = false;
+
+  /** Names of the calls that are under way. */
+  readonly #running = new Set<string>();
 
   /** Request whose weights are being loaded; a repeated request starts no second load. */
   #loading = '';
@@ -115,17 +118,38 @@
     this.#loading = '';
   }
 
-  /** Does what is due: reads the store, seeks a decision, grants steps. Returns when it is done. */
+  /**
+   * Does what is due. Returns when the engine has its grant; calls to the store and to peers go on
+   * behind it, so that one that does not answer holds up neither grants nor the other.
+   */
   async tick(): Promise<void> {
-    if (this.#isTicking) return;
-    this.#isTicking = true;
-    try {
-      if (this.#gate.getState().source !== 'store') await this.#resume();
-      if (this.#gate.isUndecided()) await this.#seekDecision();
-      await this.#grant();
-    } finally {
-      this.#isTicking = false;
+    const { source } = this.#gate.getState();
+    if (source !== 'store') this.#runAlone('resume', () => this.#readStore());
+    if (source === 'none') this.#runAlone('evidence', () => this.#collectEvidence());
+    const isLate = this.#clock.getNow() - this.#undecidedSinceMs >= this.#options.patienceMs;
+    if (this.#gate.isUndecided() && (isLate || this.#gate.isWaiting())) {
+      this.#runAlone('peers', () => this.#seekDecision());
+      this.#runAlone('store', () => this.#settleDecision(isLate));
     }
+    await this.#grantAlone();
+  }
+
+  async #grantAlone(): Promise<void> {
+    if (this.#isGranting) return;
+    this.#isGranting = true;
+    await this.#grant();
+    this.#isGranting = false;
+  }
+
+  /** Runs a task unless one of its name is running; then grants what it allows. */
+  #runAlone(name: string, run: () => Promise<void>): void {
+    if (this.#running.has(name)) return;
+    this.#running.add(name);
+    void run().finally(() => {
+      this.#running.delete(name);
+      this.#noteUndecided();
+      return this.#grantAlone();
+    });
   }
 
   async #load(request: PrepareRequest, name: string): Promise<void> {
@@ -135,14 +159,14 @@
     if (loaded.ok) this.#gate.confirmLoaded(request);
   }
 
-  async #resume(): Promise<void> {
+  async #readStore(): Promise<void> {
     const read = await readGroup(this.#store, this.#options.group);
-    if (read.ok) {
-      if (read.val.map !== null) this.#gate.acceptStoreRecord(read.val.map, read.val.epoch);
-    } else if (this.#gate.getState().source === 'none') {
-      this.#gate.acceptEvidence(await this.#askPeers());
-    }
-    this.#noteUndecided();
+    if (read.err || read.val.map === null) return;
+    this.#gate.acceptStoreRecord(read.val.map, read.val.epoch);
+  }
+
+  async #collectEvidence(): Promise<void> {
+    this.#gate.acceptEvidence(await this.#askPeers());
   }
 
   async #askPeers(): Promise<RankEvidence[]> {
@@ -157,18 +181,14 @@
     return evidence;
   }
 
-  /** Asks peers, then the store; ends the switch by CAS where it stays undecided for too long. */
   async #seekDecision(): Promise<void> {
-    const isLate = this.#clock.getNow() - this.#undecidedSinceMs >= this.#options.patienceMs;
-    if (!isLate && !this.#gate.isWaiting()) return;
     for (const evidence of await this.#askPeers()) {
       if (evidence.record !== null) this.#gate.learnDecision(evidence.record);
     }
-    if (this.#gate.isUndecided()) await this.#askStore(isLate);
-    this.#noteUndecided();
   }
 
-  async #askStore(isLate: boolean): Promise<void> {
+  /** Asks the store, and ends the switch by CAS where it stays undecided for too long. */
+  async #settleDecision(isLate: boolean): Promise<void> {
     const { group, rank } = this.#options;
     const read = await readGroup(this.#store, group);
     if (read.err || read.val.map === null) return;
--- a/packages/core/test/fakes/FakeGroup.ts
+++ b/packages/core/test/fakes/FakeGroup.ts
@@ -134,6 +134,8 @@
       this.clock.advance(50);
       for (const planner of planners) await planner.tick();
       for (const role of this.ranks) await role.tick();
+      // Calls that a tick leaves behind are answered within the time of a step.
+      await new Promise(setImmediate);
       if (this.engines.some((engine) => engine.until < this.step)) {
         this.stalledSteps += 1;
         continue;
--- a/packages/core/test/fakes/FakeStore.ts
+++ b/packages/core/test/fakes/FakeStore.ts
@@ -14,6 +14,9 @@
 export class FakeStore implements Store {
   isDown = false;
 
+  /** Whether reads get no answer at all. */
+  isSilent = false;
+
   /** Commits that take effect although their answer is lost. */
   lostAnswers = 0;
 
@@ -43,6 +46,7 @@
   async readPrefix(
     prefix: string,
   ): Promise<Result<{ records: StoreRecord[]; revision: Revision }, Failure>> {
+    if (this.isSilent) await new Promise(() => {});
     if (this.isDown) return fail('store_unavailable', 'down');
     this.#endLeases();
     const records = [...this.#records.values()].filter(({ key }) => key.startsWith(prefix));
--- a/packages/core/test/mapswitchRoles.test.ts
+++ b/packages/core/test/mapswitchRoles.test.ts
@@ -84,6 +84,15 @@
     expect(group.step).toBe(step + 20);
   });
 
+  // Guards against a store that never answers and thereby holds up the grants, or the peers.
+  it('resume and grant while the store is silent', async () => {
+    const { group } = await startGroup();
+    group.store.isSilent = true;
+    group.restartRank(1);
+    await group.runSteps(50);
+    expect(group).toMatchObject({ mixedSteps: 0, stalledSteps: 0 });
+  });
+
   // Guards against two planners at once, and a paused one that acts when it wakes.
   it('hand the lease over and stop a planner that was paused', async () => {
     const { group, planner } = await startGroup();
