Test early refusal, skipped requests, single samples and settled bands

Cause: nine newer rules, broken one at a time, went unnoticed by the tests. Still unnoticed when broken: the sample count of the upper band alone, the filter of requests from before a restart, and the trimming of emptied lanes, which nothing outside can observe.

--- a/packages/core/test/admission.test.ts
+++ b/packages/core/test/admission.test.ts
@@ -199,6 +199,18 @@
     expect(listRefused(admission.tick())).toEqual([[queued, 'deadline_exceeded']]);
   });
 
+  // Guards against requests that wait only to be refused later.
+  it('refuses at once what cannot end in time behind the queue', () => {
+    fixture.load(9000);
+    for (let index = 0; index < 12; index += 1) {
+      fixture.submit(fixture.buildItem({ priority: 'high' }));
+    }
+    expect(admission.getLoad()).toMatchObject({ inFlight: 8, queued: 4 });
+    const deadlineMs = fixture.clock.getNow() + 140;
+    expect(fixture.submit(fixture.buildItem({ deadlineMs }))).toBe('overloaded');
+    expect(fixture.submit(fixture.buildItem({ deadlineMs: deadlineMs + 100 }))).toBe('queued');
+  });
+
   // Guards against a target that refuses everything for ever after its requests took longer than
   // callers wait: only new samples correct the estimate.
   it('takes a request when idle although the estimate exceeds its deadline', () => {
--- a/packages/core/test/overload.test.ts
+++ b/packages/core/test/overload.test.ts
@@ -146,6 +146,19 @@
     expect(limit.getLimit()).toBe(4);
   });
 
+  // Guards against a limit that is lowered by noise.
+  it('compares only what rests on enough samples and lies apart', () => {
+    const compute = (lower: number, higher: number, samples: number): number => {
+      const gradient = new ConcurrencyGradient();
+      gradient.record(0, { ...buildUsage(lower, 1), samples }, 1);
+      gradient.record(0, { ...buildUsage(higher, 3), samples }, 3);
+      return gradient.compute(higher);
+    };
+    expect(compute(10, 20, 64)).toBeLessThan(1);
+    expect(compute(10, 20, 4)).toBe(Infinity);
+    expect(compute(28.9, 30.2, 64)).toBe(Infinity);
+  });
+
   // Guards against a limit that stays past the best concurrency because nothing lower was
   // measured, or not recently.
   it('probes below a limit without recent measurements there', () => {
--- a/packages/core/test/ramp.test.ts
+++ b/packages/core/test/ramp.test.ts
@@ -1,5 +1,5 @@
 import { beforeEach, describe, expect, it } from 'vitest';
-import { Incarnation, PaceTracker, Ramp } from '@limpetbay/core';
+import { Incarnation, PaceTracker, Ramp, UsageWindow } from '@limpetbay/core';
 import type { EngineStatus, TargetAdmission, UsageSummary } from '@limpetbay/core';
 import { AdmissionFixture, WARM } from './admissionFixture.js';
 
@@ -151,6 +151,40 @@
     expect(admission.getStatus().rampReason).toContain('warm value');
   });
 
+  // Guards against a cold target that is judged, or estimated, by what ran before its restart.
+  it('learns nothing from requests of the time before a restart', () => {
+    fixture.load(9000);
+    admission.setDocument(
+      fixture.buildDocument({ ramp: { start: 1, growth: 4, intervalMs: 1000 } }),
+    );
+    const items = [];
+    for (let index = 0; index < 8; index += 1) items.push(fixture.buildItem());
+    for (const item of items) fixture.submit(item);
+    admission.restartIncarnation('engine restarted');
+    fixture.clock.advance(1000);
+    const deadlineMs = fixture.clock.getNow() + 50;
+    expect(fixture.submit(fixture.buildItem({ deadlineMs }))).toBe('queued');
+    for (const item of items) admission.finish(item, WARM);
+    expect(fixture.getLimit()).toBe(1);
+  });
+
+  // Guards against a limit that is judged by requests that ran under another one.
+  it('leaves out the requests in flight at a change, but no failures', () => {
+    const window = new UsageWindow(0);
+    window.reset(0, 2);
+    const counted = [true, false, false, false].map((error) => window.recordFinish(error));
+    expect(counted).toEqual([true, false, false, true]);
+  });
+
+  // Guards against a warm value that is the luckiest request.
+  it('takes the mean of single requests as the warm value', () => {
+    const tracker = new PaceTracker();
+    for (const paceMs of [100, 10]) {
+      tracker.closeWindow(tracker.record('step', paceMs), true, false);
+    }
+    expect(tracker.getWarm('step')).toBeCloseTo(55);
+  });
+
   // Guards against a cold engine that is compared with itself and so looks warm.
   it('compares a restarted engine with its warm predecessor', () => {
     fixture.load(9000);
