--- a/packages/core/src/admission/TargetAdmission.ts
+++ b/packages/core/src/admission/TargetAdmission.ts
@@ -36,7 +36,7 @@
  * what it holds for up to about 925 s with the usual kernel settings (15 retries).
  */
 const DELIVERY_MARGIN_MS = 960_000;
-/** About 500 attempts/s that may not be repeated; some 60 MB when full. */
+/** About 500 attempts/s that may not be repeated; about 52 MB when full. */
 const MEMORY_CAPACITY = 500_000;
 /** The adaptive limit decides this many times in a ramp interval. */
 const WINDOWS_PER_INTERVAL = 4;
