--- a/packages/agent/src/loop/Agent.ts
+++ b/packages/agent/src/loop/Agent.ts
@@ -11,6 +11,7 @@
   type Attempt,
   type AttemptId,
   type ClaimOutcome,
+  type ClaimRequest,
   type ClaimStart,
   type Failure,
   type Header,
@@ -179,6 +180,7 @@
   #submit(run: AttemptRun): void {
     const { admission, metrics } = this.#parts;
     const { key } = run;
+    if (this.#answerFromMemory(run)) return;
     const result = admission.submit(run.item);
     metrics.increase(`limpetbay_agent_attempts{result="${result.type}"}`);
     if (result.type === 'duplicate') {
@@ -196,6 +198,27 @@
     this.#apply(result.outcome);
   }
 
+  /** Answers a repeated key whose end is known here, before it takes a slot or is refused. */
+  #answerFromMemory(run: AttemptRun): boolean {
+    if (run.repeatable || run.attempt.idempotencyKey === '') return false;
+    const known = this.#parts.ledger.find(buildClaimRequest(run));
+    if (known === null) return false;
+    const load = this.#parts.admission.getLoad();
+    if (known.ok && known.val.type === 'replay') {
+      this.#replay(run, known.val.outcome);
+    } else if (known.err && answerTable[known.val.kind].run === 'no') {
+      this.#logDecision(run, 'refused', `${known.val.kind}: ${known.val.message}`);
+      run.writer.refuse(known.val, load);
+    } else if (known.err) {
+      this.#logDecision(run, 'failed', `${known.val.kind}: ${known.val.message}`);
+      run.writer.fail(known.val, load);
+    } else {
+      return false;
+    }
+    run.end();
+    return true;
+  }
+
   /** Acts on what became of queued attempts. */
   #apply(outcome: AdmissionOutcome): void {
     for (const { item, failure } of outcome.refused) {
@@ -215,14 +238,7 @@
       return;
     }
     run.startClaim();
-    const claim = this.#parts.ledger.begin({
-      workspace: attempt.workspace,
-      key: attempt.idempotencyKey,
-      keyTimeMs: attempt.keyTimeMs,
-      bodyHash: hashRequest(attempt.method, attempt.path, attempt.body),
-      attemptId: run.key,
-      deadlineAtMs: run.item.deadlineMs,
-    });
+    const claim = this.#parts.ledger.begin(buildClaimRequest(run));
     void claim.then((result) => this.#loop.push({ type: 'claimed', run, result }));
   }
 
@@ -467,6 +483,18 @@
   return `${requestId}/${attempt}`;
 }
 
+function buildClaimRequest(run: AttemptRun): ClaimRequest {
+  const { attempt, item, key } = run;
+  return {
+    workspace: attempt.workspace,
+    key: attempt.idempotencyKey,
+    keyTimeMs: attempt.keyTimeMs,
+    bodyHash: hashRequest(attempt.method, attempt.path, attempt.body),
+    attemptId: key,
+    deadlineAtMs: item.deadlineMs,
+  };
+}
+
 /** Requests with the same method and first path segment have comparable service times. */
 function buildRoute({ method, path }: Attempt): string {
   return `${method} /${path.split(/[/?]/)[1] ?? ''}`;
