--- a/packages/core/src/retry/RetryCase.ts
+++ b/packages/core/src/retry/RetryCase.ts
@@ -1,3 +1,4 @@
+import type { AttemptResult } from '../answer/AttemptResult.js';
 import type { Failure } from '../errors/Failure.js';
 
 /** A failed attempt and what is known about its request. */
@@ -7,6 +8,13 @@
    * says that the entry never sent the attempt.
    */
   readonly failure: Failure;
+  /**
+   * How the attempt ended. Left out, a kind with `run: 'no'` counts as the agent's refusal and any
+   * other as a failure after the hand-over.
+   */
+  readonly end?: AttemptResult['end'];
+  /** Whether it has a key that agents claim, so that another attempt cannot run it twice. */
+  readonly keyed?: boolean;
   /** Whether the request may run twice. */
   readonly repeatable: boolean;
   /** Whether an earlier attempt of the request may have run. */
--- a/packages/core/src/retry/decideRetry.ts
+++ b/packages/core/src/retry/decideRetry.ts
@@ -3,6 +3,8 @@
 import type { RetryBudget } from './RetryBudget.js';
 import type { RetryCase } from './RetryCase.js';
 import type { RetryDecision } from './RetryDecision.js';
+import type { AttemptResult } from '../answer/AttemptResult.js';
+import { decideOutcome } from '../answer/decideOutcome.js';
 import { answerTable } from '../errors/answerTable.js';
 import { chooseFailureKind } from './chooseFailureKind.js';
 import { computeBackoff } from './computeBackoff.js';
@@ -26,43 +28,56 @@
 /** Ends of an attempt that no other target can mend. */
 const FINAL: ReadonlySet<ErrorKind> = new Set(['timed_out', 'cancelled', 'key_in_progress']);
 
-function createFailure(retryCase: RetryCase, reason: string): RetryDecision {
-  const { failure, repeatable } = retryCase;
-  const mayHaveRun = retryCase.mayHaveRun || answerTable[failure.kind].run !== 'no';
-  const kind = chooseFailureKind(failure.kind, repeatable, mayHaveRun);
-  if (kind === failure.kind) return { action: 'fail', failure, reason };
-  const message = `${failure.message} (${failure.kind})`;
+/** Translates a retry case for `decideOutcome`, which holds the rules on repeating a request. */
+function toResult(retryCase: RetryCase): AttemptResult {
+  const { failure, repeatable, keyed = false, mayHaveRun, bytesSent, resumable } = retryCase;
+  const end = retryCase.end ?? (answerTable[failure.kind].run === 'no' ? 'refused' : 'failed');
+  return {
+    end,
+    failure,
+    repeatable,
+    keyed,
+    ranBefore: mayHaveRun,
+    headSent: bytesSent,
+    resumable,
+    retryAllowed: true,
+  };
+}
+
+function createFailure(result: AttemptResult, reason: string): RetryDecision {
+  const decision = decideOutcome({ ...result, retryAllowed: false });
+  const failure = 'failure' in decision ? decision.failure : result.failure;
+  const mayHaveRun = answerTable[failure.kind].run !== 'no';
+  const kind = chooseFailureKind(failure.kind, result.repeatable, mayHaveRun);
+  if (kind === result.failure.kind) return { action: 'fail', failure: result.failure, reason };
+  const message = `${result.failure.message} (${result.failure.kind})`;
   return { action: 'fail', failure: { kind, message }, reason };
 }
 
 /**
  * Decides what happens after a failed attempt: retry on another target, resume there, or answer
- * with a failure. Takes from the budget only when it decides to retry or resume.
+ * with a failure. `decideOutcome` says whether another attempt is allowed at all; the limits on
+ * attempts, time and budget are checked here. Takes from the budget only when it decides to retry
+ * or resume.
  */
 export function decideRetry(
   retryCase: RetryCase,
   budget: RetryBudget,
   random: RandomSource,
 ): RetryDecision {
-  const { failure, repeatable, bytesSent, attempts, deadlineMs } = retryCase;
-  const { run, retryElsewhere } = answerTable[failure.kind];
-  if (FINAL.has(failure.kind)) return createFailure(retryCase, 'the request has ended');
-  if (run === 'no' && !retryElsewhere) {
-    return createFailure(retryCase, 'no other target would answer differently');
-  }
-  if (!repeatable && (run !== 'no' || retryCase.mayHaveRun)) {
-    return createFailure(retryCase, 'it may have run and may not be repeated');
-  }
-  if (bytesSent && !retryCase.resumable) {
-    return createFailure(retryCase, 'the caller has part of the answer and it cannot be resumed');
+  const { failure, attempts, deadlineMs } = retryCase;
+  const result = toResult(retryCase);
+  if (FINAL.has(failure.kind)) return createFailure(result, 'the request has ended');
+  const { type } = decideOutcome(result);
+  if (type !== 'retry' && type !== 'resume') {
+    return createFailure(result, 'another attempt might run it twice or answer no differently');
   }
-  if (attempts >= MOST_ATTEMPTS) return createFailure(retryCase, 'no attempts are left');
+  if (attempts >= MOST_ATTEMPTS) return createFailure(result, 'no attempts are left');
   const isCorrection = CORRECTIONS.has(failure.kind);
   const delayMs = isCorrection ? 0 : computeBackoff(attempts, random);
-  if (delayMs >= deadlineMs) return createFailure(retryCase, 'no time is left for a retry');
+  if (delayMs >= deadlineMs) return createFailure(result, 'no time is left for a retry');
   if (!isCorrection && !budget.take()) {
-    return createFailure(retryCase, 'the retry budget is empty');
+    return createFailure(result, 'the retry budget is empty');
   }
-  const action = bytesSent ? 'resume' : 'retry';
-  return { action, delayMs, reason: `${failure.kind} on attempt ${attempts}` };
+  return { action: type, delayMs, reason: `${failure.kind} on attempt ${attempts}` };
 }
--- a/packages/entry/src/loop/Entry.ts
+++ b/packages/entry/src/loop/Entry.ts
@@ -275,16 +275,21 @@
     const { budget, clock, log, metrics, random, router } = this.#parts;
     const { decision } = run.current!;
     const { failure } = event;
-    const isRefusal = answerTable[failure.kind].run === 'no';
+    const end = reached ? event.end : 'unsent';
+    const isNotRun =
+      end === 'unsent' || (end === 'refused' && answerTable[failure.kind].run === 'no');
     if (event.load !== null) router.acceptLoad(event.load);
     router.recordFinish(decision, failure.kind, reached);
-    this.#endAttempt(run, !isRefusal);
+    const { mayHaveRun } = run;
+    this.#endAttempt(run, !isNotRun);
     run.recordFailure(failure);
     const next = decideRetry(
       {
+        end,
         failure,
-        repeatable: run.isRetrySafe,
-        mayHaveRun: run.mayHaveRun,
+        repeatable: run.repeatable,
+        keyed: run.request.idempotencyKey !== '',
+        mayHaveRun,
         bytesSent: run.answer.isStarted(),
         resumable: run.resumable,
         attempts: run.attempts,
@@ -303,8 +308,7 @@
       reason: next.reason,
     });
     if (next.action === 'fail') {
-      const kind = chooseFailureKind(next.failure.kind, run.repeatable, run.mayHaveRun);
-      this.#fail(run, { ...next.failure, kind });
+      this.#fail(run, next.failure);
       return;
     }
     metrics.increase('limpetbay_entry_retries');
--- a/packages/entry/src/request/EntryRun.ts
+++ b/packages/entry/src/request/EntryRun.ts
@@ -96,9 +96,7 @@
 
   /** Whether a target that failed before may get another attempt: its path failed, not the request. */
   get canTryAgain(): boolean {
-    return (
-      this.#failure !== null && this.isRetrySafe && answerTable[this.#failure.kind].run !== 'no'
-    );
+    return this.#failure !== null && answerTable[this.#failure.kind].run !== 'no';
   }
 
   /** The attempt in progress, if any. */
@@ -106,11 +104,6 @@
     return this.#current;
   }
 
-  /** Whether another attempt cannot run it twice: a key's claim suppresses the second run. */
-  get isRetrySafe(): boolean {
-    return this.repeatable || this.request.idempotencyKey !== '';
-  }
-
   /** Builds the next attempt for a decision. */
   buildAttempt(decision: RouteDecision, nowMs: number): Attempt {
     const { request } = this;
