Feed the workspace limiter with the measured capacity

Cause: the limiter never refused, because nothing set its capacity. Change: CapacityMeter measures completed cost while targets refuse for want of capacity.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -129,6 +129,7 @@
 export type { InstanceList } from './membership/InstanceList.js';
 export { InstanceRecord } from './membership/InstanceRecord.js';
 export { Membership } from './membership/Membership.js';
+export { CapacityMeter } from './overload/CapacityMeter.js';
 export { ConcurrencyGradient } from './overload/ConcurrencyGradient.js';
 export { ConcurrencyLimit } from './overload/ConcurrencyLimit.js';
 export { FairLevel } from './overload/FairLevel.js';
--- a/packages/entry/src/loop/Entry.ts
+++ b/packages/entry/src/loop/Entry.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import {
   answerTable,
+  CapacityMeter,
   ProgressWatch,
   chooseFailureKind,
   decideRetry,
@@ -50,8 +51,11 @@
 
   readonly #progress: ProgressWatch;
 
+  readonly #capacity: CapacityMeter;
+
   constructor(parts: EntryParts) {
     this.#parts = parts;
+    this.#capacity = new CapacityMeter(parts.clock);
     this.#progress = new ProgressWatch(parts.clock, parts.timing.tickMs);
     this.#loop = createEventLoop<EntryEvent>({
       handle: (event) => this.#handle(event),
@@ -164,7 +168,7 @@
       this.#reject(answer, checked.val);
       return;
     }
-    const admitted = limiter.admit(request.workspace, 1 + request.promptTokens + request.maxTokens);
+    const admitted = limiter.admit(request.workspace, computeCost(request));
     if (admitted.err) {
       this.#reject(answer, admitted.val);
       return;
@@ -187,6 +191,7 @@
   }
 
   #reject(answer: CallerAnswer, failure: Failure): void {
+    if (failure.kind === 'overloaded') this.#capacity.recordRefused();
     this.#parts.metrics.increase(`limpetbay_entry_failures{kind="${failure.kind}"}`);
     answer.fail(failure);
   }
@@ -264,6 +269,7 @@
     const { decision } = run.current!;
     router.acceptLoad(load);
     router.recordFinish(decision, 'complete');
+    this.#capacity.recordCompleted(computeCost(run.request));
     metrics.increase('limpetbay_entry_completed');
     metrics.record('limpetbay_entry_time_left_ms', run.deadlineAtMs - clock.getNow());
     this.#endAttempt(run, true);
@@ -362,6 +368,7 @@
     for (const run of [...this.#runs]) {
       if (nowMs >= run.deadlineAtMs + DEADLINE_SLACK_MS) this.#expire(run);
     }
+    this.#parts.limiter.setCapacity(this.#capacity.getCapacity());
     for (const target of this.#parts.router.startProbes()) this.#probe(target);
   }
 
@@ -425,6 +432,11 @@
   }
 }
 
+/** Cost of a request in the unit of the workspace shares. */
+function computeCost({ promptTokens, maxTokens }: CallerRequest): number {
+  return 1 + promptTokens + maxTokens;
+}
+
 function buildHeaders(
   run: EntryRun,
   head: { readonly headers: readonly Header[]; readonly replayed: boolean },
