Add the guides for a first deployment and for errors

Cause: operators had no page with the settings of the daemons, the order of start or the meaning of each error kind, and no example settings of an entry and an agent.

--- /dev/null
+++ b/packages/dev/test/guides.test.ts
@@ -0,0 +1,99 @@
+import { readFileSync } from 'node:fs';
+import { describe, expect, it } from 'vitest';
+import { z } from 'zod';
+import { AgentSettings } from '@limpetbay/agent';
+import { CliSettings } from '@limpetbay/cli';
+import { ErrorKind, answerTable } from '@limpetbay/core';
+import { EntrySettings } from '@limpetbay/entry';
+
+interface SettingNode {
+  readonly type?: string;
+  readonly enum?: readonly string[];
+  readonly minimum?: number;
+  readonly maximum?: number;
+  readonly minLength?: number;
+  readonly maxLength?: number;
+  readonly pattern?: string;
+  readonly format?: string;
+  readonly default?: unknown;
+  readonly properties?: Readonly<Record<string, SettingNode>>;
+}
+
+const ROW = /^\| `\[(\w+)\]` \| `(\w+)` \| (.+?) \| (.+?) \| .+ \|$/gm;
+
+/** Texts of the page for the patterns of the schemas. */
+const PATTERNS: Readonly<Record<string, string>> = {
+  '^[^:]+:\\d{1,5}$': 'IP:PORT',
+  '^\\S+:\\d+$': 'IP:PORT',
+  '^https?:\\/\\/\\S+$': 'http:// or https:// URL',
+};
+
+function readPage(name: string): string {
+  return readFileSync(new URL(`../../../docs/operators/${name}`, import.meta.url), 'utf8');
+}
+
+function describeRange({ type, minimum, maximum }: SettingNode): string {
+  const kind = type === 'integer' ? 'whole number' : 'number';
+  return maximum === undefined
+    ? `${kind} from ${minimum}`
+    : `${kind} from ${minimum} to ${maximum}`;
+}
+
+function describeAllowed(node: SettingNode): string {
+  if (node.enum !== undefined) return node.enum.join(' or ');
+  if (node.type === 'integer' || node.type === 'number') return describeRange(node);
+  if (node.format === 'uri') return 'http:// URL';
+  if (node.pattern !== undefined) return PATTERNS[node.pattern] ?? node.pattern;
+  return node.maxLength === undefined
+    ? 'text'
+    : `text of ${node.minLength ?? 0} to ${node.maxLength} characters`;
+}
+
+/** Lists section, key, default and range of each setting, as the page shows them. */
+function listSettings(schema: z.ZodType): string[][] {
+  const root = z.toJSONSchema(schema, { io: 'input' }) as SettingNode;
+  const rows: string[][] = [];
+  for (const [section, { properties = {} }] of Object.entries(root.properties ?? {})) {
+    for (const [key, node] of Object.entries(properties)) {
+      const filled = node.default === undefined ? '(required)' : `\`${String(node.default)}\``;
+      rows.push([section, key, filled, describeAllowed(node)]);
+    }
+  }
+  return rows;
+}
+
+/** Lists the rows of the table below a heading, up to the next heading. */
+function listRows(page: string, heading: string): string[][] {
+  const [, rest = ''] = page.split(`\n### ${heading}\n`);
+  const [section = ''] = rest.split('\n#');
+  return [...section.matchAll(ROW)].map((row) => row.slice(1, 5));
+}
+
+// Guards against a page that names a setting, default or range which a binary does not have, and
+// against a setting that the page leaves out.
+describe('first-deployment.md', () => {
+  it.each([
+    ['limpetbay-entry', EntrySettings],
+    ['limpetbay-agent', AgentSettings],
+    ['limpetbay', CliSettings],
+  ])('lists every setting of %s with its default and range', (binary, schema) => {
+    const expected = listSettings(schema);
+    expect(expected.length).toBeGreaterThan(0);
+    expect(listRows(readPage('first-deployment.md'), `Settings of \`${binary}\``)).toEqual(
+      expected,
+    );
+  });
+});
+
+// Guards against an error page that differs from the answers which callers get, or that leaves
+// out a kind.
+describe('errors.md', () => {
+  it('lists every error kind with its status and whether the request was run', () => {
+    const rows = [...readPage('errors.md').matchAll(/^\| `(\w+)` \| (\d+) \| (\w+) \| (\w+) \|/gm)];
+    const expected = ErrorKind.options.map((kind) => {
+      const { status, run, retryElsewhere } = answerTable[kind];
+      return [kind, String(status), run, retryElsewhere ? 'yes' : 'no'];
+    });
+    expect(rows.map((row) => row.slice(1, 5))).toEqual(expected);
+  });
+});
