--- a/packages/dev/test/guides.test.ts
+++ b/packages/dev/test/guides.test.ts
@@ -1,4 +1,4 @@
-import { readFileSync } from 'node:fs';
+import { readFileSync, readdirSync } from 'node:fs';
 import { describe, expect, it } from 'vitest';
 import { z } from 'zod';
 import { AgentSettings } from '@limpetbay/agent';
@@ -97,3 +97,42 @@
     expect(rows.map((row) => row.slice(1, 5))).toEqual(expected);
   });
 });
+
+/** Returns the text of all source files below a folder of a package. */
+function readSources(folder: string): string {
+  const root = new URL(`../../${folder}/`, import.meta.url);
+  const files = readdirSync(root, { recursive: true, encoding: 'utf8' });
+  const sources = files.filter((file) => file.endsWith('.ts'));
+  return sources.map((file) => readFileSync(new URL(file, root), 'utf8')).join('\n');
+}
+
+const LOG_CALL =
+  /(?:\b(?:log|ports)\.(?:report|warn|alert)\(|#logDecision\(run,)\s*(?:[^'"()]*\? )?'([^']+)'(?: : '([^']+)')?/g;
+const METRIC = /\blimpetbay_[a-z_]+/g;
+
+// Guards against a log sentence or a metric that the page does not explain, or that it explains
+// but no code writes.
+describe('decisions.md', () => {
+  const sources = ['entry/src', 'agent/src', 'rpc/src', 'core/src/config']
+    .map((folder) => readSources(folder))
+    .join('\n');
+  const page = readPage('decisions.md');
+
+  it('explains every log sentence', () => {
+    const written = new Set<string>(['document in force', 'document deleted']);
+    for (const [, first, second] of sources.matchAll(LOG_CALL)) {
+      if (first !== undefined) written.add(first);
+      if (second !== undefined) written.add(second);
+    }
+    const shown = [...page.matchAll(/^\| `([^`]+)` \| (?:info|warn|error) \|/gm)];
+    const explained = new Set(shown.map(([, sentence]) => sentence));
+    expect([...explained].sort()).toEqual([...written].sort());
+    expect(sources).toContain("'document deleted' : 'document in force'");
+  });
+
+  it('explains every metric', () => {
+    const written = new Set(sources.match(METRIC));
+    const shown = [...page.matchAll(/^\| `(limpetbay_[a-z_]+)(?:\{\w+\})?` \|/gm)];
+    expect(shown.map(([, name]) => name).sort()).toEqual([...written].sort());
+  });
+});
