--- /dev/null
+++ b/examples/library/config.ts
@@ -0,0 +1,87 @@
+import {
+  ConfigFollower,
+  DocumentTable,
+  InstanceRecord,
+  ManualClock,
+  Membership,
+  Ok,
+  Revision,
+  SeededRandom,
+  ServiceDocument,
+  encodeStoredDocument,
+  getServiceKey,
+  servicePrefix,
+} from '@limpetbay/core';
+import { MemoryStore } from '@limpetbay/standins';
+
+const clock = new ManualClock();
+const store = new MemoryStore(clock, new SeededRandom(1));
+const record = InstanceRecord.parse({
+  id: 'entry-a-1',
+  role: 'entry',
+  zone: 'a',
+  address: '10.0.1.11:7000',
+  state: 'live',
+});
+
+const table = new DocumentTable(({ name, revision, document }) => {
+  const zones = document === null ? 'deleted' : `zones ${document.zones.in.join(' ')}`;
+  process.stdout.write(`${name} at revision ${revision}: ${zones}\n`);
+});
+
+// The only instance of its zone reads and watches the store itself. There are no peers here.
+const follower = new ConfigFollower({
+  self: { record, sequence: 1 },
+  clock,
+  random: new SeededRandom(2),
+  table,
+  membership: new Membership(clock, record.id),
+  ports: {
+    readDocuments: (respond) => {
+      void store.readPrefix(servicePrefix).then(respond);
+    },
+    watchDocuments: (from, listener) => store.watch(servicePrefix, from, listener),
+    fetchInstances: (respond) => {
+      void Promise.resolve(Ok([record])).then(respond);
+    },
+    followPeer: () => () => undefined,
+    tellPeer: () => undefined,
+    warn: (sentence) => process.stdout.write(`${sentence}\n`),
+  },
+});
+
+async function advance(durationMs: number): Promise<void> {
+  for (let passed = 0; passed < durationMs; passed += 10) {
+    clock.advance(10);
+    store.tick();
+    if (passed % 100 === 0) follower.tick();
+    await new Promise(setImmediate);
+  }
+}
+
+/** Writes a document by compare-and-swap, as `limpetbay accept` does. */
+async function accept(zones: readonly string[], revision: number): Promise<void> {
+  const document = ServiceDocument.parse({
+    service: { name: 'bookings', kind: 'plain' },
+    zones: { in: zones },
+    targets: { include: ['bookings-*'] },
+    ramp: {},
+    limits: {},
+    keys: {},
+  });
+  const key = getServiceKey('bookings');
+  const written = store.commit({
+    conditions: [{ key, revision: Revision.parse(revision) }],
+    writes: [{ key, value: encodeStoredDocument(document, `operation-${revision}`) }],
+  });
+  await advance(500);
+  process.stdout.write(`accepted: ${(await written).unwrap().committed}\n`);
+}
+
+await advance(500);
+await accept(['a', 'b'], 0);
+await accept(['a'], table.getDocument('bookings')!.revision);
+// An operator who started from the first state loses the race; nothing changes.
+await accept(['b'], 0);
+process.stdout.write(`state: ${follower.getFreshness().state}\n`);
+follower.stop();
