--- a/packages/agent/src/loop/Agent.ts
+++ b/packages/agent/src/loop/Agent.ts
@@ -56,6 +56,9 @@
 
   #progressAtMs: number;
 
+  /** State that was logged last. */
+  #loggedState = '';
+
   constructor(parts: AgentParts) {
     this.#parts = parts;
     this.#progressAtMs = parts.clock.getNow();
@@ -95,6 +98,23 @@
     this.#loop.push({ type: 'leave' });
   }
 
+  /** Returns the milliseconds until the last deadline of the attempts in progress has passed. */
+  getLongestDeadlineMs(): number {
+    const nowMs = this.#parts.clock.getNow();
+    let longestMs = 0;
+    for (const { item } of this.#runs.values()) {
+      longestMs = Math.max(longestMs, item.deadlineMs - nowMs);
+    }
+    return longestMs;
+  }
+
+  /** Returns whether the agent takes new work, and the body of `/healthz`. */
+  describeHealth(): { readonly ready: boolean; readonly body: object } {
+    const { state, isolated, rampState } = this.#parts.admission.getStatus();
+    const body = { state, isolated, ramp: rampState, in_progress: this.#runs.size };
+    return { ready: state === 'serving', body };
+  }
+
   /** Counts the attempts in progress. */
   countRuns(): number {
     return this.#runs.size;
@@ -171,6 +191,7 @@
       case 'leave':
         this.#parts.log.report('leaving', { in_progress: this.#runs.size });
         this.#apply(this.#parts.admission.setLeaving());
+        this.#logState();
         break;
       default:
         this.#tick();
@@ -332,7 +353,13 @@
     run.acceptHead(status, headers);
     // Another rank may answer where this engine failed before its first token.
     if (run.repeatable && status >= SERVER_ERROR) return;
-    run.writer.startAnswer(status, headers, false);
+    run.writer.startAnswer(status, this.#markStale(headers), false);
+  }
+
+  /** Marks answers of an agent that serves although nothing outside its zone confirms its document. */
+  #markStale(headers: readonly Header[]): readonly Header[] {
+    if (!this.#parts.admission.getStatus().isolated) return headers;
+    return [...headers, { name: 'Limpetbay-Config-Stale', value: 'true' }];
   }
 
   #acceptData(run: AttemptRun, data: Uint8Array, tokens: number): void {
@@ -424,14 +451,20 @@
   }
 
   #applyConfig(): void {
-    const { admission, config, log, service } = this.#parts;
+    const { admission, config, service } = this.#parts;
     const versioned = config.getDocument(service);
-    const before = admission.getLoad().state;
     this.#apply(admission.setDocument(versioned));
-    const load = admission.getLoad();
-    if (load.state !== before) {
-      log.report('state changed', { from: before, to: load.state, revision: load.configRevision });
-    }
+    this.#logState();
+  }
+
+  #logState(): void {
+    const { admission, log } = this.#parts;
+    const { state, isolated } = admission.getStatus();
+    const label = isolated && state === 'serving' ? 'serving_isolated' : state;
+    if (label === this.#loggedState) return;
+    const revision = admission.getLoad().configRevision;
+    log.report('state changed', { from: this.#loggedState, to: label, revision });
+    this.#loggedState = label;
   }
 
   #tick(): void {
@@ -450,6 +483,7 @@
       else if (isProgressDue) run.writer.reportProgress();
     }
     this.#apply(admission.tick());
+    this.#logState();
   }
 
   /** Gives up a silent stream of the engine; its connections are replaced unless others work. */
--- a/packages/agent/src/process/startAgent.ts
+++ b/packages/agent/src/process/startAgent.ts
@@ -11,7 +11,13 @@
   groupService,
   openServer,
 } from '@limpetbay/rpc';
-import { MetricRegistry, createLog, waitUntil, type RunningProcess } from '@limpetbay/runtime';
+import {
+  MetricRegistry,
+  createLog,
+  startMetricsServer,
+  waitUntil,
+  type RunningProcess,
+} from '@limpetbay/runtime';
 import { EngineClient, HttpTarget } from '@limpetbay/targets';
 import { GroupRunner } from '../group/GroupRunner.js';
 import { Agent } from '../loop/Agent.js';
@@ -99,9 +105,19 @@
         });
   const findHandler = (group: string, rank: number) => runner?.findHandler(group, rank) ?? null;
   server.server.addService(groupService, createGroupService(findHandler));
+  const metricsServer =
+    own.metrics_port === 0
+      ? null
+      : await startMetricsServer(
+          own.address.slice(0, own.address.lastIndexOf(':')),
+          own.metrics_port,
+          metrics,
+          () => agent.describeHealth(),
+        );
   config.start();
   log.report('started', { address: server.address, target: own.target, zone: own.zone });
   const close = (): void => {
+    metricsServer?.close();
     runner?.stop();
     agent.stop();
     config.stop();
@@ -118,7 +134,9 @@
       config.setLeaving();
       agent.startLeaving();
       await sleep(timing.leave_ms);
-      const isDone = await waitUntil(() => agent.countRuns() === 0, timing.stop_grace_ms);
+      // No request is cut before its deadline, however short the grace is.
+      const graceMs = Math.max(timing.stop_grace_ms, agent.getLongestDeadlineMs());
+      const isDone = await waitUntil(() => agent.countRuns() === 0, graceMs);
       if (!isDone) log.warn('stopped with requests in progress', { count: agent.countRuns() });
       await runner?.release();
       await sleep(Math.min(FLUSH_MS, timing.leave_ms));
--- a/packages/agent/src/settings/AgentSettings.ts
+++ b/packages/agent/src/settings/AgentSettings.ts
@@ -8,6 +8,8 @@
     zone: Zone,
     /** `IP:PORT` for other limpetbay processes. */
     address: z.string().regex(/^[^:]+:\d{1,5}$/, 'must be IP:PORT'),
+    /** Port of `/metrics` and `/healthz` on the same IP; 0 serves neither. */
+    metrics_port: z.coerce.number().int().min(0).max(65_535).default(0),
     service: ServiceName,
     /** Kind of the target: a rank of a model engine or a plain service. */
     kind: z.enum(['model', 'plain']),
--- a/packages/core/src/admission/TargetAdmission.ts
+++ b/packages/core/src/admission/TargetAdmission.ts
@@ -45,6 +45,8 @@
 const LONGEST_RETRY_MS = 10_000;
 const SHORTEST_RETRY_MS = 50;
 const STEP_CLASS = 'step';
+/** Weight of a new service time in the smoothed one. */
+const SERVICE_TIME_WEIGHT = 0.1;
 /** An emptied cache: a tenth or less is left of a cache that was in use. */
 const CACHE_IN_USE = 0.1;
 const CACHE_LEFT = 0.1;
@@ -131,6 +133,9 @@
 
   #paceRatio: number | null = null;
 
+  /** Smoothed service time; stands for the step time of a target without steps. */
+  #serviceTimeMs = 0;
+
   #startedCount = 0;
 
   #finishedCount = 0;
@@ -293,6 +298,7 @@
     const inRamp = current && this.#rampWindow.recordFinish(sample.error);
     const inAdaptive = current && this.#adaptiveWindow.recordFinish(sample.error);
     if (!sample.error) {
+      this.#smoothServiceTime(sample.serviceTimeMs);
       this.#estimator.record(entry.paceClass, entry.cost, sample.serviceTimeMs);
       const isStep = sample.stepTimeMs > 0;
       const name = isStep ? STEP_CLASS : entry.paceClass;
@@ -355,7 +361,7 @@
       limit: this.#getLimit(),
       queued: this.#queue.getSize(),
       queueDelayMs: this.#estimateWait(this.#queue.getCost()),
-      stepTimeMs: this.#engine?.stepTimeMs ?? 0,
+      stepTimeMs: this.#engine?.stepTimeMs ?? this.#serviceTimeMs,
       tokensInFlight: this.#runningCost,
       queuedPromptTokens: this.#queuedPromptTokens,
       kvFree: this.#engine?.kvFree ?? 1,
@@ -478,6 +484,11 @@
     return { kind: 'stale_incarnation', message };
   }
 
+  #smoothServiceTime(timeMs: number): void {
+    const weight = this.#serviceTimeMs === 0 ? 1 : SERVICE_TIME_WEIGHT;
+    this.#serviceTimeMs += weight * (timeMs - this.#serviceTimeMs);
+  }
+
   #buildLate(nowMs: number, entry: Entry): Failure {
     const leftMs = Math.max(0, Math.round(entry.deadlineMs - nowMs));
     const needMs = Math.round(entry.deadlineMs - entry.latestStartMs);
--- a/packages/entry/src/loop/Entry.ts
+++ b/packages/entry/src/loop/Entry.ts
@@ -106,6 +106,16 @@
     this.#parts.log.report('leaving', { in_progress: this.#runs.size });
   }
 
+  /** Returns the milliseconds until the last deadline of the requests in progress has passed. */
+  getLongestDeadlineMs(): number {
+    const nowMs = this.#parts.clock.getNow();
+    let longestMs = 0;
+    for (const { deadlineAtMs } of this.#runs) {
+      longestMs = Math.max(longestMs, deadlineAtMs - nowMs + DEADLINE_SLACK_MS);
+    }
+    return longestMs;
+  }
+
   countRuns(): number {
     return this.#runs.size;
   }
@@ -216,7 +226,7 @@
     }
     if (picked.err) {
       // The last refusal says more than that no target is left.
-      const failure = picked.val.kind === 'no_target' ? (run.failure ?? picked.val) : picked.val;
+      const failure = this.#explainNoTarget(run, picked.val);
       const kind = chooseFailureKind(failure.kind, run.repeatable, run.mayHaveRun);
       this.#fail(run, { ...failure, kind });
       return;
@@ -243,6 +253,13 @@
     run.setCancel(cancel);
   }
 
+  #explainNoTarget(run: EntryRun, failure: Failure): Failure {
+    if (failure.kind === 'no_target') return run.failure ?? failure;
+    if (failure.kind !== 'unknown_service') return failure;
+    // The document is known, so the service is; none of its targets is listed.
+    return { ...failure, kind: 'no_target' };
+  }
+
   #acceptAnswer(run: EntryRun, event: AnswerEvent): void {
     switch (event.type) {
       case 'accepted':
--- a/packages/entry/src/process/startEntry.ts
+++ b/packages/entry/src/process/startEntry.ts
@@ -90,7 +90,9 @@
       // Callers that were given this address a moment ago go on using it for the full time.
       await sleep(timing.address_ttl_ms + LEAVE_SLACK_MS);
       void callers.drain();
-      const isDone = await waitUntil(() => entry.countRuns() === 0, timing.stop_grace_ms);
+      // No request is cut before its deadline, however short the grace is.
+      const graceMs = Math.max(timing.stop_grace_ms, entry.getLongestDeadlineMs());
+      const isDone = await waitUntil(() => entry.countRuns() === 0, graceMs);
       if (!isDone) log.warn('stopped with requests in progress', { count: entry.countRuns() });
       log.report('stopped');
       close();
--- a/packages/operators/src/status/findProblems.ts
+++ b/packages/operators/src/status/findProblems.ts
@@ -36,6 +36,13 @@
       details: [view.listProblem ?? ''],
     });
   }
+  if (view.instances?.length === 0) {
+    problems.push({
+      summary: 'the instance list is empty',
+      advice: 'no process can be asked, so nothing is confirmed; check the address of the list',
+      details: [],
+    });
+  }
   return problems;
 }
 
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -4,6 +4,7 @@
 export { createLog } from './log/createLog.js';
 export { formatFields } from './log/formatFields.js';
 export { MetricRegistry } from './metrics/MetricRegistry.js';
+export { startMetricsServer } from './metrics/startMetricsServer.js';
 export type { EventLoop } from './process/EventLoop.js';
 export { PushSource } from './process/PushSource.js';
 export type { RunningProcess } from './process/RunningProcess.js';
--- a/packages/runtime/src/metrics/MetricRegistry.ts
+++ b/packages/runtime/src/metrics/MetricRegistry.ts
@@ -1,7 +1,12 @@
 import { build, type Histogram } from 'hdr-histogram-js';
 
 const SIGNIFICANT_DIGITS = 2;
-const QUANTILES = [50, 95, 99, 99.9];
+const QUANTILES = [
+  { label: '0.5', percentile: 50 },
+  { label: '0.95', percentile: 95 },
+  { label: '0.99', percentile: 99 },
+  { label: '0.999', percentile: 99.9 },
+] as const;
 
 /** Counters, gauges and latency histograms of one process. */
 export class MetricRegistry {
@@ -41,9 +46,9 @@
     for (const [name, value] of this.#counters) lines.push(`${name} ${value}`);
     for (const [name, read] of this.#gauges) lines.push(`${name} ${read()}`);
     for (const [name, histogram] of this.#histograms) {
-      for (const quantile of QUANTILES) {
-        const value = histogram.getValueAtPercentile(quantile);
-        lines.push(`${name}{quantile="${quantile / 100}"} ${value}`);
+      for (const { label, percentile } of QUANTILES) {
+        const value = histogram.getValueAtPercentile(percentile);
+        lines.push(`${name}{quantile="${label}"} ${value}`);
       }
       lines.push(`${name}_count ${histogram.totalCount}`);
     }
--- /dev/null
+++ b/packages/runtime/src/metrics/startMetricsServer.ts
@@ -0,0 +1,44 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { MetricRegistry } from './MetricRegistry.js';
+
+interface MetricsServer {
+  readonly port: number;
+  close(): void;
+}
+
+/**
+ * Serves `GET /metrics` and `GET /healthz` of a process without an HTTP server of its own.
+ *
+ * @param describeHealth returns whether the process takes new work, and the body of `/healthz`
+ */
+export async function startMetricsServer(
+  host: string,
+  port: number,
+  metrics: MetricRegistry,
+  describeHealth: () => { readonly ready: boolean; readonly body: object },
+): Promise<MetricsServer> {
+  const server = createServer((request, response) => {
+    if (request.method === 'GET' && request.url === '/metrics') {
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
+      response.end(metrics.format());
+    } else if (request.method === 'GET' && request.url === '/healthz') {
+      const { ready, body } = describeHealth();
+      response.writeHead(ready ? 200 : 503, { 'content-type': 'application/json' });
+      response.end(`${JSON.stringify(body)}\n`);
+    } else {
+      response.writeHead(404).end();
+    }
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  return {
+    port: (server.address() as AddressInfo).port,
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
