Compute the capacity page from measured slopes

Cause: the design page refers to docs/CAPACITY.md, which did not exist, and nothing showed whether each role fits the limits at the design size.

Change: bench `capacity` fits a line to the cost of each role at three or four sizes and compares it with bench/capacity-slopes.json; `--record` writes the slopes and the tables of the page.

--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,5 +1,6 @@
 import type { Bench } from './report/Bench.js';
 import { atMostOnceBench } from './benches/atMostOnce/atMostOnceBench.js';
+import { capacityBench } from './benches/capacityBench.js';
 import { claimOutageBench } from './benches/claimOutage/claimOutageBench.js';
 import { claimRateBench } from './benches/claimRate/claimRateBench.js';
 import { configBench } from './benches/configBench.js';
@@ -28,4 +29,5 @@
   rolling,
   decisionCost,
   mapSwitchBench,
+  capacityBench,
 ];
