--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,5 +1,6 @@
 import type { Bench } from './report/Bench.js';
 import { atMostOnceBench } from './benches/atMostOnce/atMostOnceBench.js';
+import { capacityBench } from './benches/capacityBench.js';
 import { claimOutageBench } from './benches/claimOutage/claimOutageBench.js';
 import { claimRateBench } from './benches/claimRate/claimRateBench.js';
 import { configBench } from './benches/configBench.js';
@@ -32,4 +33,5 @@
   mapSwitchBench,
   entryOverhead,
   mapSwitchWalkBench,
+  capacityBench,
 ];
