--- a/bench/src/capacity/RoleLoads.ts
+++ b/bench/src/capacity/RoleLoads.ts
@@ -12,6 +12,9 @@
 const tokensPerRequest = size.tokensPerSecond / size.requestsPerSecond;
 const requestSeconds = (size.firstTokenMs + tokensPerRequest * size.stepMs) / 1000;
 const inProgress = size.requestsPerSecond * requestSeconds;
+/** Progress frames of one request: its stream is quiet only until the first token. */
+const progressFrames = size.firstTokenMs / size.progressMs;
+const listChanges = (2 * restartsPerDay) / SECONDS_PER_DAY;
 const TICKS_PER_SECOND = 50;
 /** Statements of one restart: leaving, gone, and live again. */
 const VERSIONS_PER_RESTART = 3;
@@ -45,13 +48,21 @@
     return [
       this.#one('decisions of a request', 'entry.request', requests, 'core', 'requests/s'),
       this.#line('new set of targets', 'entry.update', size.workers, versions, 'core', 'changes/s'),
-      this.#one('progress frames', 'path.frame', streams, 'core', 'frames/s'),
+      this.#one('progress frames', 'path.frame', requests * progressFrames, 'core', 'frames/s'),
       ...this.#listFollower(),
       this.#line('targets known', 'entry.target-memory', size.workers, 1, 'memory', ''),
       this.#one('requests in progress', 'entry.request-memory', streams, 'memory', 'requests'),
       this.#one('workspaces tracked', 'entry.workspace-memory', TRACKED, 'memory', 'workspaces'),
       this.#packets('load reports', 'wire.load', requests, 0, 'answers/s'),
-      this.#packets('progress frames', 'wire.progress', streams, 1, 'frames/s'),
+      {
+        figure: 'pings of idle channels',
+        cost: `${size.pingBytes} bytes per ping and answer, every ${size.pingSeconds} s`,
+        load: `${size.channelsPerEntry} channels`,
+        resource: 'network',
+        product: (size.channelsPerEntry * size.pingBytes) / size.pingSeconds,
+        isControl: true,
+      },
+      this.#packets('progress frames', 'wire.progress', requests * progressFrames, 1, 'frames/s'),
       this.#answers('requests sent and ended', 'path.request', requests, 'requests/s'),
       this.#answers('answer frames', 'path.frame', tokens, 'frames/s'),
       this.#answerBytes(tokens),
@@ -60,18 +71,17 @@
 
   listAgent(): RoleLoad[] {
     const requests = size.requestsPerSecond / size.workers;
-    const streams = inProgress / size.workers;
     const tokens = size.tokensPerSecond / size.workers;
     const remembered = requests * DEADLINE_SECONDS;
     return [
       this.#one('admission of an attempt', 'agent.attempt', requests, 'core', 'attempts/s'),
       this.#one('ticks', 'agent.tick', TICKS_PER_SECOND, 'core', 'ticks/s'),
-      this.#one('progress frames', 'path.frame', streams, 'core', 'frames/s'),
+      this.#one('progress frames', 'path.frame', requests * progressFrames, 'core', 'frames/s'),
       ...this.#listFollower(),
       this.#one('attempts remembered', 'agent.attempt-memory', remembered, 'memory', 'attempts'),
       this.#one('queue', 'agent.queue-memory', QUEUE_LENGTH, 'memory', 'items'),
       this.#packets('load reports', 'wire.load', requests, 0, 'answers/s'),
-      this.#packets('progress frames', 'wire.progress', streams, 1, 'frames/s'),
+      this.#packets('progress frames', 'wire.progress', requests * progressFrames, 1, 'frames/s'),
       this.#answers('requests taken and ended', 'path.request', requests, 'requests/s'),
       this.#answers('answer frames', 'path.frame', tokens, 'frames/s'),
       this.#answerBytes(tokens),
@@ -140,12 +150,20 @@
 
   /** What reading the instance list adds to a relay that watches the store. */
   listWatching(): RoleLoad[] {
-    const perSecond = 1 / size.listIntervalSeconds;
-    const load = 'reads/s';
+    const load = 'changes/s';
+    const checks = 1 / size.listIntervalSeconds;
     return [
       ...this.listRelay(),
-      this.#line('list: parse and apply', 'list.read-time', processes, perSecond, 'core', load),
-      this.#line('list: bytes received', 'list.read', processes, perSecond, 'network', load),
+      this.#line('list: parse and apply', 'list.read-time', processes, listChanges, 'core', load),
+      this.#line('list: bytes received', 'list.read', processes, listChanges, 'network', load),
+      {
+        figure: 'list: conditional reads without a change',
+        cost: `${size.listCheckBytes} bytes of headers`,
+        load: `${formatFigure(checks)} reads/s`,
+        resource: 'network',
+        product: checks * size.listCheckBytes,
+        isControl: true,
+      },
     ];
   }
 
--- a/bench/src/capacity/computeTables.ts
+++ b/bench/src/capacity/computeTables.ts
@@ -52,6 +52,8 @@
   const readers = size.zones * size.relaysPerZone;
   const calls = readers / size.listIntervalSeconds;
   const bytes = slopes.estimate('list.read', size.entries + size.workers);
+  // An instance that is replaced leaves the list once and joins it once.
+  const changes = (2 * (size.restartsPerDay + size.failuresPerDay)) / SECONDS_PER_DAY;
   return {
     id: 'list',
     columns: ['figure', 'product'],
@@ -59,7 +61,10 @@
       ['readers: relays that watch the store', formatFigure(readers)],
       ['calls/s, one every 1.5 s for each reader', formatFigure(calls)],
       ['KB of one answer with 2,710 instances', formatFigure(bytes / 1e3)],
-      ['KB/s sent by the list in all', formatFigure((calls * bytes) / 1e3)],
+      [
+        'KB/s sent by the list in all',
+        formatFigure((calls * size.listCheckBytes + changes * readers * bytes) / 1e3),
+      ],
     ],
   };
 }
--- a/bench/src/capacity/designSize.ts
+++ b/bench/src/capacity/designSize.ts
@@ -35,6 +35,14 @@
   followersPerRelay: 16,
   relaysPerZone: 3,
   linksPerFollower: 2,
+  /** Least time without a frame before a progress frame, `progress_ms`. */
+  progressMs: 500,
+  /** Subset of the router, and the pings of its channels with their packet headers. */
+  channelsPerEntry: 32,
+  pingBytes: 142,
+  pingSeconds: 4,
+  /** Assumed: headers of a conditional read of the list and of its answer `304`. */
+  listCheckBytes: 500,
   /** Mean time between two reads of the instance list by one reader. */
   listIntervalSeconds: 1.5,
   /** HTTP/2 frame and gRPC message headers, TCP and IP headers; sent alone in a packet. */
--- a/bench/src/capacity/measureWire.ts
+++ b/bench/src/capacity/measureWire.ts
@@ -17,9 +17,14 @@
 
 /** What a process answers to an operator's command. */
 function createReport(services: number): RelayMessages['RevisionReport'] {
-  const revisions: { name: string; revision: number; deleted: boolean }[] = [];
+  const revisions: RelayMessages['RevisionReport']['revisions'][number][] = [];
   for (let index = 0; index < services; index += 1) {
-    revisions.push({ name: `canerota-${index}`, revision: 3500 + index, deleted: false });
+    revisions.push({
+      name: `canerota-${index}`,
+      revision: 3500 + index,
+      deleted: false,
+      inForceMs: 1000,
+    });
   }
   const [record] = createInstances(1);
   return {
--- a/packages/agent/src/attempt/AnswerWriter.ts
+++ b/packages/agent/src/attempt/AnswerWriter.ts
@@ -18,6 +18,9 @@
 
   #hasHead = false;
 
+  /** Whether a frame was written since the last call of `keepAlive`. */
+  #isActive = false;
+
   /** @param incarnation life of the target that the frames carry where the attempt names none */
   constructor(
     attempt: Attempt,
@@ -47,8 +50,10 @@
     this.#bytes += data.length;
   }
 
-  reportProgress(): void {
-    this.#write({ type: 'progress' });
+  /** Sends a progress frame unless another frame has shown progress since the last call. */
+  keepAlive(): void {
+    if (!this.#isActive) this.#write({ type: 'progress' });
+    this.#isActive = false;
   }
 
   /** Marks the answer as complete. */
@@ -89,6 +94,7 @@
 
   #write(part: AnswerFrame['part']): void {
     if (this.#isClosed) return;
+    this.#isActive = true;
     const { requestId, attempt } = this.#attempt;
     this.#send({ requestId, attempt, incarnation: this.#incarnation, part });
   }
--- a/packages/agent/src/loop/Agent.ts
+++ b/packages/agent/src/loop/Agent.ts
@@ -480,7 +480,7 @@
     if (isProgressDue) this.#progressAtMs = nowMs;
     for (const run of [...this.#runs.values()]) {
       if (run.phase === 'running' && run.isLate(nowMs)) this.#expire(run);
-      else if (isProgressDue) run.writer.reportProgress();
+      else if (isProgressDue) run.writer.keepAlive();
     }
     this.#apply(admission.tick());
     this.#logState();
--- a/packages/agent/src/settings/AgentSettings.ts
+++ b/packages/agent/src/settings/AgentSettings.ts
@@ -32,7 +32,8 @@
   timing: z
     .strictObject({
       tick_ms: z.coerce.number().int().min(5).max(1000).default(20),
-      progress_ms: z.coerce.number().int().min(100).max(2000).default(1000),
+      /** A stream without frames for one to two of these intervals gets a progress frame. */
+      progress_ms: z.coerce.number().int().min(100).max(1000).default(500),
       engine_poll_ms: z.coerce.number().int().min(50).max(10_000).default(500),
       /** Silence of the engine after which its connections are replaced. */
       engine_silence_ms: z.coerce.number().int().min(500).max(60_000).default(3000),
--- a/packages/standins/src/instances/InstanceListServer.ts
+++ b/packages/standins/src/instances/InstanceListServer.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Clock, InstanceRecord } from '@limpetbay/core';
@@ -22,6 +23,8 @@
 
   #calls = 0;
 
+  #bodies = 0;
+
   #address = '';
 
   constructor(options: InstanceListServerOptions) {
@@ -42,8 +45,15 @@
         response.writeHead(this.#outage ? 503 : 404).end();
         return;
       }
-      response.writeHead(200, { 'content-type': 'application/json' });
-      response.end(JSON.stringify(this.getRecords()));
+      const body = JSON.stringify(this.getRecords());
+      const etag = `"${createHash('sha256').update(body).digest('base64url')}"`;
+      if (request.headers['if-none-match'] === etag) {
+        response.writeHead(304, { etag }).end();
+        return;
+      }
+      this.#bodies += 1;
+      response.writeHead(200, { 'content-type': 'application/json', etag });
+      response.end(body);
     });
     this.#server = server;
     await new Promise<void>((resolve) => {
@@ -84,6 +94,11 @@
     this.#outage = outage;
   }
 
+  /** Counts the answers that carried the list. */
+  countBodies(): number {
+    return this.#bodies;
+  }
+
   countCalls(): number {
     return this.#calls;
   }
