Name the allowed range of every wrong setting and drop a second pattern matcher

Change: describeAllowed moves to core and serves documents and settings; the operators' package uses matchTarget.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -174,6 +174,7 @@
 export { combineHashes } from './routing/combineHashes.js';
 export { hashText } from './routing/hashText.js';
 export { scoreTarget } from './routing/scoreTarget.js';
+export { describeAllowed } from './schema/describeAllowed.js';
 export { ProgressWatch } from './silence/ProgressWatch.js';
 export type { SilentStream } from './silence/SilentStream.js';
 export { computeEngineLimit } from './silence/computeEngineLimit.js';
--- a/packages/operators/src/document/describeAllowed.ts
+++ b/packages/core/src/schema/describeAllowed.ts
@@ -1,5 +1,4 @@
 import { z } from 'zod';
-import { ServiceDocument } from '@limpetbay/core';
 
 interface SchemaNode {
   readonly type?: string;
@@ -10,15 +9,17 @@
   readonly maxLength?: number;
   readonly minItems?: number;
   readonly maxItems?: number;
+  readonly pattern?: string;
+  readonly format?: string;
   readonly items?: SchemaNode;
   readonly default?: unknown;
   readonly properties?: Readonly<Record<string, SchemaNode>>;
 }
 
-const schema = z.toJSONSchema(ServiceDocument, { io: 'input' }) as SchemaNode;
-
 function describeText(node: SchemaNode): string {
   if (node.enum !== undefined) return node.enum.join(' | ');
+  if (node.format === 'uri') return 'http:// URL';
+  if (node.pattern !== undefined) return `text that matches ${node.pattern}`;
   const min = node.minLength ?? 0;
   return node.maxLength === undefined
     ? `text of at least ${min} characters`
@@ -35,16 +36,19 @@
 }
 
 /**
- * Describes what a key of the document may hold, from the schema itself.
+ * Describes what a key of a document or a settings file may hold, from the schema itself.
  *
- * @param path path of the value in `ServiceDocument`
+ * @param path path of the value in the schema
  * @returns the allowed values and the default as INI text; null where the key must be given
  */
-export function describeAllowed(path: readonly string[]): {
+export function describeAllowed(
+  schema: z.ZodType,
+  path: readonly string[],
+): {
   readonly allowed: string;
   readonly defaultText: string | null;
 } {
-  let node: SchemaNode = schema;
+  let node = z.toJSONSchema(schema, { io: 'input' }) as SchemaNode;
   for (const part of path) node = node.properties?.[part] ?? node.items?.properties?.[part] ?? {};
   const value = node.default;
   const text = Array.isArray(value) ? value.join(', ') : String(value);
--- a/packages/operators/src/document/parseDocument.ts
+++ b/packages/operators/src/document/parseDocument.ts
@@ -1,9 +1,15 @@
 import type { z } from 'zod';
-import { Ok, ServiceDocument, fail, type Failure, type Result } from '@limpetbay/core';
-import { describeAllowed } from './describeAllowed.js';
+import {
+  Ok,
+  ServiceDocument,
+  describeAllowed,
+  fail,
+  matchTarget,
+  type Failure,
+  type Result,
+} from '@limpetbay/core';
 import { documentKeys } from './documentKeys.js';
 import { listRanks } from './listRanks.js';
-import { matchPattern } from './matchPattern.js';
 import { readSections } from './readSections.js';
 
 type Sections = ReadonlyMap<string, ReadonlyMap<string, string>>;
@@ -82,7 +88,7 @@
     const allowed =
       field === 'pathPrefix'
         ? 'a path that begins with /'
-        : describeAllowed(['routes', field]).allowed;
+        : describeAllowed(ServiceDocument, ['routes', field]).allowed;
     return `[routes] ${key}: '${shown}' is not allowed; allowed: ${allowed}`;
   }
   if (part === 'groups') return `[group]: ${issue.message}`;
@@ -91,7 +97,7 @@
   const { section, key, path } = known;
   const value = sections.get(section)?.get(key);
   const fault = value === undefined ? 'missing' : `'${value}' is not allowed`;
-  return `[${section}] ${key}: ${fault}; allowed: ${describeAllowed(path).allowed}`;
+  return `[${section}] ${key}: ${fault}; allowed: ${describeAllowed(ServiceDocument, path).allowed}`;
 }
 
 function findRepeated(items: readonly string[]): string | undefined {
@@ -122,10 +128,7 @@
       }
       owners.set(target, name);
     }
-    const outside = ranks.find((target) => {
-      const isIn = targets.include.some((pattern) => matchPattern(pattern, target));
-      return !isIn || targets.exclude.some((pattern) => matchPattern(pattern, target));
-    });
+    const outside = ranks.find((target) => !matchTarget(targets, target));
     if (outside !== undefined) {
       const allowed = 'allowed: targets that [targets] includes';
       issues.push(`[group ${name}] targets: '${outside}' is no target of the service; ${allowed}`);
--- a/packages/operators/test/documentsPage.test.ts
+++ b/packages/operators/test/documentsPage.test.ts
@@ -1,8 +1,8 @@
 import { readFileSync } from 'node:fs';
 import { expect, it } from 'vitest';
 import { z } from 'zod';
-import { ServiceDocument } from '@limpetbay/core';
-import { describeAllowed, documentKeys } from '@limpetbay/operators';
+import { ServiceDocument, describeAllowed } from '@limpetbay/core';
+import { documentKeys } from '@limpetbay/operators';
 
 const page = readFileSync(new URL('../../../docs/operators/documents.md', import.meta.url), 'utf8');
 
@@ -14,7 +14,7 @@
   const [, keys = ''] = page.split('## Keys');
   const rows = [...(keys.split('## Groups')[0] ?? '').matchAll(ROW)].map((row) => row.slice(1, 5));
   const expected = documentKeys.map(({ section, key, path }) => {
-    const { allowed, defaultText } = describeAllowed(path);
+    const { allowed, defaultText } = describeAllowed(ServiceDocument, path);
     const filled = defaultText === '' ? '(empty)' : `\`${defaultText}\``;
     const shown = defaultText === null ? '(required)' : filled;
     return [section, key, shown, allowed.replaceAll(' | ', ' or ')];
--- a/packages/runtime/src/settings/readSettings.ts
+++ b/packages/runtime/src/settings/readSettings.ts
@@ -23,6 +23,6 @@
   }
   const checked = schema.safeParse(parse(text));
   if (checked.success) return Ok(checked.data);
-  const lines = checked.error.issues.map((issue) => `${file}: ${describeIssue(issue)}`);
+  const lines = checked.error.issues.map((issue) => `${file}: ${describeIssue(issue, schema)}`);
   return fail('invalid_setting', lines.join('\n'));
 }
--- a/packages/runtime/test/readSettings.test.ts
+++ b/packages/runtime/test/readSettings.test.ts
@@ -17,5 +17,5 @@
   expect(result.err).toBe(true);
   expect(result.val).toMatchObject({ kind: 'invalid_setting' });
   expect((result.val as { message: string }).message).toContain(`${file}: [entry] port: `);
-  expect((result.val as { message: string }).message).toContain('65535');
+  expect((result.val as { message: string }).message).toContain('whole number from 1 to 65535');
 });
