--- a/packages/operators/src/accept/acceptDocument.ts
+++ b/packages/operators/src/accept/acceptDocument.ts
@@ -85,15 +85,16 @@
   const read = await store.read(key);
   if (read.err) return read;
   const before = decodePresent(read.val.record);
-  if (baseRevision !== null && baseRevision !== before.revision) {
-    return failConflict(options, null, baseRevision, before);
-  }
   const isUnchanged =
     before.document !== null && diffDocuments(before.document, document).length === 0;
+  // Also where the base revision is older: an accept that is repeated has nothing to overwrite.
   if (isUnchanged) {
     const revision = Revision.parse(before.revision);
     return Ok({ revision, before: before.document, isUnchanged });
   }
+  if (baseRevision !== null && baseRevision !== before.revision) {
+    return failConflict(options, null, baseRevision, before);
+  }
   const earlierOperations = before.operations.slice(0, MAX_EARLIER_OPERATIONS);
   const value = JSON.stringify({
     ...(JSON.parse(encodeStoredDocument(document, operationId)) as object),
