Plan layers in separate turns and log placement decisions

Cause: PlannerRole planned all layers in one turn; at 58 layers of 256 ranks that is 58 times 45 ms in which the agent handles nothing else. The listener that hears placement decisions was not wired. Change: an injected pause between two layers; PlacementLog.

--- a/packages/agent/src/group/GroupRunner.ts
+++ b/packages/agent/src/group/GroupRunner.ts
@@ -16,6 +16,7 @@
 import type { EngineClient } from '@limpetbay/targets';
 import type { AgentSettings } from '../settings/AgentSettings.js';
 import { EngineCommands } from './EngineCommands.js';
+import { PlacementLog } from './PlacementLog.js';
 
 interface GroupRunnerParts {
   readonly id: InstanceId;
@@ -170,7 +171,7 @@
   }
 
   #createPlanner({ group, targets }: Membership, peers: GroupClient): PlannerRole {
-    const { clock, id, settings, store } = this.#parts;
+    const { clock, id, log, settings, store } = this.#parts;
     const ranks = targets.length;
     const baseSlots = Math.ceil(settings.experts / ranks);
     const layer = createBaseLayer(settings.experts, ranks, baseSlots + settings.spare_slots);
@@ -193,11 +194,16 @@
           maxLoadsPerRank: settings.spare_slots,
         },
         firstMap: { version: 0, layers },
+        pause: () =>
+          new Promise((resolve) => {
+            setImmediate(resolve);
+          }),
       },
       clock,
       store,
       peers,
       this.#engine,
+      new PlacementLog(log, group),
     );
   }
 
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -2,6 +2,7 @@
 export { AttemptRun } from './attempt/AttemptRun.js';
 export { EngineCommands } from './group/EngineCommands.js';
 export { GroupRunner } from './group/GroupRunner.js';
+export { PlacementLog } from './group/PlacementLog.js';
 export { Agent } from './loop/Agent.js';
 export type { AgentEvent } from './loop/AgentEvent.js';
 export type { AgentParts } from './loop/AgentParts.js';
--- a/packages/core/src/mapswitch/PlannerRole.ts
+++ b/packages/core/src/mapswitch/PlannerRole.ts
@@ -33,6 +33,11 @@
   readonly cost: ChangeCost;
   /** The map of a group that has no record yet. */
   readonly firstMap: ExpertMap;
+  /**
+   * Lets the process handle other events between the plans of two layers, because a plan at 256
+   * ranks takes about as long as a step. Left out, all layers are planned in one turn.
+   */
+  readonly pause?: () => Promise<void>;
 }
 
 /**
@@ -226,15 +231,20 @@
   async #propose(record: MapRecord): Promise<void> {
     const inForce = record.status === 'committed' ? record.map : record.previous;
     let hasChange = false;
-    const layers = inForce.layers.map((layer, index): LayerPlacement => {
+    const layers: LayerPlacement[] = [];
+    for (const [index, layer] of inForce.layers.entries()) {
+      if (index > 0) await this.#options.pause?.();
       const shares = this.#loads[index]?.getShares() ?? [];
-      if (shares.length === 0) return layer;
+      if (shares.length === 0) {
+        layers.push(layer);
+        continue;
+      }
       const choice = this.#placements[index]?.choosePlacement(layer, shares);
-      if (choice === undefined) return layer;
-      this.#listener?.acceptChoice(index, choice);
-      if (choice.next !== null) hasChange = true;
-      return choice.next ?? layer;
-    });
+      if (choice !== undefined) this.#listener?.acceptChoice(index, choice);
+      const next = choice?.next ?? null;
+      if (next !== null) hasChange = true;
+      layers.push(next ?? layer);
+    }
     if (hasChange) await this.#run(this.#planner.begin(layers));
   }
 
--- a/packages/core/test/fakes/FakeGroup.ts
+++ b/packages/core/test/fakes/FakeGroup.ts
@@ -54,6 +54,9 @@
 
   stalledSteps = 0;
 
+  /** Times that a planner let other events go first. */
+  pauses = 0;
+
   /** Steps that ran with more than one map. */
   mixedSteps = 0;
 
@@ -90,9 +93,14 @@
     };
   }
 
-  createPlanner(holder: string): PlannerRole {
+  /** @param layers placements of the map; all have the same counts */
+  createPlanner(holder: string, layers = 1): PlannerRole {
     const source: ExpertCounts = {
-      read: async () => Ok({ layers: [this.counts], endMs: this.clock.getNow() }),
+      read: async () =>
+        Ok({
+          layers: Array.from({ length: layers }, () => this.counts),
+          endMs: this.clock.getNow(),
+        }),
     };
     const options = {
       group: 'g0',
@@ -103,7 +111,13 @@
       patienceMs: 500,
       loadTimeoutMs: 5000,
       cost: COST,
-      firstMap: { version: 1, layers: [packLayer(CALM, RANKS, 6)] },
+      firstMap: {
+        version: 1,
+        layers: Array.from({ length: layers }, () => packLayer(CALM, RANKS, 6)),
+      },
+      pause: async () => {
+        this.pauses += 1;
+      },
     };
     const listener: PlannerListener = {
       acceptChoice: () => undefined,
--- a/packages/core/test/mapswitchRoles.test.ts
+++ b/packages/core/test/mapswitchRoles.test.ts
@@ -23,6 +23,16 @@
     expect(group.getVersion()).toBeGreaterThan(1);
   });
 
+  // Guards against a plan of many layers that holds up all other events of the process.
+  it('give way between the plans of two layers', async () => {
+    const group = new FakeGroup();
+    const planner = group.createPlanner('p0', 3);
+    await group.runSteps(10, [planner]);
+    const before = group.pauses;
+    await group.runSteps(1, [planner]);
+    expect(group.pauses - before).toBe(2);
+  });
+
   // Guards against taking a CAS whose answer was lost for one that failed.
   it('settle lost answers of every write by reading back', async () => {
     const { group, planner } = await startGroup();
