--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,5 +1,7 @@
 export { AnswerWriter } from './attempt/AnswerWriter.js';
 export { AttemptRun } from './attempt/AttemptRun.js';
+export { buildClaimRequest } from './attempt/buildClaimRequest.js';
+export { createRun } from './attempt/createRun.js';
 export { EngineCommands } from './group/EngineCommands.js';
 export { GroupRunner } from './group/GroupRunner.js';
 export { PlacementLog } from './group/PlacementLog.js';
--- a/packages/agent/src/loop/Agent.ts
+++ b/packages/agent/src/loop/Agent.ts
@@ -3,15 +3,11 @@
   answerTable,
   computeEngineLimit,
   fail,
-  hashRequest,
-  isRepeatable,
-  type AdmissionItem,
   type AdmissionOutcome,
   type AnswerFrame,
   type Attempt,
   type AttemptId,
   type ClaimOutcome,
-  type ClaimRequest,
   type ClaimStart,
   type Failure,
   type Header,
@@ -20,8 +16,9 @@
 } from '@limpetbay/core';
 import { createEventLoop, type EventLoop } from '@limpetbay/runtime';
 import type { DispatchHandler } from '@limpetbay/rpc';
-import { AnswerWriter } from '../attempt/AnswerWriter.js';
-import { AttemptRun } from '../attempt/AttemptRun.js';
+import type { AttemptRun } from '../attempt/AttemptRun.js';
+import { buildClaimRequest } from '../attempt/buildClaimRequest.js';
+import { createRun } from '../attempt/createRun.js';
 import type { AgentEvent } from './AgentEvent.js';
 import type { AgentParts } from './AgentParts.js';
 import { EngineMonitor } from './EngineMonitor.js';
@@ -84,7 +81,14 @@
   }
 
   run(attempt: Attempt, send: (frame: AnswerFrame) => boolean, finish: () => void): () => void {
-    const run = this.#createRun(attempt, send, finish);
+    const { admission, clock, config, service } = this.#parts;
+    const run = createRun(attempt, {
+      document: config.getDocument(service)?.document ?? null,
+      incarnation: admission.getIncarnation(),
+      nowMs: clock.getNow(),
+      send,
+      finish,
+    });
     this.#loop.push({ type: 'attempt', run });
     return () => this.#loop.push({ type: 'cancelled', run });
   }
@@ -127,35 +131,6 @@
     this.#loop.stop();
   }
 
-  #createRun(
-    attempt: Attempt,
-    send: (frame: AnswerFrame) => boolean,
-    finish: () => void,
-  ): AttemptRun {
-    const { admission, clock, config, service } = this.#parts;
-    const document = config.getDocument(service)?.document ?? null;
-    const deadlineAtMs = clock.getNow() + attempt.deadlineMs;
-    const repeatable =
-      attempt.repeatable &&
-      document !== null &&
-      isRepeatable(document, attempt.method, attempt.path);
-    const { requestId, workspace, priority, promptTokens, maxTokens, incarnation } = attempt;
-    const item: AdmissionItem = {
-      requestId,
-      attempt: attempt.attempt,
-      workspace,
-      priority,
-      deadlineMs: deadlineAtMs,
-      promptTokens,
-      maxTokens,
-      incarnation,
-      repeatable,
-      route: buildRoute(attempt),
-    };
-    const writer = new AnswerWriter(attempt, admission.getIncarnation(), send, finish);
-    return new AttemptRun({ attempt, item, writer, repeatable });
-  }
-
   #handle(event: AgentEvent): void {
     switch (event.type) {
       case 'attempt':
@@ -516,20 +491,3 @@
 function buildKey({ requestId, attempt }: AttemptId): string {
   return `${requestId}/${attempt}`;
 }
-
-function buildClaimRequest(run: AttemptRun): ClaimRequest {
-  const { attempt, item, key } = run;
-  return {
-    workspace: attempt.workspace,
-    key: attempt.idempotencyKey,
-    keyTimeMs: attempt.keyTimeMs,
-    bodyHash: hashRequest(attempt.method, attempt.path, attempt.body),
-    attemptId: key,
-    deadlineAtMs: item.deadlineMs,
-  };
-}
-
-/** Requests with the same method and first path segment have comparable service times. */
-function buildRoute({ method, path }: Attempt): string {
-  return `${method} /${path.split(/[/?]/)[1] ?? ''}`;
-}
--- a/packages/entry/src/loop/Entry.ts
+++ b/packages/entry/src/loop/Entry.ts
@@ -10,7 +10,6 @@
   type AnswerAssembler,
   type AnswerEvent,
   type Failure,
-  type Header,
   type InstanceRecord,
   type LoadReport,
   type RequestId,
@@ -18,7 +17,9 @@
 } from '@limpetbay/core';
 import { createEventLoop, type EventLoop } from '@limpetbay/runtime';
 import type { CallerAnswer, CallerHandler, CallerRequest } from '@limpetbay/callers';
+import { buildHeaders } from '../request/buildHeaders.js';
 import { checkRequest } from '../request/checkRequest.js';
+import { computeCost } from '../request/computeCost.js';
 import { EntryRun } from '../request/EntryRun.js';
 import { RequestHandle } from '../request/RequestHandle.js';
 import { hashPrefixes } from '../request/hashPrefixes.js';
@@ -448,17 +449,3 @@
     return { id, role: 'entry', zone, address: '', callerUrl, state };
   }
 }
-
-/** Cost of a request in the unit of the workspace shares. */
-function computeCost({ promptTokens, maxTokens }: CallerRequest): number {
-  return 1 + promptTokens + maxTokens;
-}
-
-function buildHeaders(
-  run: EntryRun,
-  head: { readonly headers: readonly Header[]; readonly replayed: boolean },
-): Header[] {
-  const headers = [...head.headers, { name: 'Limpetbay-Request-Id', value: run.id as string }];
-  if (head.replayed) headers.push({ name: 'Limpetbay-Replayed', value: 'true' });
-  return headers;
-}
--- /dev/null
+++ b/packages/entry/src/request/buildHeaders.ts
@@ -0,0 +1,12 @@
+import type { Header } from '@limpetbay/core';
+import type { EntryRun } from './EntryRun.js';
+
+/** Adds limpetbay's own headers to those of the target. */
+export function buildHeaders(
+  run: EntryRun,
+  head: { readonly headers: readonly Header[]; readonly replayed: boolean },
+): Header[] {
+  const headers = [...head.headers, { name: 'Limpetbay-Request-Id', value: run.id as string }];
+  if (head.replayed) headers.push({ name: 'Limpetbay-Replayed', value: 'true' });
+  return headers;
+}
