--- a/packages/agent/src/settings/AgentSettings.ts
+++ b/packages/agent/src/settings/AgentSettings.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { InstanceId, ServiceName, TargetId, Zone } from '@limpetbay/core';
+import { AddressSetting, LogSettings, PlatformSettings, UrlSetting } from '@limpetbay/runtime';
 
 /** Settings of `limpetbay-agent`, by section and key of its INI file. */
 export const AgentSettings = z.strictObject({
@@ -7,7 +8,7 @@
     id: InstanceId,
     zone: Zone,
     /** `IP:PORT` for other limpetbay processes. */
-    address: z.string().regex(/^[^:]+:\d{1,5}$/, 'must be IP:PORT'),
+    address: AddressSetting,
     /** Port of `/metrics` and `/healthz` on the same IP; 0 serves neither. */
     metrics_port: z.coerce.number().int().min(0).max(65_535).default(0),
     service: ServiceName,
@@ -15,20 +16,10 @@
     kind: z.enum(['model', 'plain']),
     target: TargetId,
     /** Base URL of the target. */
-    target_origin: z.url({ protocol: /^http$/, error: 'must be an http:// URL' }),
+    target_origin: UrlSetting,
   }),
-  platform: z.strictObject({
-    /** `IP:PORT` of the store. */
-    store: z.string().regex(/^[^:]+:\d{1,5}$/, 'must be IP:PORT'),
-    /** Base URL of the instance list. */
-    instances: z.url({ protocol: /^http$/, error: 'must be an http:// URL' }),
-  }),
-  log: z
-    .strictObject({
-      format: z.enum(['text', 'json']).default('text'),
-      level: z.enum(['info', 'warn', 'silent']).default('info'),
-    })
-    .prefault({}),
+  platform: PlatformSettings,
+  log: LogSettings,
   timing: z
     .strictObject({
       tick_ms: z.coerce.number().int().min(5).max(1000).default(20),
--- a/packages/entry/src/settings/EntrySettings.ts
+++ b/packages/entry/src/settings/EntrySettings.ts
@@ -1,8 +1,6 @@
 import { z } from 'zod';
 import { InstanceId, Zone } from '@limpetbay/core';
-
-const address = z.string().regex(/^[^:]+:\d{1,5}$/, 'must be IP:PORT');
-const url = z.url({ protocol: /^http$/, error: 'must be an http:// URL' });
+import { AddressSetting, LogSettings, PlatformSettings, UrlSetting } from '@limpetbay/runtime';
 
 /** Settings of `limpetbay-entry`, by section and key of its INI file. */
 export const EntrySettings = z.strictObject({
@@ -10,21 +8,16 @@
     id: InstanceId,
     zone: Zone,
     /** `IP:PORT` for other limpetbay processes. */
-    address,
+    address: AddressSetting,
     /** IP to listen on for callers. */
     caller_host: z.string().default('0.0.0.0'),
     caller_port: z.coerce.number().int().min(0).max(65_535),
     /** Base URL that callers are told to use. */
-    caller_url: url,
+    caller_url: UrlSetting,
     max_body_bytes: z.coerce.number().int().min(1024).max(67_108_864).default(8_388_608),
   }),
-  platform: z.strictObject({ store: address, instances: url }),
-  log: z
-    .strictObject({
-      format: z.enum(['text', 'json']).default('text'),
-      level: z.enum(['info', 'warn', 'silent']).default('info'),
-    })
-    .prefault({}),
+  platform: PlatformSettings,
+  log: LogSettings,
   timing: z
     .strictObject({
       tick_ms: z.coerce.number().int().min(5).max(1000).default(20),
--- /dev/null
+++ b/packages/runtime/src/settings/LogSettings.ts
@@ -0,0 +1,11 @@
+import { z } from 'zod';
+
+/** Section `[log]` of a daemon. */
+export const LogSettings = z
+  .strictObject({
+    format: z.enum(['text', 'json']).default('text'),
+    level: z.enum(['info', 'warn', 'silent']).default('info'),
+  })
+  .prefault({});
+
+export type LogSettings = z.infer<typeof LogSettings>;
