--- a/packages/core/src/experts/createBaseLayer.ts
+++ b/packages/core/src/experts/createBaseLayer.ts
@@ -14,11 +14,13 @@
 ): LayerPlacement {
   const layout: number[][] = Array.from({ length: ranks }, () => []);
   let next = 0;
-  for (let slot = 0; slot < slotsPerRank; slot += 1) {
-    for (const slots of layout) {
+  // A rank holds an expert at most once, so slots beyond the number of experts stay empty.
+  const slots = Math.min(slotsPerRank, experts);
+  for (let slot = 0; slot < slots; slot += 1) {
+    for (const held of layout) {
       // A rank that would hold the expert twice takes the next one.
-      for (let tries = 0; tries < experts && slots.includes(next % experts); tries += 1) next += 1;
-      slots.push(next % experts);
+      for (let tries = 0; tries < experts && held.includes(next % experts); tries += 1) next += 1;
+      held.push(next % experts);
       next += 1;
     }
   }
--- a/packages/core/test/experts.test.ts
+++ b/packages/core/test/experts.test.ts
@@ -137,3 +137,11 @@
     expect(planner.choosePlacement(layer, skewed).reason).toBe('recent');
   });
 });
+
+// Guards against a first map that the schema refuses, where a group is smaller than its slots: its
+// ranks would never get a map and never run a step.
+it('gives a small group a first layer without two copies on a rank', () => {
+  const layer = createBaseLayer(8, 1, 10);
+  expect(LayerPlacement.safeParse(layer).success).toBe(true);
+  expect(layer.ranks[0]).toHaveLength(8);
+});
--- a/packages/dev/src/fleet/DevFleet.ts
+++ b/packages/dev/src/fleet/DevFleet.ts
@@ -14,6 +14,7 @@
 import { findFreePort } from './findFreePort.js';
 
 const HOST = '127.0.0.1';
+const READY_TIMEOUT_MS = 20_000;
 
 /** A whole deployment with its stand-ins in one process, on loopback. */
 export class DevFleet {
@@ -213,12 +214,14 @@
       { path: '/v1/chat/completions', method: 'POST', body: this.#buildChat() },
       { path: '/services/bookings/', method: 'GET', body: null },
     ];
+    const endMs = this.#clock.getNow() + READY_TIMEOUT_MS;
     for (const { url } of this.entries.values()) {
       for (const { path, method, body } of probes) {
         for (;;) {
           const answer = await fetch(`${url}${path}`, { method, headers, body });
           await answer.arrayBuffer();
           if (answer.status === 200) break;
+          if (this.#clock.getNow() >= endMs) throw new Error(`${url}${path}: ${answer.status}`);
         }
       }
     }
