Serve plain HTTP targets from entries on the Ofori Fieldware platform

Cause: the product reached targets only through an agent beside each, and spoke etcd and its own chat interface. The platform has HTTP targets, a key-value service over HTTP and callers that ask for addresses.

Change: packages/gateway routes by host and longest prefix, sends to targets directly and passes streams on event by event; platform/ decodes settings, store, registrations and headers.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,11 +1,11 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 import localRules from './tools/eslint-rules.js';
 
-const codeFiles = ['packages/*/src/**/*.ts', 'bench/src/**/*.ts'];
-const testFiles = ['packages/*/test/**/*.ts', 'bench/test/**/*.ts'];
+const codeFiles = ['platform/src/**/*.ts', 'packages/*/src/**/*.ts', 'bench/src/**/*.ts'];
+const testFiles = ['platform/test/**/*.ts', 'packages/*/test/**/*.ts', 'bench/test/**/*.ts'];
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'vitest.config.ts'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'vitest.config.ts'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -1,6 +1,9 @@
 export type { CallerAnswer } from './answer/CallerAnswer.js';
 export { HttpCallerAnswer } from './answer/HttpCallerAnswer.js';
 export { toErrorBody } from './answer/toErrorBody.js';
+export { DirectAnswer } from './direct/DirectAnswer.js';
+export type { DirectHandler } from './direct/DirectHandler.js';
+export { DirectServer } from './direct/DirectServer.js';
 export type { CallerRequest } from './request/CallerRequest.js';
 export { ChatBody } from './request/ChatBody.js';
 export { parseRequest } from './request/parseRequest.js';
--- /dev/null
+++ b/packages/core/src/direct/DirectConfig.ts
@@ -0,0 +1,28 @@
+import { z } from 'zod';
+import { DirectRoute } from './DirectRoute.js';
+import { DirectService } from './DirectService.js';
+
+/** The whole configuration of entries that reach targets directly. */
+export const DirectConfig = z.object({
+  /** Grows with every accepted configuration, in uneven steps. */
+  version: z.number().int().nonnegative(),
+  routes: z.array(DirectRoute),
+  services: z.array(DirectService),
+  /** Null where callers need no API key. */
+  workspaces: z
+    .array(
+      z.object({
+        name: z.string(),
+        apiKeys: z.array(z.string()),
+        /** Goes before the priority of the route; null where the route decides. */
+        priority: z.number().int().nonnegative().nullable(),
+      }),
+    )
+    .nullable(),
+  /** How long a caller's connection may stay idle, milliseconds. */
+  idleTimeoutMs: z.number().positive(),
+  /** Largest request body, bytes. */
+  maxBodyBytes: z.number().positive(),
+});
+
+export type DirectConfig = z.infer<typeof DirectConfig>;
--- /dev/null
+++ b/packages/core/src/direct/DirectService.ts
@@ -0,0 +1,15 @@
+import { z } from 'zod';
+import { EngineModel } from './EngineModel.js';
+
+/** A service whose targets are reached directly, without an agent between. */
+export const DirectService = z.object({
+  name: z.string(),
+  /** Connections that one target accepts from all callers together. */
+  maxConnections: z.number().int().positive(),
+  /** Requests a second that a cold target bears; 0 where targets need no warm-up. */
+  coldPerSecond: z.number().nonnegative(),
+  /** Null for plain services. */
+  engine: EngineModel.nullable(),
+});
+
+export type DirectService = z.infer<typeof DirectService>;
--- /dev/null
+++ b/packages/core/src/direct/RouteTable.ts
@@ -0,0 +1,57 @@
+import type { DirectConfig } from './DirectConfig.js';
+import type { DirectRoute } from './DirectRoute.js';
+import type { DirectService } from './DirectService.js';
+
+interface Workspace {
+  readonly name: string;
+  readonly priority: number | null;
+}
+
+/** Answers which route, workspace and service a request belongs to, for one configuration. */
+export class RouteTable {
+  readonly config: DirectConfig;
+
+  /** Routes by host, longest prefix first. */
+  readonly #routes = new Map<string, DirectRoute[]>();
+
+  readonly #workspaces = new Map<string, Workspace>();
+
+  readonly #services = new Map<string, DirectService>();
+
+  constructor(config: DirectConfig) {
+    this.config = config;
+    for (const route of config.routes) {
+      const routes = this.#routes.get(route.host);
+      if (routes === undefined) this.#routes.set(route.host, [route]);
+      else routes.push(route);
+    }
+    for (const routes of this.#routes.values()) {
+      routes.sort((a, b) => b.prefix.length - a.prefix.length);
+    }
+    for (const { name, apiKeys, priority } of config.workspaces ?? []) {
+      for (const key of apiKeys) this.#workspaces.set(key, { name, priority });
+    }
+    for (const service of config.services) this.#services.set(service.name, service);
+  }
+
+  /** @param path path of the request without its query */
+  findRoute(host: string, path: string): DirectRoute | undefined {
+    for (const route of this.#routes.get(host) ?? []) {
+      if (path.startsWith(route.prefix)) return route;
+    }
+    return undefined;
+  }
+
+  /** Tells whether callers need an API key at all. */
+  hasWorkspaces(): boolean {
+    return this.config.workspaces !== null;
+  }
+
+  findWorkspace(apiKey: string): Workspace | undefined {
+    return this.#workspaces.get(apiKey);
+  }
+
+  findService(name: string): DirectService | undefined {
+    return this.#services.get(name);
+  }
+}
--- /dev/null
+++ b/packages/core/src/direct/TargetPicker.ts
@@ -0,0 +1,139 @@
+import type { Clock } from '../clock/Clock.js';
+import type { RandomSource } from '../random/RandomSource.js';
+import type { ColdLimiter } from './ColdLimiter.js';
+import type { DirectService } from './DirectService.js';
+import type { DirectTarget } from './DirectTarget.js';
+import type { PickResult } from './PickResult.js';
+import type { RankLoad } from './RankLoad.js';
+import type { TargetRegistry } from './TargetRegistry.js';
+import { TargetStats } from './TargetStats.js';
+
+interface PickerParts {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly registry: TargetRegistry;
+  readonly cold: ColdLimiter;
+  /** Returns the number of entries that send to the same targets. */
+  readonly countEntries: () => number;
+}
+
+interface PickRequest {
+  readonly service: DirectService;
+  /** Targets that failed this request already. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** Weight of a recent failure in the score of a target, in requests in flight. */
+const FAILURE_WEIGHT = 4;
+
+/** Wait that is worthwhile where no target exists; registrations come within this time. */
+const NO_TARGET_RETRY_MS = 500;
+
+/** Shortest and longest wait that a refused caller is told, milliseconds. */
+const MIN_RETRY_MS = 150;
+const MAX_RETRY_MS = 600;
+
+/** Occupancy of a rank, in batch places, up to which new streams are admitted. */
+const ADMITTED_OCCUPANCY = 1;
+
+/** Chooses the target of a request: the one with the least load that may get it. */
+export class TargetPicker {
+  readonly #parts: PickerParts;
+
+  readonly #stats = new Map<string, TargetStats>();
+
+  /** Zones from which operators have withdrawn new work. */
+  #evacuated: ReadonlySet<string> = new Set();
+
+  constructor(parts: PickerParts) {
+    this.#parts = parts;
+  }
+
+  setEvacuated(zones: ReadonlySet<string>): void {
+    this.#evacuated = zones;
+  }
+
+  getStats(id: string): TargetStats {
+    let stats = this.#stats.get(id);
+    if (stats === undefined) {
+      stats = new TargetStats();
+      this.#stats.set(id, stats);
+    }
+    return stats;
+  }
+
+  pick(request: PickRequest): PickResult {
+    const open = this.#listOpen(request);
+    if (open.length === 0) {
+      return { target: null, reason: 'no_target', retryAfterMs: NO_TARGET_RETRY_MS };
+    }
+    const warm = open.filter(({ id }) => this.#bears(id, request.service));
+    if (warm.length === 0) {
+      return { target: null, reason: 'target_cold', retryAfterMs: this.#drawRetry() };
+    }
+    const admitted = warm.filter((target) => this.#admits(target, request.service));
+    if (admitted.length === 0) {
+      return { target: null, reason: 'overloaded', retryAfterMs: this.#drawRetry() };
+    }
+    const target = this.#chooseLeast(admitted, request.service);
+    if (this.#parts.registry.isCold(target.id)) this.#parts.cold.take(target.id);
+    return { target, reason: `least loaded of ${admitted.length}` };
+  }
+
+  #listOpen({ service, excluded }: PickRequest): DirectTarget[] {
+    const nowMs = this.#parts.clock.getNow();
+    const open: DirectTarget[] = [];
+    for (const target of this.#parts.registry.listTargets(service.name)) {
+      if (target.isDraining || this.#evacuated.has(target.zone)) continue;
+      if (excluded.has(target.id)) continue;
+      if (this.#getLoad(target.id, nowMs)?.isOpen === false) continue;
+      open.push(target);
+    }
+    return open;
+  }
+
+  #getLoad(id: string, nowMs: number): RankLoad | null {
+    return this.#stats.get(id)?.getLoad(nowMs) ?? null;
+  }
+
+  #bears(id: string, service: DirectService): boolean {
+    if (!this.#parts.registry.isCold(id) || service.coldPerSecond <= 0) return true;
+    return this.#parts.cold.hasRoom(id, service.coldPerSecond, this.#parts.countEntries());
+  }
+
+  #admits(target: DirectTarget, service: DirectService): boolean {
+    if (service.engine === null) return true;
+    const nowMs = this.#parts.clock.getNow();
+    const occupancy = this.getStats(target.id).estimateOccupancy(nowMs, this.#parts.countEntries());
+    return occupancy < target.capacity * ADMITTED_OCCUPANCY;
+  }
+
+  #chooseLeast(targets: readonly DirectTarget[], service: DirectService): DirectTarget {
+    let best = targets[0] as DirectTarget;
+    let bestScore = Infinity;
+    for (const target of targets) {
+      const score = this.#score(target, service);
+      if (score < bestScore) {
+        best = target;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  #score(target: DirectTarget, service: DirectService): number {
+    const nowMs = this.#parts.clock.getNow();
+    const stats = this.getStats(target.id);
+    const occupancy =
+      service.engine === null
+        ? stats.inFlight
+        : stats.estimateOccupancy(nowMs, this.#parts.countEntries());
+    const failures = FAILURE_WEIGHT * stats.getFailures(nowMs);
+    // The random part spreads entries that see the same loads over equal targets.
+    return occupancy + failures + this.#parts.random.next();
+  }
+
+  #drawRetry(): number {
+    return MIN_RETRY_MS + this.#parts.random.next() * (MAX_RETRY_MS - MIN_RETRY_MS);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,18 @@
+export { EntryLease } from './feed/EntryLease.js';
+export { GatewayView } from './feed/GatewayView.js';
+export type { MirrorListener } from './feed/MirrorListener.js';
+export type { RecordLayout } from './feed/RecordLayout.js';
+export { StoreMirror } from './feed/StoreMirror.js';
+export type { AnswerHead } from './ports/AnswerHead.js';
+export type { AttemptHead } from './ports/AttemptHead.js';
+export type { Timers } from './ports/Timers.js';
+export type { WireCodec } from './ports/WireCodec.js';
+export { Gateway } from './process/Gateway.js';
+export type { GatewayLimits } from './process/GatewayLimits.js';
+export type { GatewayOptions } from './process/GatewayOptions.js';
+export { RealTimers } from './process/RealTimers.js';
+export type { AttemptListener } from './request/AttemptListener.js';
+export type { AttemptResult } from './request/AttemptResult.js';
+export { AttemptRun } from './request/AttemptRun.js';
+export type { GatewayParts } from './request/GatewayParts.js';
+export { RequestRun } from './request/RequestRun.js';
--- /dev/null
+++ b/packages/gateway/src/process/Gateway.ts
@@ -0,0 +1,230 @@
+import { DirectServer, type DirectAnswer, type DirectHandler } from '@limpetbay/callers';
+import {
+  ColdLimiter,
+  EntryDirectory,
+  RetryBudget,
+  TargetPicker,
+  TargetRegistry,
+  type EntryRecord,
+  type RankLoad,
+  type RequestHead,
+} from '@limpetbay/core';
+import type { Log } from '@limpetbay/runtime';
+import { DirectPool } from '@limpetbay/targets';
+import { EntryLease } from '../feed/EntryLease.js';
+import { GatewayView } from '../feed/GatewayView.js';
+import { StoreMirror } from '../feed/StoreMirror.js';
+import type { GatewayParts } from '../request/GatewayParts.js';
+import { RequestRun } from '../request/RequestRun.js';
+import type { GatewayOptions } from './GatewayOptions.js';
+
+/** Interval of housekeeping, milliseconds. */
+const TICK_MS = 250;
+
+/** Idle connections to targets are closed after this time, milliseconds. */
+const POOL_IDLE_MS = 4000;
+
+/** Body size that is accepted before a configuration states one, bytes. */
+const DEFAULT_MAX_BODY_BYTES = 4_194_304;
+
+/** Share of the summed retry allowance that the entries use; the rest covers restarts. */
+const RETRY_SAFETY = 0.5;
+
+/** An entry that stops without requests for this long has been left by its callers. */
+const QUIET_MS = 1500;
+
+/** The end comes this long before the platform would force it, milliseconds. */
+const GRACE_MARGIN_MS = 800;
+
+/** Serves callers by sending their requests to targets directly. */
+export class Gateway implements DirectHandler {
+  readonly #options: GatewayOptions;
+
+  readonly #log: Log;
+
+  readonly #registry: TargetRegistry;
+
+  readonly #entries: EntryDirectory;
+
+  readonly #view: GatewayView;
+
+  readonly #parts: GatewayParts;
+
+  readonly #mirror: StoreMirror;
+
+  readonly #lease: EntryLease;
+
+  readonly #server: DirectServer;
+
+  readonly #budgets = new Map<string, RetryBudget>();
+
+  readonly #pools = new Map<string, DirectPool>();
+
+  #cancelTick: (() => void) | null = null;
+
+  #isRegistered = false;
+
+  #isLeaving = false;
+
+  #lastRequestMs = 0;
+
+  constructor(options: GatewayOptions) {
+    this.#options = options;
+    const { clock, random, timers, store, codec, layout, metrics, createLog } = options;
+    this.#log = createLog('entry');
+    this.#registry = new TargetRegistry(clock);
+    this.#entries = new EntryDirectory(clock);
+    const picker = new TargetPicker({
+      clock,
+      random,
+      registry: this.#registry,
+      cold: new ColdLimiter(clock),
+      countEntries: () => this.#entries.countSharers(),
+    });
+    this.#view = new GatewayView({
+      clock,
+      log: createLog('view'),
+      layout,
+      registry: this.#registry,
+      entries: this.#entries,
+      picker,
+      onConfig: (table) => this.#server.setIdleTimeout(table.config.idleTimeoutMs),
+    });
+    this.#parts = {
+      clock,
+      random,
+      timers,
+      codec,
+      metrics,
+      registry: this.#registry,
+      picker,
+      log: createLog('request'),
+      getTable: () => this.#view.getTable(),
+      getBudget: (service) => this.#getBudget(service),
+      getPool: (address) => this.#getPool(address),
+    };
+    const log = createLog('store');
+    this.#mirror = new StoreMirror({
+      store,
+      prefix: '',
+      listener: this.#view,
+      timers,
+      random,
+      log,
+    });
+    this.#lease = new EntryLease({
+      store,
+      timers,
+      log,
+      key: `${layout.entryPrefix}${options.self.name}`,
+      record: options.self,
+    });
+    const [host = '', port = '0'] = options.self.callerAddress.split(':');
+    this.#server = new DirectServer({
+      host,
+      port: Number(port),
+      handler: this,
+      readHead: (message) => codec.readRequest(message),
+      getMaxBodyBytes: () => this.#view.getTable()?.config.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.#server.start();
+    this.#mirror.start();
+    this.#tick();
+    this.#log.report('started', { address: this.#options.self.callerAddress });
+  }
+
+  /** Whether callers may be sent here. */
+  isReady(): boolean {
+    return this.#view.isComplete() && !this.#isLeaving;
+  }
+
+  /** Lists the addresses that callers may use; always with this entry where it is ready. */
+  listAddresses(): string[] {
+    const addresses = new Set<string>();
+    for (const entry of this.#entries.listEntries()) {
+      if (entry.name !== this.#options.self.name) addresses.add(entry.callerAddress);
+    }
+    if (this.isReady()) addresses.add(this.#options.self.callerAddress);
+    return [...addresses];
+  }
+
+  listPeers(): readonly EntryRecord[] {
+    return this.#entries.listEntries();
+  }
+
+  acceptLoad(targetId: string, load: RankLoad): void {
+    this.#parts.picker.getStats(targetId).acceptLoad(load, this.#options.clock.getNow());
+  }
+
+  acceptRequest(head: RequestHead, body: Buffer, answer: DirectAnswer): () => void {
+    this.#lastRequestMs = this.#options.clock.getNow();
+    const run = new RequestRun(this.#parts, head, body, answer);
+    run.start();
+    return () => run.cancel();
+  }
+
+  /** Graceful stop: out of the directory at once, open and new requests are still served. */
+  async stop(): Promise<void> {
+    const startMs = this.#options.clock.getNow();
+    this.#isLeaving = true;
+    this.#lastRequestMs = startMs;
+    this.#server.drain();
+    this.#log.report('stopping', { requests: this.#server.countRequests() });
+    void this.#lease.stop();
+    const latestMs = startMs + this.#options.limits.graceMs - GRACE_MARGIN_MS;
+    const earliestMs = startMs + this.#options.limits.addressTtlMs;
+    while (this.#options.clock.getNow() < latestMs) {
+      await this.#sleep(TICK_MS);
+      const nowMs = this.#options.clock.getNow();
+      const isQuiet = nowMs - this.#lastRequestMs > QUIET_MS;
+      if (this.#server.countRequests() === 0 && isQuiet && nowMs > earliestMs) break;
+    }
+    this.#server.close();
+    this.#mirror.stop();
+    this.#cancelTick?.();
+    for (const pool of this.#pools.values()) pool.close();
+    this.#log.report('stopped', { requests: this.#server.countRequests() });
+  }
+
+  #sleep(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#options.timers.schedule(delayMs, resolve);
+    });
+  }
+
+  #tick(): void {
+    this.#registry.expire();
+    if (!this.#isRegistered && this.isReady()) {
+      this.#isRegistered = true;
+      this.#lease.start();
+    }
+    for (const [address, pool] of this.#pools) {
+      pool.closeIdle(POOL_IDLE_MS);
+      if (pool.count() === 0) this.#pools.delete(address);
+    }
+    this.#cancelTick = this.#options.timers.schedule(TICK_MS, () => this.#tick());
+  }
+
+  #getBudget(service: string): RetryBudget {
+    let budget = this.#budgets.get(service);
+    if (budget === undefined) {
+      const { retryRatio, retryBurst } = this.#options.limits;
+      const share = (retryBurst * RETRY_SAFETY) / this.#entries.countSharers();
+      budget = new RetryBudget(retryRatio * RETRY_SAFETY, Math.max(1, share));
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  #getPool(address: string): DirectPool {
+    let pool = this.#pools.get(address);
+    if (pool === undefined) {
+      pool = new DirectPool(address, this.#options.clock);
+      this.#pools.set(address, pool);
+    }
+    return pool;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/process/GatewayOptions.ts
@@ -0,0 +1,21 @@
+import type { Clock, EntryRecord, RandomSource, Store } from '@limpetbay/core';
+import type { Log, MetricRegistry } from '@limpetbay/runtime';
+import type { RecordLayout } from '../feed/RecordLayout.js';
+import type { Timers } from '../ports/Timers.js';
+import type { WireCodec } from '../ports/WireCodec.js';
+import type { GatewayLimits } from './GatewayLimits.js';
+
+/** What an entry that reaches targets directly is started with. */
+export interface GatewayOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly timers: Timers;
+  readonly store: Store;
+  readonly codec: WireCodec;
+  readonly layout: RecordLayout;
+  readonly self: EntryRecord;
+  readonly limits: GatewayLimits;
+  readonly metrics: MetricRegistry;
+  /** Creates the log of a part from its prefix. */
+  readonly createLog: (prefix: string) => Log;
+}
--- /dev/null
+++ b/packages/gateway/src/process/RealTimers.ts
@@ -0,0 +1,9 @@
+import type { Timers } from '../ports/Timers.js';
+
+/** The timers of the process. */
+export class RealTimers implements Timers {
+  schedule(delayMs: number, run: () => void): () => void {
+    const timer = setTimeout(run, Math.max(0, delayMs));
+    return () => clearTimeout(timer);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/request/GatewayParts.ts
@@ -0,0 +1,28 @@
+import type {
+  Clock,
+  RandomSource,
+  RetryBudget,
+  RouteTable,
+  TargetPicker,
+  TargetRegistry,
+} from '@limpetbay/core';
+import type { Log, MetricRegistry } from '@limpetbay/runtime';
+import type { DirectPool } from '@limpetbay/targets';
+import type { Timers } from '../ports/Timers.js';
+import type { WireCodec } from '../ports/WireCodec.js';
+
+/** What a request of an entry works with. */
+export interface GatewayParts {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly timers: Timers;
+  readonly codec: WireCodec;
+  readonly registry: TargetRegistry;
+  readonly picker: TargetPicker;
+  readonly metrics: MetricRegistry;
+  readonly log: Log;
+  /** Null until the first configuration. */
+  readonly getTable: () => RouteTable | null;
+  readonly getBudget: (service: string) => RetryBudget;
+  readonly getPool: (address: string) => DirectPool;
+}
--- /dev/null
+++ b/packages/targets/src/direct/requestJson.ts
@@ -0,0 +1,69 @@
+import { Ok, fail, type Failure, type Result } from '@limpetbay/core';
+import type { DirectPool } from './DirectPool.js';
+
+interface JsonRequest {
+  readonly method: string;
+  /** Path with its query. */
+  readonly url: string;
+  readonly body?: unknown;
+  /** Longest wait for the whole answer, milliseconds. */
+  readonly timeoutMs: number;
+}
+
+interface JsonAnswer {
+  readonly status: number;
+  /** Undefined where the answer has no JSON body. */
+  readonly body: unknown;
+}
+
+/** Connections that were idle for longer may have gone silent, milliseconds. */
+const MAX_IDLE_MS = 5000;
+
+/**
+ * Sends one request with a JSON body and reads the JSON answer.
+ *
+ * @returns `store_unavailable` where nothing was sent, `outcome_unknown` where no whole answer came
+ */
+export function requestJson(
+  pool: DirectPool,
+  request: JsonRequest,
+): Promise<Result<JsonAnswer, Failure>> {
+  const { method, url, timeoutMs } = request;
+  const body = request.body === undefined ? null : Buffer.from(JSON.stringify(request.body));
+  const headers = body === null ? [] : ['content-type', 'application/json'];
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let status = 0;
+    const timer = setTimeout(() => {
+      stop();
+      resolve(fail('outcome_unknown', `${url}: no answer for ${timeoutMs} ms`));
+    }, timeoutMs);
+    const stop = pool.send(
+      { method, url, headers, body, maxIdleMs: MAX_IDLE_MS },
+      {
+        acceptHead: (code) => {
+          status = code;
+        },
+        acceptData: (data) => chunks.push(data),
+        acceptEnd: () => {
+          clearTimeout(timer);
+          resolve(decodeAnswer(url, status, Buffer.concat(chunks)));
+        },
+        acceptFailure: (message, neverSent) => {
+          clearTimeout(timer);
+          const kind = neverSent ? 'store_unavailable' : 'outcome_unknown';
+          resolve(fail(kind, `${url}: ${message}`));
+        },
+      },
+    );
+  });
+}
+
+function decodeAnswer(url: string, status: number, bytes: Buffer): Result<JsonAnswer, Failure> {
+  if (bytes.length === 0) return Ok({ status, body: undefined });
+  try {
+    return Ok({ status, body: JSON.parse(bytes.toString()) as unknown });
+  } catch (error) {
+    return fail('outcome_unknown', `${url}: no JSON in the answer: ${(error as Error).message}`);
+  }
+}
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -1,3 +1,8 @@
+export type { DirectCall } from './direct/DirectCall.js';
+export { DirectChannel } from './direct/DirectChannel.js';
+export type { DirectListener } from './direct/DirectListener.js';
+export { DirectPool } from './direct/DirectPool.js';
+export { requestJson } from './direct/requestJson.js';
 export { EngineClient } from './engine/EngineClient.js';
 export { EngineLoad } from './engine/EngineLoad.js';
 export { HttpTarget } from './http/HttpTarget.js';
