Reach targets over node:http and let only the planner send loads

Cause: a run took 108 s to play; 0.5 MB of the bundle was undici's fetch and its wasm parser, peak memory 57 MB a process, and each agent sent its status to all members and entries.

--- a/packages/core/src/direct/TargetPicker.ts
+++ b/packages/core/src/direct/TargetPicker.ts
@@ -4,7 +4,7 @@
 import type { DirectService } from './DirectService.js';
 import type { DirectTarget } from './DirectTarget.js';
 import type { PickResult } from './PickResult.js';
-import type { RankStatus } from '../heldswitch/RankStatus.js';
+import type { GroupReport } from './GroupReport.js';
 import type { TargetRegistry } from './TargetRegistry.js';
 import { TargetStats } from './TargetStats.js';
 
@@ -33,6 +33,9 @@
 const MIN_RETRY_MS = 150;
 const MAX_RETRY_MS = 600;
 
+/** A report of a group older than this says nothing any more, milliseconds. */
+const REPORT_MAX_AGE_MS = 1500;
+
 /** Occupancy of a rank, in batch places, up to which new streams are admitted. */
 const ADMITTED_OCCUPANCY = 1;
 
@@ -42,6 +45,9 @@
 
   readonly #stats = new Map<string, TargetStats>();
 
+  /** Last report of the group of each rank, by the address of the rank. */
+  readonly #groups = new Map<string, { readonly report: GroupReport; readonly atMs: number }>();
+
   /** Zones from which operators have withdrawn new work. */
   #evacuated: ReadonlySet<string> = new Set();
 
@@ -62,6 +68,17 @@
     return stats;
   }
 
+  /** Takes in the loads of a group. */
+  acceptReport(report: GroupReport): void {
+    const atMs = this.#parts.clock.getNow();
+    const loads = new Map(report.ranks.map((load) => [load.address, load]));
+    for (const address of loads.keys()) this.#groups.set(address, { report, atMs });
+    for (const target of this.#parts.registry.listAll()) {
+      const load = loads.get(target.address);
+      if (load !== undefined) this.getStats(target.id).acceptLoad(load, atMs);
+    }
+  }
+
   pick(request: PickRequest): PickResult {
     const open = this.#listOpen(request);
     if (open.length === 0) {
@@ -86,14 +103,17 @@
     for (const target of this.#parts.registry.listTargets(service.name)) {
       if (target.isDraining || this.#evacuated.has(target.zone)) continue;
       if (excluded.has(target.id)) continue;
-      if (this.#getLoad(target.id, nowMs)?.isOpen === false) continue;
+      if (this.#isBroken(target, nowMs)) continue;
       open.push(target);
     }
     return open;
   }
 
-  #getLoad(id: string, nowMs: number): RankStatus | null {
-    return this.#stats.get(id)?.getLoad(nowMs) ?? null;
+  /** Tells whether the target's group has lost a rank. */
+  #isBroken({ address }: DirectTarget, nowMs: number): boolean {
+    const known = this.#groups.get(address);
+    if (known === undefined || nowMs - known.atMs > REPORT_MAX_AGE_MS) return false;
+    return !known.report.isOpen;
   }
 
   #bears(id: string, service: DirectService): boolean {
--- a/packages/core/src/direct/TargetRegistry.ts
+++ b/packages/core/src/direct/TargetRegistry.ts
@@ -106,6 +106,10 @@
     return (this.#services.get(service) ?? []).map(({ target }) => target);
   }
 
+  listAll(): DirectTarget[] {
+    return Array.from(this.#targets.values(), ({ target }) => target);
+  }
+
   count(): number {
     return this.#targets.size;
   }
--- a/packages/core/src/direct/TargetStats.ts
+++ b/packages/core/src/direct/TargetStats.ts
@@ -1,4 +1,4 @@
-import type { RankStatus } from '../heldswitch/RankStatus.js';
+import type { RankLoad } from './RankLoad.js';
 
 /** Time constant with which failures are forgotten, milliseconds. */
 const FAILURE_MEMORY_MS = 3000;
@@ -24,7 +24,7 @@
 
   #failuresAtMs = 0;
 
-  #load: RankStatus | null = null;
+  #load: RankLoad | null = null;
 
   #loadAtMs = -Infinity;
 
@@ -55,14 +55,14 @@
     return this.#failures * Math.exp((this.#failuresAtMs - nowMs) / FAILURE_MEMORY_MS);
   }
 
-  acceptLoad(load: RankStatus, nowMs: number): void {
+  acceptLoad(load: RankLoad, nowMs: number): void {
     this.#load = load;
     this.#loadAtMs = nowMs;
     this.#sentAtMs = this.#sentAtMs.filter((sentAtMs) => sentAtMs > nowMs - REPORT_DELAY_MS);
   }
 
   /** Returns the last load report, or null where it is too old. */
-  getLoad(nowMs: number): RankStatus | null {
+  getLoad(nowMs: number): RankLoad | null {
     return nowMs - this.#loadAtMs <= REPORT_MAX_AGE_MS ? this.#load : null;
   }
 
--- a/packages/core/src/experts/ReplicaSet.ts
+++ b/packages/core/src/experts/ReplicaSet.ts
@@ -119,22 +119,22 @@
 
   #computeGain({ rank, add, drop }: Omit<ReplicaStep, 'gain'>): number {
     const changes = new Map<number, number>();
-    const change = (holder: number, load: number): void => {
+    const addChange = (holder: number, load: number): void => {
       changes.set(holder, (changes.get(holder) ?? 0) + load);
     };
     if (add !== null) {
       const holders = this.#holders[add] ?? [];
       const load = this.#loads[add] ?? 0;
       const after = load / (holders.length + 1);
-      for (const holder of holders) change(holder, after - load / holders.length);
-      change(rank, after);
+      for (const holder of holders) addChange(holder, after - load / holders.length);
+      addChange(rank, after);
     }
     if (drop !== null) {
       const holders = this.#holders[drop] ?? [];
       const load = this.#loads[drop] ?? 0;
       const after = load / (holders.length - 1);
       for (const holder of holders) {
-        change(holder, (holder === rank ? 0 : after) - load / holders.length);
+        addChange(holder, (holder === rank ? 0 : after) - load / holders.length);
       }
     }
     let gain = 0;
--- a/packages/core/src/heldswitch/HeldSwitch.ts
+++ b/packages/core/src/heldswitch/HeldSwitch.ts
@@ -79,7 +79,7 @@
    * @param boundary pass that `options.holder` holds
    * @param armed version that some ranks may be armed with
    */
-  static recover(options: SwitchOptions, boundary: number, armed: number): HeldSwitch {
+  static resume(options: SwitchOptions, boundary: number, armed: number): HeldSwitch {
     const recovery = new HeldSwitch(options);
     recovery.#phase = 'withdrawing';
     recovery.#version = armed;
@@ -179,7 +179,7 @@
     const { version, sets, undoVersion, undoSets, holder } = this.#options;
     switch (this.#phase) {
       case 'preparing':
-        return { operation: 'prepare', version, sets: copySets(sets) };
+        return { operation: 'prepare', version, sets: convertSets(sets) };
       case 'holding':
         if (rank !== holder) return null;
         this.#boundary ??= holderStep + this.#lead;
@@ -189,7 +189,7 @@
       case 'withdrawing':
         return { operation: 'disarm', version: this.#version };
       case 'superseding':
-        return { operation: 'prepare', version: undoVersion, sets: copySets(undoSets) };
+        return { operation: 'prepare', version: undoVersion, sets: convertSets(undoSets) };
       case 'releasing':
         return rank === holder ? { operation: 'go', step: this.#boundary as number } : null;
       default:
@@ -217,6 +217,6 @@
   }
 }
 
-function copySets(sets: ExpertSets): number[][][] {
+function convertSets(sets: ExpertSets): number[][][] {
   return sets.map((ranks) => ranks.map((experts) => [...experts]));
 }
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -6,9 +6,9 @@
   TargetPicker,
   TargetRegistry,
   type EntryRecord,
-  type RankStatus,
   type RequestHead,
 } from '@limpetbay/core';
+import { PeerSocket } from '@limpetbay/rpc';
 import type { Log } from '@limpetbay/runtime';
 import { DirectPool } from '@limpetbay/targets';
 import { EntryLease } from '../feed/EntryLease.js';
@@ -21,6 +21,9 @@
 /** Interval of housekeeping, milliseconds. */
 const TICK_MS = 250;
 
+/** Subscriptions to loads last three times as long, milliseconds. */
+const SUBSCRIBE_INTERVAL_MS = 1000;
+
 /** Idle connections to targets are closed after this time, milliseconds. */
 const POOL_IDLE_MS = 4000;
 
@@ -56,6 +59,8 @@
 
   readonly #server: DirectServer;
 
+  readonly #socket: PeerSocket;
+
   readonly #budgets = new Map<string, RetryBudget>();
 
   readonly #pools = new Map<string, DirectPool>();
@@ -68,6 +73,8 @@
 
   #lastRequestMs = 0;
 
+  #lastSubscribeMs = -Infinity;
+
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { clock, random, timers, store, codec, layout, metrics, createLog } = options;
@@ -119,6 +126,15 @@
       key: `${layout.entryPrefix}${options.self.name}`,
       record: options.self,
     });
+    const [peerHost = '', peerPort = '0'] = options.self.peerAddress.split(':');
+    this.#socket = new PeerSocket({
+      host: peerHost,
+      port: Number(peerPort),
+      onMessage: (message) => {
+        if (message.kind === 'load') picker.acceptReport(message.report);
+      },
+      onError: (cause) => this.#log.warn('datagram lost', { cause }),
+    });
     const [host = '', port = '0'] = options.self.callerAddress.split(':');
     this.#server = new DirectServer({
       host,
@@ -131,6 +147,7 @@
 
   async start(): Promise<void> {
     await this.#server.start();
+    await this.#socket.start();
     this.#mirror.start();
     this.#tick();
     this.#log.report('started', { address: this.#options.self.callerAddress });
@@ -155,10 +172,6 @@
     return this.#entries.listEntries();
   }
 
-  acceptLoad(targetId: string, load: RankStatus): void {
-    this.#parts.picker.getStats(targetId).acceptLoad(load, this.#options.clock.getNow());
-  }
-
   acceptRequest(head: RequestHead, body: Buffer, answer: DirectAnswer): () => void {
     this.#lastRequestMs = this.#options.clock.getNow();
     const run = new RequestRun(this.#parts, head, body, answer);
@@ -184,6 +197,7 @@
     }
     this.#server.close();
     this.#mirror.stop();
+    this.#socket.close();
     this.#cancelTick?.();
     for (const pool of this.#pools.values()) pool.close();
     this.#log.report('stopped', { requests: this.#server.countRequests() });
@@ -197,6 +211,7 @@
 
   #tick(): void {
     this.#registry.expire();
+    this.#subscribe(this.#options.clock.getNow());
     if (!this.#isRegistered && this.isReady()) {
       this.#isRegistered = true;
       this.#lease.start();
@@ -208,6 +223,19 @@
     this.#cancelTick = this.#options.timers.schedule(TICK_MS, () => this.#tick());
   }
 
+  /** Asks the agents beside model ranks for the loads of their groups. */
+  #subscribe(nowMs: number): void {
+    if (nowMs - this.#lastSubscribeMs < SUBSCRIBE_INTERVAL_MS) return;
+    this.#lastSubscribeMs = nowMs;
+    const agents = new Set<string>();
+    const [, peerPort] = this.#options.self.peerAddress.split(':');
+    for (const { service, address } of this.#registry.listAll()) {
+      const engine = this.#view.getTable()?.findService(service)?.engine ?? null;
+      if (engine !== null) agents.add(`${address.split(':')[0]}:${peerPort}`);
+    }
+    this.#socket.send({ kind: 'subscribe' }, agents);
+  }
+
   #getBudget(service: string): RetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -28,6 +28,9 @@
 /** A map that is not loaded after this time is given up; loading takes a few hundred, milliseconds. */
 const PREPARE_TIMEOUT_MS = 4000;
 
+/** A hold that no switch of this process explains is undone after this time, milliseconds. */
+const STRANGE_HOLD_MS = 300;
+
 /** Shortest time between two plans, milliseconds. */
 const PLAN_INTERVAL_MS = 100;
 
@@ -57,6 +60,9 @@
 
   #switchFromMs = 0;
 
+  /** Since when some rank holds a pass without a switch; null where none does. */
+  #strangeFromMs: number | null = null;
+
   readonly #polledMs = new Map<number, number>();
 
   constructor(options: MapPlannerOptions) {
@@ -136,17 +142,16 @@
     const [first] = statuses;
     if (first === undefined) return;
     const { epoch } = first;
-    const isStrange = statuses.some(({ held, armed }) => held !== null || armed !== null);
+    const isHeld = statuses.some(({ held }) => held !== null);
+    const isArmed = statuses.some(({ armed }) => armed !== null);
     const isSettled = statuses.every(({ map }) => map === first.map);
     if (this.#present === null || this.#present.epoch !== epoch) {
       if (isSettled) void this.#readPresent(statuses);
       return;
     }
-    if (isStrange) {
-      this.#recover(statuses);
-      return;
-    }
-    if (!isSettled) return;
+    if (!isHeld) this.#strangeFromMs = null;
+    else if (this.#isStrangeForLong()) this.#recover(statuses);
+    if (isHeld || isArmed || !isSettled) return;
     if (first.map !== this.#present.version) {
       void this.#readPresent(statuses);
       return;
@@ -154,6 +159,13 @@
     this.#plan(statuses);
   }
 
+  /** Statuses from before a release still show the hold, so only a lasting one is strange. */
+  #isStrangeForLong(): boolean {
+    const nowMs = this.#options.clock.getNow();
+    this.#strangeFromMs ??= nowMs;
+    return nowMs - this.#strangeFromMs >= STRANGE_HOLD_MS;
+  }
+
   #plan(statuses: readonly RankStatus[]): void {
     const nowMs = this.#options.clock.getNow();
     if (this.#planner === null || this.#present === null) return;
@@ -185,7 +197,7 @@
       ...this.#createOptions(statuses, this.#present.sets),
       holder: holder.rank,
     };
-    this.#switch = HeldSwitch.recover(
+    this.#switch = HeldSwitch.resume(
       options,
       holder.held as number,
       armed?.version ?? this.#lastVersion,
--- a/packages/rankagent/src/process/GroupMembers.ts
+++ b/packages/rankagent/src/process/GroupMembers.ts
@@ -2,13 +2,18 @@
 
 interface Member {
   readonly status: RankStatus;
-  /** `IP:PORT` of the agent; null where the status came from the rank itself. */
-  readonly agent: string | null;
+  /** `IP:PORT` of the agent. */
+  readonly agent: string;
+  /** Whether it planned when it was heard of last. */
+  readonly isPlanning: boolean;
   readonly heardMs: number;
 }
 
-/** An agent that was not heard for this long does not plan, milliseconds. */
-const SILENT_MS = 700;
+/** The planning agent sends its status every 250 ms; without it for this long another one plans. */
+const SILENT_PLANNER_MS = 700;
+
+/** The other agents send theirs to all members every second, milliseconds. */
+const SILENT_MS = 2500;
 
 /** The other agents of a group, as their messages show them. */
 export class GroupMembers {
@@ -20,15 +25,18 @@
     this.#clock = clock;
   }
 
-  accept(status: RankStatus, agent: string): void {
-    this.#members.set(status.rank, { status, agent, heardMs: this.#clock.getNow() });
+  accept(status: RankStatus, agent: string, isPlanning: boolean): void {
+    const heardMs = this.#clock.getNow();
+    this.#members.set(status.rank, { status, agent, isPlanning, heardMs });
   }
 
   /** Lists the addresses of the agents, also of silent ones. */
   listAgents(): string[] {
-    const agents: string[] = [];
-    for (const { agent } of this.#members.values()) if (agent !== null) agents.push(agent);
-    return agents;
+    return Array.from(this.#members.values(), ({ agent }) => agent);
+  }
+
+  listStatuses(): RankStatus[] {
+    return Array.from(this.#members.values(), ({ status }) => status);
   }
 
   getAgent(rank: number): string | null {
@@ -46,10 +54,11 @@
 
   /** Returns the lowest rank whose agent is alive, at most `self`; it plans for the group. */
   electPlanner(self: number): number {
-    const oldestMs = this.#clock.getNow() - SILENT_MS;
+    const nowMs = this.#clock.getNow();
     let lowest = self;
-    for (const [rank, { heardMs }] of this.#members) {
-      if (heardMs >= oldestMs && rank < lowest) lowest = rank;
+    for (const [rank, { heardMs, isPlanning }] of this.#members) {
+      const silentMs = isPlanning ? SILENT_PLANNER_MS : SILENT_MS;
+      if (nowMs - heardMs <= silentMs && rank < lowest) lowest = rank;
     }
     return lowest;
   }
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -14,7 +14,7 @@
 const TICK_MS = 100;
 
 /** The same while a map is loaded or switched, milliseconds. */
-const SWITCH_TICK_MS = 25;
+const SWITCH_TICK_MS = 30;
 
 /** Interval at which the targets and the model of the service are read, milliseconds. */
 const READ_INTERVAL_MS = 5000;
@@ -25,9 +25,12 @@
 /** A subscription ends after this time without a renewal, milliseconds. */
 const SUBSCRIPTION_MS = 3000;
 
-/** Agents outside the known group hear of this rank at this interval, milliseconds. */
+/** All agents of the service hear of this rank at this interval, milliseconds. */
 const HELLO_INTERVAL_MS = 1000;
 
+/** The group hears of its planner at this interval, milliseconds. */
+const PLANNER_INTERVAL_MS = 250;
+
 /** The process beside one rank: it reads the rank, carries out orders and may plan the maps. */
 export class RankAgent {
   readonly #options: RankAgentOptions;
@@ -64,6 +67,8 @@
 
   #lastHelloMs = -Infinity;
 
+  #lastPlannerMs = -Infinity;
+
   #isPlanning = false;
 
   #isStopped = false;
@@ -104,7 +109,7 @@
   async #run(): Promise<void> {
     while (!this.#isStopped) {
       await this.#tick();
-      const isFast = this.#planner?.isSwitching() === true || this.#status?.isBusy === true;
+      const isFast = this.#planner?.isSwitching() === true || isSwitching(this.#status);
       await new Promise((resolve) => {
         setTimeout(resolve, isFast ? SWITCH_TICK_MS : TICK_MS);
       });
@@ -121,13 +126,15 @@
       this.#lastReadMs = nowMs;
       void this.#readService();
     }
-    this.#sendStatus(status, nowMs);
     const planner = this.#members.electPlanner(status.rank);
-    if (nowMs - this.#lastCountsMs >= TICK_MS) {
+    this.#sendStatus(status, planner, nowMs);
+    const isIntervalOver = nowMs - this.#lastCountsMs >= TICK_MS;
+    if (isIntervalOver) {
       this.#lastCountsMs = nowMs;
       await this.#forwardCounts(status, planner);
+      if (planner === status.rank) this.#sendLoad(status, nowMs);
     }
-    this.#plan(status, planner);
+    this.#plan(status, planner, isIntervalOver);
   }
 
   async #readStatus(): Promise<RankStatus | null> {
@@ -154,17 +161,36 @@
     return status;
   }
 
-  #sendStatus(status: RankStatus, nowMs: number): void {
-    const receivers = new Set(this.#members.listAgents());
-    for (const [address, untilMs] of this.#subscribers) {
-      if (untilMs < nowMs) this.#subscribers.delete(address);
-      else receivers.add(address);
+  #sendStatus(status: RankStatus, planner: number, nowMs: number): void {
+    const isPlanning = planner === status.rank;
+    const receivers = new Set<string>();
+    const agent = this.#members.getAgent(planner);
+    if (agent !== null) receivers.add(agent);
+    if (isPlanning && nowMs - this.#lastPlannerMs >= PLANNER_INTERVAL_MS) {
+      this.#lastPlannerMs = nowMs;
+      for (const member of this.#members.listAgents()) receivers.add(member);
     }
     if (nowMs - this.#lastHelloMs >= HELLO_INTERVAL_MS) {
       this.#lastHelloMs = nowMs;
       for (const peer of this.#peers) receivers.add(peer);
     }
-    this.#socket.send({ kind: 'status', status }, receivers);
+    this.#socket.send({ kind: 'status', status, isPlanning }, receivers);
+  }
+
+  #sendLoad(status: RankStatus, nowMs: number): void {
+    const receivers: string[] = [];
+    for (const [address, untilMs] of this.#subscribers) {
+      if (untilMs < nowMs) this.#subscribers.delete(address);
+      else receivers.push(address);
+    }
+    if (receivers.length === 0) return;
+    const { group, epoch, isOpen, passMs } = status;
+    const ranks = [status, ...this.#members.listStatuses()].map(({ address, active, queued }) => ({
+      address,
+      active,
+      queued,
+    }));
+    this.#socket.send({ kind: 'load', report: { group, epoch, isOpen, passMs, ranks } }, receivers);
   }
 
   async #forwardCounts(status: RankStatus, planner: number): Promise<void> {
@@ -186,7 +212,7 @@
     }
   }
 
-  #plan(status: RankStatus, elected: number): void {
+  #plan(status: RankStatus, elected: number, isIntervalOver: boolean): void {
     const planner = this.#getPlanner(status.rank);
     const isElected = elected === status.rank && status.size > 1;
     if (isElected !== this.#isPlanning) {
@@ -197,7 +223,7 @@
       });
       if (!isElected) planner.forget();
     }
-    if (isElected) planner.closeInterval();
+    if (isElected && isIntervalOver) planner.closeInterval();
     // A switch that has begun is finished by the process that holds the pass.
     if (isElected || planner.isSwitching()) planner.advance();
   }
@@ -270,12 +296,19 @@
     if (message.kind === 'status') {
       const { status } = message;
       if (status.group !== this.#status.group) return;
-      this.#members.accept(status, from);
+      this.#members.accept(status, from, message.isPlanning);
       this.#planner?.acceptStatus(status);
       return;
     }
+    if (message.kind !== 'counts') return;
     const { group, epoch, scale, units } = message;
     if (group !== this.#status.group || epoch !== this.#status.epoch) return;
     this.#planner?.acceptCounts(decodeUnits(units, scale));
   }
 }
+
+/** Tells whether the rank loads a map or is about to switch to one. */
+function isSwitching(status: RankStatus | null): boolean {
+  if (status === null) return false;
+  return status.isBusy || status.armed !== null || status.held !== null;
+}
--- a/packages/rpc/src/datagram/PeerMessage.ts
+++ b/packages/rpc/src/datagram/PeerMessage.ts
@@ -1,10 +1,15 @@
 import { z } from 'zod';
-import { RankStatus } from '@limpetbay/core';
+import { GroupReport, RankStatus } from '@limpetbay/core';
 
 /** A datagram between processes. All may be lost; each replaces the one before it. */
 export const PeerMessage = z.discriminatedUnion('kind', [
   /** Status of the rank beside the sender. */
-  z.object({ kind: z.literal('status'), status: RankStatus }),
+  z.object({
+    kind: z.literal('status'),
+    status: RankStatus,
+    /** Whether the sender plans the maps of its group at the moment. */
+    isPlanning: z.boolean(),
+  }),
   /** Choices of experts at the sender's rank since its last message of this kind. */
   z.object({
     kind: z.literal('counts'),
@@ -16,7 +21,9 @@
     /** Base64 of unsigned 16-bit numbers, low byte first, set after set. */
     units: z.string(),
   }),
-  /** The sender wants status messages for the next seconds. */
+  /** Loads of the ranks of one group, from its planner. */
+  z.object({ kind: z.literal('load'), report: GroupReport }),
+  /** The sender wants load messages for the next seconds. */
   z.object({ kind: z.literal('subscribe') }),
 ]);
 
--- a/packages/runtime/src/log/createLog.ts
+++ b/packages/runtime/src/log/createLog.ts
@@ -1,4 +1,4 @@
-import { createConsola } from 'consola';
+import { createConsola } from 'consola/core';
 import type { Log } from './Log.js';
 import { formatFields } from './formatFields.js';
 
--- a/packages/targets/src/direct/DirectChannel.ts
+++ b/packages/targets/src/direct/DirectChannel.ts
@@ -1,6 +1,5 @@
+import { Agent, request as openRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { Client, buildConnector, type Dispatcher } from 'undici';
-import { isNeverSent } from '../http/isNeverSent.js';
 import type { DirectCall } from './DirectCall.js';
 import type { DirectListener } from './DirectListener.js';
 
@@ -17,77 +16,99 @@
 /** Short enough that a peer without power is noticed within seconds. */
 const TCP_KEEPALIVE_MS = 1000;
 
-/** The pool decides how long a connection stays idle; this only bounds forgotten ones. */
-const IDLE_TIMEOUT_MS = 30_000;
+const FIRST_FINAL_STATUS = 200;
 
 /**
  * One connection to a target with at most one request on it. It is closed after every answer that
- * is not whole, so that late bytes never meet another request.
+ * is not whole and after every byte that belongs to no answer, so that late bytes never meet
+ * another request.
  */
 export class DirectChannel {
-  readonly #client: Client;
+  readonly #host: string;
+
+  readonly #port: number;
 
   readonly #events: ChannelEvents;
 
-  /** Whether the connection ended by a reset; undici takes such an end for a regular one. */
-  #isReset = false;
+  /** Keeps the one connection open between calls. */
+  readonly #agent = new Agent({
+    keepAlive: true,
+    keepAliveMsecs: TCP_KEEPALIVE_MS,
+    maxSockets: 1,
+    maxFreeSockets: 1,
+  });
+
+  #socket: Socket | null = null;
 
-  #isBusy = false;
+  /** Whether the connection ended by a reset; an answer without a length is then not whole. */
+  #isReset = false;
 
   #isClosed = false;
 
+  readonly #closeOnData = (): void => this.close();
+
+  /** @param address `IP:PORT` */
   constructor(address: string, events: ChannelEvents) {
+    const [host = '', port = '0'] = address.split(':');
+    this.#host = host;
+    this.#port = Number(port);
     this.#events = events;
-    const connect = buildConnector({
-      timeout: CONNECT_TIMEOUT_MS,
-      keepAlive: true,
-      keepAliveInitialDelay: TCP_KEEPALIVE_MS,
-    });
-    this.#client = new Client(`http://${address}`, {
-      connect: (options, callback) =>
-        connect(options, (...result) => {
-          const [error, socket] = result;
-          if (error === null) this.#watchSocket(socket);
-          callback(...result);
-        }),
-      keepAliveTimeout: IDLE_TIMEOUT_MS,
-      keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      pipelining: 1,
-    });
-    this.#client.on('disconnect', () => this.close());
-  }
-
-  isBusy(): boolean {
-    return this.#isBusy;
+    this.#agent.on('free', (socket: Socket) => socket.on('data', this.#closeOnData));
   }
 
   /** Sends a call. @returns a function that gives the call up and closes the connection */
   send(call: DirectCall, listener: DirectListener): () => void {
-    this.#isBusy = true;
     let isOver = false;
-    const fail = (message: string, neverSent: boolean): void => {
+    let isConnected = this.#socket !== null;
+    const fail = (message: string): void => {
       if (isOver) return;
       isOver = true;
       this.close();
-      listener.acceptFailure(message, neverSent);
-    };
-    const finish = (isUnframed: boolean): void => {
-      if (isOver) return;
-      if (isUnframed && this.#isReset) {
-        fail('the connection was reset before the end of the answer', false);
-        return;
-      }
-      isOver = true;
-      this.#isBusy = false;
-      listener.acceptEnd();
-      if (!this.#isClosed) this.#events.onIdle();
+      listener.acceptFailure(message, !isConnected);
     };
-    this.#client.dispatch(
-      toOptions(call),
-      createHandler(listener, () => isOver, finish, fail),
-    );
+    const request = openRequest({
+      agent: this.#agent,
+      host: this.#host,
+      port: this.#port,
+      method: call.method,
+      path: call.url,
+      headers: this.#listHeaders(call),
+    });
+    request.on('socket', (socket) => {
+      this.#watchSocket(socket);
+      socket.removeListener('data', this.#closeOnData);
+      if (!socket.connecting) return;
+      const timer = setTimeout(
+        () => fail('the connection was not established'),
+        CONNECT_TIMEOUT_MS,
+      );
+      socket.once('connect', () => {
+        clearTimeout(timer);
+        isConnected = true;
+      });
+      socket.once('close', () => clearTimeout(timer));
+    });
+    request.on('error', (error) => fail(error.message));
+    request.on('response', (response) => {
+      if (isOver || (response.statusCode ?? 0) < FIRST_FINAL_STATUS) return;
+      listener.acceptHead(response.statusCode ?? 0, response.headers);
+      response.on('data', (data: Buffer) => {
+        if (!isOver) listener.acceptData(data);
+      });
+      response.on('error', (error) => fail(error.message));
+      response.on('close', () => fail('the connection closed before the end of the answer'));
+      response.on('end', () => {
+        if (isOver) return;
+        if (!this.#isWhole(response)) {
+          fail('the connection was reset before the end of the answer');
+          return;
+        }
+        isOver = true;
+        listener.acceptEnd();
+        if (!this.#isClosed) this.#events.onIdle();
+      });
+    });
+    request.end(call.body ?? undefined);
     return () => {
       isOver = true;
       this.close();
@@ -97,48 +118,33 @@
   close(): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
-    void this.#client.destroy();
+    this.#agent.destroy();
+    this.#socket?.destroy();
     this.#events.onClosed();
   }
 
+  #isWhole(response: IncomingMessage): boolean {
+    if (!response.complete) return false;
+    const { headers } = response;
+    const isFramed =
+      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+    return isFramed || !this.#isReset;
+  }
+
+  #listHeaders({ method, headers, body }: DirectCall): string[] {
+    const isNamed = headers.some((name, at) => at % 2 === 0 && name.toLowerCase() === 'host');
+    const list = isNamed ? [...headers] : ['Host', `${this.#host}:${this.#port}`, ...headers];
+    if (body !== null || method !== 'GET') list.push('Content-Length', String(body?.length ?? 0));
+    return list;
+  }
+
   #watchSocket(socket: Socket): void {
+    if (this.#socket === socket) return;
+    this.#socket = socket;
     socket.setNoDelay(true);
     socket.prependListener('error', () => {
       this.#isReset = true;
     });
+    socket.once('close', () => this.close());
   }
 }
-
-function toOptions(call: DirectCall): Dispatcher.DispatchOptions {
-  return {
-    path: call.url,
-    method: call.method,
-    headers: call.headers as string[],
-    body: call.body,
-    // undici would send an idempotent request again after a broken connection.
-    idempotent: false,
-  };
-}
-
-function createHandler(
-  listener: DirectListener,
-  isOver: () => boolean,
-  finish: (isUnframed: boolean) => void,
-  fail: (message: string, neverSent: boolean) => void,
-): Dispatcher.DispatchHandler {
-  let isUnframed = false;
-  return {
-    onRequestStart: () => {},
-    onResponseStart: (_controller, status, headers) => {
-      if (isOver() || status < 200) return;
-      isUnframed =
-        headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-      listener.acceptHead(status, headers);
-    },
-    onResponseData: (_controller, chunk) => {
-      if (!isOver()) listener.acceptData(chunk);
-    },
-    onResponseEnd: () => finish(isUnframed),
-    onResponseError: (_controller, error) => fail(error.message, isNeverSent(error)),
-  };
-}
--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -26,6 +26,16 @@
   },
 };
 
+/** Texts of check failures in other languages are a third of the bundle. */
+const zodLocales = {
+  name: 'zod-locales',
+  setup(builder) {
+    builder.onLoad({ filter: /zod\/v4\/locales\/index\.js$/ }, () => ({
+      contents: "export { default as en } from './en.js';",
+    }));
+  },
+};
+
 await build({
   entryPoints: ['platform/src/entry.ts', 'platform/src/agent.ts'],
   outdir: 'target',
@@ -39,7 +49,7 @@
     js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
   },
   alias,
-  plugins: [tsResults],
+  plugins: [tsResults, zodLocales],
   minify: true,
   sourcemap: 'linked',
   legalComments: 'none',
