--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -20,10 +20,10 @@
 }
 
 /** A status older than this says nothing about the rank, milliseconds. */
-const STATUS_MAX_AGE_MS = 700;
+const STATUS_MAX_AGE_MS = 1100;
 
 /** A rank whose status is older is asked itself, at most once in the same time, milliseconds. */
-const POLL_AFTER_MS = 400;
+const POLL_AFTER_MS = 900;
 
 /** A map that is not loaded after this time is given up; loading takes a few hundred, milliseconds. */
 const PREPARE_TIMEOUT_MS = 4000;
--- a/packages/rankagent/src/process/GroupMembers.ts
+++ b/packages/rankagent/src/process/GroupMembers.ts
@@ -9,11 +9,11 @@
   readonly heardMs: number;
 }
 
-/** The planning agent sends its status every 250 ms; without it for this long another one plans. */
-const SILENT_PLANNER_MS = 700;
+/** The planning agent sends its status every 250 to 800 ms; without it for this long another one plans. */
+const SILENT_PLANNER_MS = 1100;
 
-/** The other agents send theirs to all members every second, milliseconds. */
-const SILENT_MS = 2500;
+/** The other agents send theirs to all members every two seconds, milliseconds. */
+const SILENT_MS = 5000;
 
 /** The other agents of a group, as their messages show them. */
 export class GroupMembers {
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -11,14 +11,20 @@
 import type { RankAgentOptions } from './RankAgentOptions.js';
 
 /** Interval of readings of the rank; a pass takes about half of it, milliseconds. */
-const TICK_MS = 100;
+const TICK_MS = 150;
 
 /** The same while a map is loaded or switched, milliseconds. */
-const SWITCH_TICK_MS = 30;
+const SWITCH_TICK_MS = 40;
 
-/** Interval at which the targets and the model of the service are read, milliseconds. */
+/** The same while the group begins no passes, milliseconds. */
+const IDLE_TICK_MS = 800;
+
+/** Interval at which the targets of the service are read, milliseconds. */
 const READ_INTERVAL_MS = 5000;
 
+/** Interval at which the model of the service is read; it hardly ever changes, milliseconds. */
+const MODEL_INTERVAL_MS = 30_000;
+
 /** The same until all members of the group are known, milliseconds. */
 const FIRST_READ_INTERVAL_MS = 1000;
 
@@ -26,7 +32,7 @@
 const SUBSCRIPTION_MS = 3000;
 
 /** All agents of the service hear of this rank at this interval, milliseconds. */
-const HELLO_INTERVAL_MS = 1000;
+const HELLO_INTERVAL_MS = 2000;
 
 /** The group hears of its planner at this interval, milliseconds. */
 const PLANNER_INTERVAL_MS = 250;
@@ -65,6 +71,8 @@
 
   #lastReadMs = -Infinity;
 
+  #nextModelMs = -Infinity;
+
   #lastHelloMs = -Infinity;
 
   #lastPlannerMs = -Infinity;
@@ -109,13 +117,17 @@
   async #run(): Promise<void> {
     while (!this.#isStopped) {
       await this.#tick();
-      const isFast = this.#planner?.isSwitching() === true || isSwitching(this.#status);
       await new Promise((resolve) => {
-        setTimeout(resolve, isFast ? SWITCH_TICK_MS : TICK_MS);
+        setTimeout(resolve, this.#chooseTick());
       });
     }
   }
 
+  #chooseTick(): number {
+    if (this.#planner?.isSwitching() === true || isSwitching(this.#status)) return SWITCH_TICK_MS;
+    return (this.#status?.passMs ?? 0) === 0 ? IDLE_TICK_MS : TICK_MS;
+  }
+
   async #tick(): Promise<void> {
     const nowMs = this.#options.clock.getNow();
     const status = await this.#readStatus();
@@ -124,7 +136,11 @@
     const intervalMs = isComplete ? READ_INTERVAL_MS : FIRST_READ_INTERVAL_MS;
     if (nowMs - this.#lastReadMs >= intervalMs) {
       this.#lastReadMs = nowMs;
-      void this.#readService();
+      void this.#readTargets();
+    }
+    if (nowMs >= this.#nextModelMs) {
+      this.#nextModelMs = nowMs + FIRST_READ_INTERVAL_MS;
+      void this.#readModel();
     }
     const planner = this.#members.electPlanner(status.rank);
     this.#sendStatus(status, planner, nowMs);
@@ -272,7 +288,7 @@
     };
   }
 
-  async #readService(): Promise<void> {
+  async #readTargets(): Promise<void> {
     const targets = await this.#options.listTargets();
     if (targets.ok) {
       const peers = new Set<string>();
@@ -282,9 +298,17 @@
       }
       this.#peers = [...peers];
     } else this.#log.warn('targets not read', { cause: targets.val.message });
+  }
+
+  async #readModel(): Promise<void> {
     const model = await this.#options.readModel();
-    if (model.err) this.#log.warn('model not read', { cause: model.val.message });
-    else if (model.val !== null) this.#planner?.setModel(model.val.experts);
+    if (model.err) {
+      this.#log.warn('model not read', { cause: model.val.message });
+      return;
+    }
+    if (model.val === null) return;
+    this.#nextModelMs = this.#options.clock.getNow() + MODEL_INTERVAL_MS;
+    this.#planner?.setModel(model.val.experts);
   }
 
   #acceptMessage(message: PeerMessage, from: string): void {
