Send orders as datagrams and plan on a clean interval after a shift

Cause: a switch took 130 ms beside its copies, as each HTTP call costs milliseconds on 0.4 cores; plans were made on counts of old and new demand; an abandoned load made the planner read the map again.

--- a/packages/core/src/heldswitch/HeldSwitch.ts
+++ b/packages/core/src/heldswitch/HeldSwitch.ts
@@ -31,11 +31,11 @@
   readonly order: RankOrder;
 }
 
-/** Passes between the last one seen and the boundary; the orders need about one pass. */
-const FIRST_LEAD = 2;
+/** Passes between the last one seen and the boundary; the hold covers what the orders need more. */
+const FIRST_LEAD = 1;
 
 /** Added to the lead when the boundary had passed before the hold arrived. */
-const MORE_LEAD = 2;
+const MORE_LEAD = 1;
 
 /**
  * Changes the map of a group at one pass. While one rank holds the boundary pass, no rank can
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -33,11 +33,17 @@
 /** Share of the summed retry allowance that the entries use; the rest covers restarts. */
 const RETRY_SAFETY = 0.5;
 
+/** Interval at which a stopping entry looks whether it is done, milliseconds. */
+const WAIT_STEP_MS = 100;
+
 /** An entry that stops without requests for this long has been left by its callers. */
 const QUIET_MS = 1500;
 
-/** The end comes this long before the platform would force it, milliseconds. */
-const GRACE_MARGIN_MS = 800;
+/** New connections are closed out this long before the platform would end the process. */
+const CLOSE_MARGIN_MS = 2000;
+
+/** Requests under way are waited for until this long before the same moment, milliseconds. */
+const END_MARGIN_MS = 400;
 
 /** Serves callers by sending their requests to targets directly. */
 export class Gateway implements DirectHandler {
@@ -187,15 +193,14 @@
     this.#server.drain();
     this.#log.report('stopping', { requests: this.#server.countRequests() });
     void this.#lease.stop();
-    const latestMs = startMs + this.#options.limits.graceMs - GRACE_MARGIN_MS;
+    const endMs = startMs + this.#options.limits.graceMs;
     const earliestMs = startMs + this.#options.limits.addressTtlMs;
-    while (this.#options.clock.getNow() < latestMs) {
-      await this.#sleep(TICK_MS);
-      const nowMs = this.#options.clock.getNow();
+    await this.#waitUntil(endMs - CLOSE_MARGIN_MS, (nowMs) => {
       const isQuiet = nowMs - this.#lastRequestMs > QUIET_MS;
-      if (this.#server.countRequests() === 0 && isQuiet && nowMs > earliestMs) break;
-    }
+      return this.#server.countRequests() === 0 && isQuiet && nowMs > earliestMs;
+    });
     this.#server.close();
+    await this.#waitUntil(endMs - END_MARGIN_MS, () => this.#server.countRequests() === 0);
     this.#mirror.stop();
     this.#socket.close();
     this.#cancelTick?.();
@@ -203,10 +208,13 @@
     this.#log.report('stopped', { requests: this.#server.countRequests() });
   }
 
-  #sleep(delayMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      this.#options.timers.schedule(delayMs, resolve);
-    });
+  async #waitUntil(latestMs: number, isDone: (nowMs: number) => boolean): Promise<void> {
+    const { clock, timers } = this.#options;
+    while (clock.getNow() < latestMs && !isDone(clock.getNow())) {
+      await new Promise<void>((resolve) => {
+        timers.schedule(WAIT_STEP_MS, resolve);
+      });
+    }
   }
 
   #tick(): void {
--- a/packages/rankagent/src/index.ts
+++ b/packages/rankagent/src/index.ts
@@ -1,4 +1,5 @@
 export { MapPlanner } from './planner/MapPlanner.js';
+export { OrderChannel } from './planner/OrderChannel.js';
 export type { PlannerRank } from './planner/PlannerRank.js';
 export { RemoteRank } from './planner/RemoteRank.js';
 export { AgentCall } from './ports/AgentCall.js';
--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -34,6 +34,9 @@
 /** Shortest time between two plans, milliseconds. */
 const PLAN_INTERVAL_MS = 100;
 
+/** The plan after a shift comes this much earlier, so that it meets the next interval's end. */
+const SHIFT_PLAN_ADVANCE_MS = 10;
+
 /** Plans the maps of the group around this process's rank and carries out the switches. */
 export class MapPlanner {
   readonly #options: MapPlannerOptions;
@@ -54,6 +57,9 @@
 
   #isReading = false;
 
+  /** Whether the last interval of counts differed from the estimate. */
+  #isShifting = false;
+
   #lastVersion = 0;
 
   #lastPlanMs = -Infinity;
@@ -82,7 +88,10 @@
 
   acceptStatus(status: RankStatus): void {
     this.#statuses.set(status.rank, { status, atMs: this.#options.clock.getNow() });
+    const before = this.#switch?.getPhase();
     this.#switch?.acceptStatus(status);
+    if (this.#switch !== null && before !== this.#switch.getPhase())
+      this.#reportPhase(this.#switch);
   }
 
   acceptCounts(counts: ArrayLike<number>): void {
@@ -91,9 +100,15 @@
 
   /** Ends an interval of counts, whether or not this process plans at the moment. */
   closeInterval(): void {
-    if (this.#planner?.closeInterval() === true) {
-      this.#options.log.report('demand for experts has shifted');
-    }
+    const wasShifting = this.#isShifting;
+    this.#isShifting = this.#planner?.closeInterval() === true;
+    if (!this.#isShifting || wasShifting) return;
+    const phase = this.#switch?.getPhase() ?? 'none';
+    this.#options.log.report('demand for experts has shifted', { switch: phase });
+    // Counts of this interval are of the old and the new demand; the next plan waits for one more.
+    this.#lastPlanMs = this.#options.clock.getNow() - SHIFT_PLAN_ADVANCE_MS;
+    // A map that was planned for the old demand is not worth waiting for.
+    if (phase === 'preparing') this.#switch?.abandon();
   }
 
   /** Does what is due; only for the process that plans for the group. */
@@ -172,6 +187,8 @@
     if (nowMs - this.#lastPlanMs < PLAN_INTERVAL_MS) return;
     this.#lastPlanMs = nowMs;
     const planned = this.#planner.plan(this.#present.sets);
+    const planMs = this.#options.clock.getNow() - nowMs;
+    this.#options.metrics.record('limpetbay_plan_ms', planMs);
     if (planned === null) return;
     const options = this.#createOptions(statuses, planned.sets);
     this.#switch = new HeldSwitch(options);
@@ -183,6 +200,7 @@
       skewNow: Number(planned.skewNow.toFixed(2)),
       skewNext: Number(planned.skewNext.toFixed(2)),
       copies: planned.copies,
+      planMs: Math.round(planMs),
       step: statuses[this.#options.self]?.step,
       passMs: statuses[this.#options.self]?.passMs,
     });
@@ -262,12 +280,22 @@
         answer,
       });
     }
+    const before = current.getPhase();
     current.acceptAnswer(rank, order, answer);
+    if (before !== current.getPhase()) this.#reportPhase(current);
     if (this.#switch !== current) return;
     if (current.isOver()) this.#finishSwitch(current);
     else this.advance();
   }
 
+  #reportPhase(current: HeldSwitch): void {
+    this.#options.log.report('switch goes on', {
+      version: current.getVersion(),
+      phase: current.getPhase(),
+      ms: Math.round(this.#options.clock.getNow() - this.#switchFromMs),
+    });
+  }
+
   #finishSwitch(current: HeldSwitch): void {
     const ms = Math.round(this.#options.clock.getNow() - this.#switchFromMs);
     const isDone = current.getPhase() === 'done';
@@ -277,10 +305,7 @@
       version: current.getVersion(),
       ms,
     });
-    if (!isDone || this.#present === null) {
-      this.#present = null;
-      return;
-    }
+    if (!isDone || this.#present === null) return;
     const { epoch } = this.#present;
     this.#present = { version: current.getVersion(), epoch, sets: this.#switchSets };
   }
--- a/packages/rankagent/src/planner/RemoteRank.ts
+++ b/packages/rankagent/src/planner/RemoteRank.ts
@@ -20,6 +20,8 @@
   /** The rank itself, for the time in which its agent does not answer. */
   readonly direct: RankWire;
   readonly onStatus: (status: RankStatus) => void;
+  /** Sends an order as a datagram. @returns `lost` where no answer came */
+  readonly sendOrder: (agent: string, order: RankOrder, epoch: number) => Promise<OrderAnswer>;
 }
 
 /** Agents answer in a few milliseconds; the rank itself may leave an order unanswered. */
@@ -28,6 +30,9 @@
 /** For this long a silent agent is passed over, milliseconds. */
 const SILENT_AGENT_MS = 1000;
 
+/** After this many orders without an answer the agent counts as silent. */
+const MAX_LOST = 3;
+
 /** A rank beside another agent. */
 export class RemoteRank {
   readonly #options: RemoteRankOptions;
@@ -36,14 +41,33 @@
 
   #directUntilMs = -Infinity;
 
+  /** Orders in a row that got no answer. */
+  #lost = 0;
+
   constructor(options: RemoteRankOptions) {
     this.#options = options;
     this.#pool = new DirectPool(options.agentAddress, options.clock);
   }
 
   async order(order: RankOrder, epoch: number): Promise<OrderAnswer> {
-    const { clock, direct, onStatus } = this.#options;
+    const { clock, direct } = this.#options;
     if (clock.getNow() < this.#directUntilMs) return direct.order(order, epoch);
+    // All but a map fit into a datagram, which costs a fraction of an HTTP call.
+    return order.operation === 'prepare'
+      ? this.#sendCall(order, epoch)
+      : this.#sendDatagram(order, epoch);
+  }
+
+  async #sendDatagram(order: RankOrder, epoch: number): Promise<OrderAnswer> {
+    const { clock, agentAddress, sendOrder } = this.#options;
+    const answer = await sendOrder(agentAddress, order, epoch);
+    this.#lost = answer === 'lost' ? this.#lost + 1 : 0;
+    if (this.#lost >= MAX_LOST) this.#directUntilMs = clock.getNow() + SILENT_AGENT_MS;
+    return answer;
+  }
+
+  async #sendCall(order: RankOrder, epoch: number): Promise<OrderAnswer> {
+    const { clock, onStatus } = this.#options;
     const answer = await requestJson(this.#pool, {
       method: 'POST',
       url: '/order',
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -2,6 +2,7 @@
 import { PeerSocket, decodeUnits, encodeUnits, type PeerMessage } from '@limpetbay/rpc';
 import type { Log } from '@limpetbay/runtime';
 import { MapPlanner } from '../planner/MapPlanner.js';
+import { OrderChannel } from '../planner/OrderChannel.js';
 import type { PlannerRank } from '../planner/PlannerRank.js';
 import { RemoteRank } from '../planner/RemoteRank.js';
 import type { RankWire } from '../ports/RankWire.js';
@@ -11,10 +12,10 @@
 import type { RankAgentOptions } from './RankAgentOptions.js';
 
 /** Interval of readings of the rank; a pass takes about half of it, milliseconds. */
-const TICK_MS = 150;
+const TICK_MS = 100;
 
 /** The same while a map is loaded or switched, milliseconds. */
-const SWITCH_TICK_MS = 40;
+const SWITCH_TICK_MS = 25;
 
 /** The same while the group begins no passes, milliseconds. */
 const IDLE_TICK_MS = 800;
@@ -51,6 +52,8 @@
 
   readonly #members: GroupMembers;
 
+  readonly #orders: OrderChannel;
+
   readonly #passes = new PassClock();
 
   readonly #remotes = new Map<string, RemoteRank>();
@@ -92,6 +95,9 @@
       onMessage: (message, from) => this.#acceptMessage(message, from),
       onError: (cause) => this.#log.warn('datagram lost', { cause }),
     });
+    this.#orders = new OrderChannel(options.clock, (message, agent) =>
+      this.#socket.send(message, [agent]),
+    );
     this.#server = new AgentServer({
       host: options.host,
       port: options.peerPort,
@@ -268,6 +274,7 @@
         agentAddress: agent,
         direct,
         onStatus: (status) => this.#planner?.acceptStatus(status),
+        sendOrder: (to, order, epoch) => this.#orders.send(to, order, epoch),
       });
       this.#remotes.set(agent, remote);
     }
@@ -311,11 +318,18 @@
     this.#planner?.setModel(model.val.experts);
   }
 
+  async #carryOut(message: Extract<PeerMessage, { kind: 'order' }>, from: string): Promise<void> {
+    const answer = await this.#rank.order(message.order, message.epoch);
+    this.#socket.send({ kind: 'answer', id: message.id, answer }, [from]);
+  }
+
   #acceptMessage(message: PeerMessage, from: string): void {
     if (message.kind === 'subscribe') {
       this.#subscribers.set(from, this.#options.clock.getNow() + SUBSCRIPTION_MS);
       return;
     }
+    if (message.kind === 'answer') this.#orders.acceptAnswer(message.id, message.answer);
+    if (message.kind === 'order') void this.#carryOut(message, from);
     if (this.#status === null) return;
     if (message.kind === 'status') {
       const { status } = message;
--- a/packages/rpc/src/datagram/PeerMessage.ts
+++ b/packages/rpc/src/datagram/PeerMessage.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { GroupReport, RankStatus } from '@limpetbay/core';
+import { GroupReport, RankOrder, RankStatus } from '@limpetbay/core';
 
 /** A datagram between processes. All may be lost; each replaces the one before it. */
 export const PeerMessage = z.discriminatedUnion('kind', [
@@ -21,6 +21,18 @@
     /** Base64 of unsigned 16-bit numbers, low byte first, set after set. */
     units: z.string(),
   }),
+  /** Order of a planner to the rank beside the receiver; `id` returns in the answer. */
+  z.object({
+    kind: z.literal('order'),
+    id: z.number().int(),
+    epoch: z.number().int(),
+    order: RankOrder,
+  }),
+  z.object({
+    kind: z.literal('answer'),
+    id: z.number().int(),
+    answer: z.enum(['done', 'refused', 'lost']),
+  }),
   /** Loads of the ranks of one group, from its planner. */
   z.object({ kind: z.literal('load'), report: GroupReport }),
   /** The sender wants load messages for the next seconds. */
