Let streams wait shortly for room and tell refused callers when to come back

Cause: around shifts and after kills, streams started into passes longer than their pause limit, and refused callers came back after 0.2 s, while a group needs one to two seconds to form again; an agent that restarted heard of its group after two seconds; registrations of dead targets were tried first.

Ruled out: load reports that were missing after a restart (they arrive within 0.3 s).

--- a/packages/core/src/direct/TargetPicker.ts
+++ b/packages/core/src/direct/TargetPicker.ts
@@ -21,23 +21,18 @@
   readonly service: DirectService;
   /** Targets that failed this request already. */
   readonly excluded: ReadonlySet<string>;
+  /** Longest pause of the stream that meets its objective; null for other requests. */
+  readonly gapMs: number | null;
 }
 
 /** Weight of a recent failure in the score of a target, in requests in flight. */
 const FAILURE_WEIGHT = 4;
 
-/** Wait that is worthwhile where no target exists; registrations come within this time. */
-const NO_TARGET_RETRY_MS = 500;
-
-/** Shortest and longest wait that a refused caller is told, milliseconds. */
-const MIN_RETRY_MS = 150;
-const MAX_RETRY_MS = 600;
-
 /** A report of a group older than this says nothing any more, milliseconds. */
 const REPORT_MAX_AGE_MS = 1500;
 
-/** Occupancy of a rank, in batch places, up to which new streams are admitted. */
-const ADMITTED_OCCUPANCY = 1;
+/** Part of the longest pause that a pass may take before new streams wait, so that it has room. */
+const PASS_SHARE = 0.85;
 
 /** Chooses the target of a request: the one with the least load that may get it. */
 export class TargetPicker {
@@ -81,17 +76,11 @@
 
   pick(request: PickRequest): PickResult {
     const open = this.#listOpen(request);
-    if (open.length === 0) {
-      return { target: null, reason: 'no_target', retryAfterMs: NO_TARGET_RETRY_MS };
-    }
+    if (open.length === 0) return { target: null, reason: 'no_target' };
     const warm = open.filter(({ id }) => this.#bears(id, request.service));
-    if (warm.length === 0) {
-      return { target: null, reason: 'target_cold', retryAfterMs: this.#drawRetry() };
-    }
-    const admitted = warm.filter((target) => this.#admits(target, request.service));
-    if (admitted.length === 0) {
-      return { target: null, reason: 'overloaded', retryAfterMs: this.#drawRetry() };
-    }
+    if (warm.length === 0) return { target: null, reason: 'target_cold' };
+    const admitted = warm.filter((target) => this.#admits(target, request));
+    if (admitted.length === 0) return { target: null, reason: 'overloaded' };
     const target = this.#chooseLeast(admitted, request.service);
     if (this.#parts.registry.isCold(target.id)) this.#parts.cold.take(target.id);
     return { target, reason: `least loaded of ${admitted.length}` };
@@ -110,10 +99,14 @@
   }
 
   /** Tells whether the target's group has lost a rank. */
-  #isBroken({ address }: DirectTarget, nowMs: number): boolean {
+  #isBroken(target: DirectTarget, nowMs: number): boolean {
+    return this.#getReport(target, nowMs)?.isOpen === false;
+  }
+
+  #getReport({ address }: DirectTarget, nowMs: number): GroupReport | null {
     const known = this.#groups.get(address);
-    if (known === undefined || nowMs - known.atMs > REPORT_MAX_AGE_MS) return false;
-    return !known.report.isOpen;
+    if (known === undefined || nowMs - known.atMs > REPORT_MAX_AGE_MS) return null;
+    return known.report;
   }
 
   #bears(id: string, service: DirectService): boolean {
@@ -121,11 +114,13 @@
     return this.#parts.cold.hasRoom(id, service.coldPerSecond, this.#parts.countEntries());
   }
 
-  #admits(target: DirectTarget, service: DirectService): boolean {
+  #admits(target: DirectTarget, { service, gapMs }: PickRequest): boolean {
     if (service.engine === null) return true;
     const nowMs = this.#parts.clock.getNow();
+    const passMs = this.#getReport(target, nowMs)?.passMs ?? 0;
+    if (gapMs !== null && passMs > PASS_SHARE * gapMs) return false;
     const occupancy = this.getStats(target.id).estimateOccupancy(nowMs, this.#parts.countEntries());
-    return occupancy < target.capacity * ADMITTED_OCCUPANCY;
+    return occupancy < target.capacity;
   }
 
   #chooseLeast(targets: readonly DirectTarget[], service: DirectService): DirectTarget {
@@ -152,8 +147,4 @@
     // The random part spreads entries that see the same loads over equal targets.
     return occupancy + failures + this.#parts.random.next();
   }
-
-  #drawRetry(): number {
-    return MIN_RETRY_MS + this.#parts.random.next() * (MAX_RETRY_MS - MIN_RETRY_MS);
-  }
 }
--- a/packages/core/src/direct/TargetRegistry.ts
+++ b/packages/core/src/direct/TargetRegistry.ts
@@ -32,8 +32,12 @@
     this.#clock = clock;
   }
 
-  /** Records a registration. */
+  /**
+   * Records a registration. A target that has lost power leaves its registration behind for some
+   * seconds; the one that was born last at an address is the one that answers there.
+   */
   accept(target: DirectTarget): void {
+    if (this.#isSuperseded(target)) return;
     const known = this.#targets.get(target.id);
     const coldUntilMs = this.#clock.getNow() + target.coldLeftMs;
     const isSameLife = known?.target.bornMs === target.bornMs;
@@ -47,6 +51,15 @@
     this.#services = null;
   }
 
+  #isSuperseded(target: DirectTarget): boolean {
+    for (const [id, { target: other }] of this.#targets) {
+      if (other.address !== target.address || id === target.id) continue;
+      if (other.bornMs > target.bornMs) return true;
+      this.#targets.delete(id);
+    }
+    return false;
+  }
+
   /** Records that a registration is gone. */
   remove(id: string): void {
     if (!this.#targets.has(id)) return;
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -1,5 +1,6 @@
 import { DirectServer, type DirectAnswer, type DirectHandler } from '@limpetbay/callers';
 import {
+  AdmissionQueue,
   ColdLimiter,
   EntryDirectory,
   RetryBudget,
@@ -21,6 +22,9 @@
 /** Interval of housekeeping, milliseconds. */
 const TICK_MS = 250;
 
+/** Interval at which waiting requests are looked at, milliseconds. */
+const QUEUE_TICK_MS = 50;
+
 /** Subscriptions to loads last three times as long, milliseconds. */
 const SUBSCRIBE_INTERVAL_MS = 1000;
 
@@ -73,6 +77,8 @@
 
   #cancelTick: (() => void) | null = null;
 
+  #cancelQueueTick: (() => void) | null = null;
+
   #isRegistered = false;
 
   #isLeaving = false;
@@ -81,6 +87,8 @@
 
   #lastSubscribeMs = -Infinity;
 
+  #subscribedTargets = 0;
+
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { clock, random, timers, store, codec, layout, metrics, createLog } = options;
@@ -111,6 +119,7 @@
       metrics,
       registry: this.#registry,
       picker,
+      queue: new AdmissionQueue(clock),
       log: createLog('request'),
       getTable: () => this.#view.getTable(),
       getBudget: (service) => this.#getBudget(service),
@@ -137,7 +146,9 @@
       host: peerHost,
       port: Number(peerPort),
       onMessage: (message) => {
-        if (message.kind === 'load') picker.acceptReport(message.report);
+        if (message.kind !== 'load') return;
+        picker.acceptReport(message.report);
+        this.#parts.queue.advance();
       },
       onError: (cause) => this.#log.warn('datagram lost', { cause }),
     });
@@ -156,6 +167,7 @@
     await this.#socket.start();
     this.#mirror.start();
     this.#tick();
+    this.#advanceQueue();
     this.#log.report('started', { address: this.#options.self.callerAddress });
   }
 
@@ -204,6 +216,7 @@
     this.#mirror.stop();
     this.#socket.close();
     this.#cancelTick?.();
+    this.#cancelQueueTick?.();
     for (const pool of this.#pools.values()) pool.close();
     this.#log.report('stopped', { requests: this.#server.countRequests() });
   }
@@ -217,6 +230,14 @@
     }
   }
 
+  /** Loads arrive ten times a second; in between, waits end and targets get room. */
+  #advanceQueue(): void {
+    if (this.#parts.queue.count() > 0) this.#parts.queue.advance();
+    this.#cancelQueueTick = this.#options.timers.schedule(QUEUE_TICK_MS, () =>
+      this.#advanceQueue(),
+    );
+  }
+
   #tick(): void {
     this.#registry.expire();
     this.#subscribe(this.#options.clock.getNow());
@@ -233,7 +254,9 @@
 
   /** Asks the agents beside model ranks for the loads of their groups. */
   #subscribe(nowMs: number): void {
-    if (nowMs - this.#lastSubscribeMs < SUBSCRIBE_INTERVAL_MS) return;
+    const isKnown = this.#registry.count() === this.#subscribedTargets;
+    if (isKnown && nowMs - this.#lastSubscribeMs < SUBSCRIBE_INTERVAL_MS) return;
+    this.#subscribedTargets = this.#registry.count();
     this.#lastSubscribeMs = nowMs;
     const agents = new Set<string>();
     const [, peerPort] = this.#options.self.peerAddress.split(':');
--- a/packages/gateway/src/request/GatewayParts.ts
+++ b/packages/gateway/src/request/GatewayParts.ts
@@ -1,4 +1,5 @@
 import type {
+  AdmissionQueue,
   Clock,
   RandomSource,
   RetryBudget,
@@ -19,6 +20,7 @@
   readonly codec: WireCodec;
   readonly registry: TargetRegistry;
   readonly picker: TargetPicker;
+  readonly queue: AdmissionQueue;
   readonly metrics: MetricRegistry;
   readonly log: Log;
   /** Null until the first configuration. */
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -1,4 +1,5 @@
 import {
+  chooseRetryAfter,
   chooseService,
   decideNextAttempt,
   fail,
@@ -28,6 +29,9 @@
 /** Wait that is told with failures that a short pause may mend, milliseconds. */
 const RETRY_AFTER_MS = 200;
 
+/** Part of the latency objective that a stream may wait for room before it is refused. */
+const QUEUE_SHARE = 0.5;
+
 const KEY_MISSING = 'an API key is needed';
 
 /** The way of one request: from its route over its attempts to one answer. */
@@ -116,16 +120,41 @@
 
   #tryNext(): void {
     const admission = this.#admission as Admission;
+    const reason = this.#tryStart(admission);
+    if (reason === null) return;
+    const maxWaitMs = QUEUE_SHARE * admission.route.objectiveMs;
+    if (reason !== 'overloaded' || admission.route.kind !== 'stream') {
+      this.#refuseStart(admission, reason);
+      return;
+    }
+    this.#parts.queue.enqueue({
+      priority: admission.priority,
+      maxWaitMs,
+      tryStart: () => this.#isOver || this.#tryStart(admission) === null,
+      expire: () => this.#refuseStart(admission, reason),
+    });
+  }
+
+  /** Sends the request if a target admits it. @returns null, or why none does */
+  #tryStart(admission: Admission): 'no_target' | 'overloaded' | 'target_cold' | null {
     const picked = this.#parts.picker.pick({
       service: admission.service,
       excluded: this.#excluded,
+      gapMs: admission.route.gapMs,
     });
-    if (picked.target === null) {
-      if (this.#mayHaveRun) this.#refuse('outcome_unknown', `no further target: ${picked.reason}`);
-      else this.#refuse(picked.reason, 'no target can take the request', picked.retryAfterMs);
+    if (picked.target === null) return picked.reason;
+    this.#send(admission, picked.target, picked.reason);
+    return null;
+  }
+
+  #refuseStart(admission: Admission, reason: 'no_target' | 'overloaded' | 'target_cold'): void {
+    if (this.#mayHaveRun) {
+      this.#refuse('outcome_unknown', `no further target: ${reason}`);
       return;
     }
-    this.#send(admission, picked.target, picked.reason);
+    const cause = reason === 'no_target' ? 'away' : 'busy';
+    const waitMs = chooseRetryAfter(admission.route, cause, this.#parts.random);
+    this.#refuse(reason, 'no target can take the request', waitMs);
   }
 
   #send(admission: Admission, target: DirectTarget, reason: string): void {
@@ -217,8 +246,11 @@
       this.#answer.send(head.status, head.forwarded, body);
       this.#recordEnd(head.status, next);
     } else if (this.#mayHaveRun) this.#refuse('outcome_unknown', message);
-    else if (outcome === 'unreachable') this.#refuse('no_target', message, RETRY_AFTER_MS);
-    else this.#refuse('overloaded', message, RETRY_AFTER_MS);
+    else {
+      const { route } = this.#admission as Admission;
+      const waitMs = chooseRetryAfter(route, 'away', this.#parts.random);
+      this.#refuse(outcome === 'unreachable' ? 'no_target' : 'overloaded', message, waitMs);
+    }
   }
 
   #finish(result: Extract<AttemptResult, { kind: 'done' }>): void {
--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -90,8 +90,9 @@
     this.#statuses.set(status.rank, { status, atMs: this.#options.clock.getNow() });
     const before = this.#switch?.getPhase();
     this.#switch?.acceptStatus(status);
-    if (this.#switch !== null && before !== this.#switch.getPhase())
+    if (this.#switch !== null && before !== this.#switch.getPhase()) {
       this.#reportPhase(this.#switch);
+    }
   }
 
   acceptCounts(counts: ArrayLike<number>): void {
--- a/packages/rankagent/src/process/PassClock.ts
+++ b/packages/rankagent/src/process/PassClock.ts
@@ -4,7 +4,7 @@
 }
 
 /** Readings over this span give the time of a pass, milliseconds. */
-const SPAN_MS = 400;
+const SPAN_MS = 250;
 
 /** Measures the mean time of a group's recent passes. */
 export class PassClock {
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -27,7 +27,7 @@
 const MODEL_INTERVAL_MS = 30_000;
 
 /** The same until all members of the group are known, milliseconds. */
-const FIRST_READ_INTERVAL_MS = 1000;
+const FIRST_READ_INTERVAL_MS = 600;
 
 /** A subscription ends after this time without a renewal, milliseconds. */
 const SUBSCRIPTION_MS = 3000;
@@ -304,6 +304,7 @@
         peers.add(`${address.split(':')[0]}:${this.#options.peerPort}`);
       }
       this.#peers = [...peers];
+      if (this.#members.count() === 0) this.#lastHelloMs = -Infinity;
     } else this.#log.warn('targets not read', { cause: targets.val.message });
   }
 
@@ -318,6 +319,12 @@
     this.#planner?.setModel(model.val.experts);
   }
 
+  #introduce(agent: string): void {
+    if (this.#status === null) return;
+    const isPlanning = this.#isPlanning;
+    this.#socket.send({ kind: 'status', status: this.#status, isPlanning }, [agent]);
+  }
+
   async #carryOut(message: Extract<PeerMessage, { kind: 'order' }>, from: string): Promise<void> {
     const answer = await this.#rank.order(message.order, message.epoch);
     this.#socket.send({ kind: 'answer', id: message.id, answer }, [from]);
@@ -334,6 +341,8 @@
     if (message.kind === 'status') {
       const { status } = message;
       if (status.group !== this.#status.group) return;
+      // An agent that has just started learns of its group at once.
+      if (this.#members.getAgent(status.rank) !== from) this.#introduce(from);
       this.#members.accept(status, from, message.isPlanning);
       this.#planner?.acceptStatus(status);
       return;
