--- a/packages/core/src/experts/DemandEstimator.ts
+++ b/packages/core/src/experts/DemandEstimator.ts
@@ -12,7 +12,7 @@
   shiftSimilarity: 0.8,
 };
 
-/** Share of the old estimate that is kept after a shift. */
+/** Weight of the old estimate after a shift, as a share of the first counts after it. */
 const KEPT_AFTER_SHIFT = 0.1;
 
 /** Weight of the longer memory; it keeps copies that are likely to be wanted again. */
@@ -51,7 +51,7 @@
   acceptCounts(counts: ArrayLike<number>, intervalMs: number): boolean {
     const hasShifted = this.#measureSimilarity(counts) < this.#options.shiftSimilarity;
     const keptRecent = hasShifted
-      ? KEPT_AFTER_SHIFT
+      ? (KEPT_AFTER_SHIFT * computeSum(counts)) / computeSum(this.#recent)
       : Math.exp(-intervalMs / this.#options.followMs);
     const keptMemory = Math.exp(-intervalMs / this.#options.rememberMs);
     for (let at = 0; at < this.#recent.length; at += 1) {
@@ -69,8 +69,8 @@
       const start = set * this.#experts;
       const recent = this.#recent.subarray(start, start + this.#experts);
       const memory = this.#memory.subarray(start, start + this.#experts);
-      const recentSum = recent.reduce((sum, count) => sum + count, 0);
-      const memorySum = memory.reduce((sum, count) => sum + count, 0);
+      const recentSum = computeSum(recent);
+      const memorySum = computeSum(memory);
       if (recentSum <= 0 || memorySum <= 0) return null;
       loads.push(
         recent.map(
@@ -99,3 +99,9 @@
     return product / Math.sqrt(countNorm * recentNorm);
   }
 }
+
+function computeSum(counts: ArrayLike<number>): number {
+  let sum = 0;
+  for (let at = 0; at < counts.length; at += 1) sum += counts[at] ?? 0;
+  return sum;
+}
--- /dev/null
+++ b/packages/core/test/direct/TargetRegistry.test.ts
@@ -0,0 +1,76 @@
+import { describe, expect, it } from 'vitest';
+import { ManualClock, TargetRegistry, type DirectTarget } from '../../src/index.js';
+
+function createTarget(id: string, changes: Partial<DirectTarget> = {}): DirectTarget {
+  return {
+    id,
+    service: 'model',
+    address: `10.0.0.1:${id.length + 8000}`,
+    zone: 'a',
+    capacity: 8,
+    isDraining: false,
+    coldLeftMs: 0,
+    bornMs: 1000,
+    ...changes,
+  };
+}
+
+describe('TargetRegistry', () => {
+  it('drops a target at once when its registration goes while the store answers', () => {
+    const registry = new TargetRegistry(new ManualClock());
+    registry.accept(createTarget('x'));
+    registry.remove('x');
+    expect(registry.listTargets('model')).toHaveLength(0);
+  });
+
+  it('keeps targets whose registrations lapsed in an outage until two seconds after it', () => {
+    const clock = new ManualClock();
+    const registry = new TargetRegistry(clock);
+    registry.accept(createTarget('x'));
+    registry.accept(createTarget('yy'));
+    registry.setStoreAway(true);
+    clock.advance(60_000);
+    registry.setStoreAway(false);
+    registry.replace([]);
+    expect(registry.listTargets('model')).toHaveLength(2);
+    clock.advance(1500);
+    registry.accept(createTarget('x'));
+    registry.expire();
+    expect(registry.listTargets('model')).toHaveLength(2);
+    clock.advance(1500);
+    registry.expire();
+    expect(registry.listTargets('model').map(({ id }) => id)).toEqual(['x']);
+  });
+
+  it('believes the target that was born last at an address, in either order of arrival', () => {
+    const old = createTarget('old', { address: '10.0.0.1:9', bornMs: 1000 });
+    const young = createTarget('young', { address: '10.0.0.1:9', bornMs: 2000 });
+    for (const order of [
+      [old, young],
+      [young, old],
+    ]) {
+      const registry = new TargetRegistry(new ManualClock());
+      for (const target of order) registry.accept(target);
+      expect(registry.listTargets('model').map(({ id }) => id)).toEqual(['young']);
+    }
+  });
+
+  it('counts a target as cold for as long as it stated, also when the entry is written again', () => {
+    const clock = new ManualClock();
+    const registry = new TargetRegistry(clock);
+    registry.accept(createTarget('x', { coldLeftMs: 3000 }));
+    clock.advance(2000);
+    registry.accept(createTarget('x', { coldLeftMs: 3000, isDraining: false }));
+    expect(registry.isCold('x')).toBe(true);
+    clock.advance(1001);
+    expect(registry.isCold('x')).toBe(false);
+  });
+
+  it('counts a target as cold again when it says so', () => {
+    const clock = new ManualClock();
+    const registry = new TargetRegistry(clock);
+    registry.accept(createTarget('x'));
+    registry.accept(createTarget('x', { coldLeftMs: 2000 }));
+    expect(registry.isCold('x')).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/core/test/direct/limits.test.ts
@@ -0,0 +1,130 @@
+import { describe, expect, it } from 'vitest';
+import {
+  AdmissionQueue,
+  ColdLimiter,
+  EntryDirectory,
+  ManualClock,
+  SeededRandom,
+  chooseRetryAfter,
+  decideNextAttempt,
+  type DirectRoute,
+} from '../../src/index.js';
+
+const STREAM: DirectRoute = {
+  name: 'r',
+  host: 'h',
+  prefix: '/a/',
+  kind: 'stream',
+  maxAttempts: 2,
+  timeoutMs: 8000,
+  objectiveMs: 500,
+  gapMs: 120,
+  priority: 1,
+  isPublic: false,
+  isResumable: true,
+  services: [{ service: 's', weight: 1 }],
+};
+
+describe('ColdLimiter', () => {
+  it('keeps the sum over eight entries under the rate that a cold target bears', () => {
+    const clock = new ManualClock();
+    const limiters = Array.from({ length: 8 }, () => new ColdLimiter(clock));
+    const sentMs: number[] = [];
+    for (let step = 0; step < 400; step += 1) {
+      for (const limiter of limiters) {
+        if (!limiter.hasRoom('x', 26, limiters.length)) continue;
+        limiter.take('x');
+        sentMs.push(clock.getNow());
+      }
+      clock.advance(10);
+    }
+    for (const from of sentMs) {
+      const inSecond = sentMs.filter((atMs) => atMs >= from && atMs < from + 1000).length;
+      expect(inSecond).toBeLessThanOrEqual(26 + limiters.length);
+    }
+    expect(sentMs.length).toBeGreaterThan(80);
+  });
+});
+
+describe('EntryDirectory', () => {
+  const entry = { name: 'e1', callerAddress: '1.1.1.1:1', peerAddress: '1.1.1.1:2', zone: 'a' };
+
+  it('no longer names an entry that is gone, but still counts it for shares', () => {
+    const clock = new ManualClock();
+    const directory = new EntryDirectory(clock);
+    directory.accept(entry);
+    directory.accept({ ...entry, name: 'e2' });
+    directory.remove('e1');
+    expect(directory.listEntries().map(({ name }) => name)).toEqual(['e2']);
+    expect(directory.countSharers()).toBe(2);
+    clock.advance(30_000);
+    expect(directory.countSharers()).toBe(1);
+  });
+
+  it('assumes many entries while none is known, so that shares are too small', () => {
+    expect(new EntryDirectory(new ManualClock()).countSharers()).toBeGreaterThanOrEqual(8);
+  });
+});
+
+describe('decideNextAttempt', () => {
+  const state = { sent: 1, unreachable: 0, leftMs: 500 };
+
+  it('never repeats what may have run once on a route that must not', () => {
+    const unsafe = { ...STREAM, kind: 'unsafe' as const, maxAttempts: 3 };
+    expect(decideNextAttempt(unsafe, { ...state, outcome: 'broken' })).toBe('give_up');
+    expect(decideNextAttempt(unsafe, { ...state, outcome: 'failed' })).toBe('give_up');
+    expect(decideNextAttempt(unsafe, { ...state, outcome: 'rejected' })).toBe('retry');
+    const plain = { ...STREAM, isResumable: false };
+    expect(decideNextAttempt(plain, { ...state, outcome: 'broken' })).toBe('give_up');
+  });
+
+  it('stops at the number of targets that the route allows', () => {
+    expect(decideNextAttempt(STREAM, { ...state, sent: 2, outcome: 'rejected' })).toBe('give_up');
+    expect(decideNextAttempt(STREAM, { ...state, outcome: 'broken' })).toBe('retry');
+  });
+});
+
+describe('chooseRetryAfter', () => {
+  it('sends callers back while they still have time, and apart from each other', () => {
+    const random = new SeededRandom(7);
+    const waits = Array.from({ length: 100 }, () => chooseRetryAfter(STREAM, 'away', random));
+    expect(Math.min(...waits)).toBeGreaterThanOrEqual(1200);
+    expect(Math.max(...waits) - Math.min(...waits)).toBeGreaterThan(500);
+    const brief = { ...STREAM, timeoutMs: 800 };
+    for (let draw = 0; draw < 100; draw += 1) {
+      expect(chooseRetryAfter(brief, 'away', random)).toBeLessThanOrEqual(800 / 3);
+    }
+  });
+});
+
+describe('AdmissionQueue under a shift of demand', () => {
+  it('starts streams after the next map is in force, oldest first, and refuses those that waited too long', () => {
+    const clock = new ManualClock();
+    const queue = new AdmissionQueue(clock);
+    const started: number[] = [];
+    const refused: number[] = [];
+    let isOpen = false;
+    const add = (id: number, priority = 1): void =>
+      queue.enqueue({
+        priority,
+        maxWaitMs: 250,
+        tryStart: () => {
+          if (isOpen) started.push(id);
+          return isOpen;
+        },
+        expire: () => refused.push(id),
+      });
+    add(1);
+    clock.advance(200);
+    add(2);
+    add(3);
+    add(4, 0);
+    clock.advance(60);
+    queue.advance();
+    expect(refused).toEqual([1]);
+    isOpen = true;
+    queue.advance();
+    expect(started).toEqual([4, 2, 3]);
+    expect(queue.count()).toBe(0);
+  });
+});
--- /dev/null
+++ b/packages/core/test/experts-replicas.test.ts
@@ -0,0 +1,104 @@
+import { describe, expect, it } from 'vitest';
+import { DemandEstimator, SeededRandom, computeSkew, planReplicas } from '../src/index.js';
+
+const RANKS = 8;
+const EXPERTS = 64;
+const SETS = 6;
+const OPTIONS = { slotsPerRank: 11, newPerRankAndSet: 4, newPerRank: 2 };
+
+/** Experts in turn over the ranks, as a group starts. */
+function createFirstMap(): number[][][] {
+  return Array.from({ length: SETS }, () =>
+    Array.from({ length: RANKS }, (_, rank) =>
+      Array.from({ length: EXPERTS / RANKS }, (__, slot) => slot * RANKS + rank),
+    ),
+  );
+}
+
+/** Demand with a few hot experts, as after a shift. */
+function createDemand(seed: number): number[][] {
+  const random = new SeededRandom(seed);
+  return Array.from({ length: SETS }, () => {
+    const order = Array.from({ length: EXPERTS }, (_, expert) => expert);
+    order.sort(() => random.next() - 0.5);
+    const loads: number[] = [];
+    for (const [place, expert] of order.entries()) loads[expert] = 1 / (place + 1) ** 1.2;
+    return loads;
+  });
+}
+
+function measureSkew(sets: readonly (readonly (readonly number[])[])[], loads: number[][]): number {
+  let sum = 0;
+  for (const [set, ranks] of sets.entries()) {
+    sum += computeSkew({ ranks: ranks.map((held) => [...held]) }, loads[set] ?? []);
+  }
+  return sum / sets.length;
+}
+
+describe('planReplicas', () => {
+  it('takes most of the skew of a shifted demand away with two copies a rank', () => {
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const loads = createDemand(seed);
+      const plan = planReplicas(createFirstMap(), loads, OPTIONS);
+      expect(plan.skewNow).toBeCloseTo(measureSkew(createFirstMap(), loads), 6);
+      expect(plan.skewNext).toBeCloseTo(measureSkew(plan.sets, loads), 6);
+      expect(plan.skewNext - 1).toBeLessThan((plan.skewNow - 1) / 2);
+    }
+  });
+
+  it('keeps every expert, the slots of each rank and the limits of new copies', () => {
+    let sets: readonly (readonly (readonly number[])[])[] = createFirstMap();
+    for (let seed = 1; seed <= 12; seed += 1) {
+      const plan = planReplicas(sets, createDemand(seed), OPTIONS);
+      const added = Array.from({ length: RANKS }, () => 0);
+      for (const [set, ranks] of plan.sets.entries()) {
+        expect(new Set(ranks.flat()).size).toBe(EXPERTS);
+        for (const [rank, held] of ranks.entries()) {
+          expect(held.length).toBeLessThanOrEqual(OPTIONS.slotsPerRank);
+          expect(new Set(held).size).toBe(held.length);
+          const before = new Set(sets[set]?.[rank]);
+          const fresh = held.filter((expert) => !before.has(expert)).length;
+          expect(fresh).toBeLessThanOrEqual(OPTIONS.newPerRankAndSet);
+          added[rank] = (added[rank] ?? 0) + fresh;
+        }
+      }
+      expect(Math.max(...added)).toBeLessThanOrEqual(OPTIONS.newPerRank);
+      expect(plan.copies).toBe(Math.max(...added));
+      sets = plan.sets;
+    }
+  });
+
+  it('follows a demand that shifts every three seconds closely enough with switches of half a second', () => {
+    // Pattern: expert_shift with ten shifts; the map of the last shift is the start of the next.
+    let sets: readonly (readonly (readonly number[])[])[] = createFirstMap();
+    const skews: number[] = [];
+    for (let shift = 1; shift <= 10; shift += 1) {
+      const loads = createDemand(100 + shift);
+      for (let change = 0; change < 6; change += 1) {
+        sets = planReplicas(sets, loads, OPTIONS).sets;
+        skews.push(measureSkew(sets, loads));
+      }
+    }
+    const mean = skews.reduce((sum, skew) => sum + skew, 0) / skews.length;
+    expect(mean).toBeLessThan(1.3);
+  });
+});
+
+describe('DemandEstimator', () => {
+  it('starts anew when demand shifts, and only then', () => {
+    const estimator = new DemandEstimator(1, EXPERTS);
+    const before = createDemand(1)[0] ?? [];
+    const after = createDemand(2)[0] ?? [];
+    for (let interval = 0; interval < 20; interval += 1) {
+      expect(estimator.acceptCounts(before, 100)).toBe(false);
+    }
+    expect(estimator.acceptCounts(after, 100)).toBe(true);
+    const [loads] = estimator.getLoads() ?? [];
+    const hottest = after.indexOf(Math.max(...after));
+    expect(loads?.[hottest]).toBe(Math.max(...(loads ?? [])));
+  });
+
+  it('knows nothing before the first counts', () => {
+    expect(new DemandEstimator(2, EXPERTS).getLoads()).toBeNull();
+  });
+});
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -85,6 +85,9 @@
 
   #lastRequestMs = 0;
 
+  /** When the last request must be answered; null until the process is told to stop. */
+  #endMs: number | null = null;
+
   #lastSubscribeMs = -Infinity;
 
   #subscribedTargets = 0;
@@ -122,6 +125,7 @@
       queue: new AdmissionQueue(clock),
       log: createLog('request'),
       getTable: () => this.#view.getTable(),
+      getEndMs: () => this.#endMs,
       getBudget: (service) => this.#getBudget(service),
       getPool: (address) => this.#getPool(address),
     };
@@ -205,14 +209,15 @@
     this.#server.drain();
     this.#log.report('stopping', { requests: this.#server.countRequests() });
     void this.#lease.stop();
-    const endMs = startMs + this.#options.limits.graceMs;
+    const forcedMs = startMs + this.#options.limits.graceMs;
+    this.#endMs = forcedMs - END_MARGIN_MS;
     const earliestMs = startMs + this.#options.limits.addressTtlMs;
-    await this.#waitUntil(endMs - CLOSE_MARGIN_MS, (nowMs) => {
+    await this.#waitUntil(forcedMs - CLOSE_MARGIN_MS, (nowMs) => {
       const isQuiet = nowMs - this.#lastRequestMs > QUIET_MS;
       return this.#server.countRequests() === 0 && isQuiet && nowMs > earliestMs;
     });
     this.#server.close();
-    await this.#waitUntil(endMs - END_MARGIN_MS, () => this.#server.countRequests() === 0);
+    await this.#waitUntil(this.#endMs, () => this.#server.countRequests() === 0);
     this.#mirror.stop();
     this.#socket.close();
     this.#cancelTick?.();
--- a/packages/gateway/src/request/GatewayParts.ts
+++ b/packages/gateway/src/request/GatewayParts.ts
@@ -25,6 +25,8 @@
   readonly log: Log;
   /** Null until the first configuration. */
   readonly getTable: () => RouteTable | null;
+  /** When this process ends, monotonic milliseconds; null unless it was told to stop. */
+  readonly getEndMs: () => number | null;
   readonly getBudget: (service: string) => RetryBudget;
   readonly getPool: (address: string) => DirectPool;
 }
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -32,6 +32,12 @@
 /** Part of the latency objective that a stream may wait for room before it is refused. */
 const QUEUE_SHARE = 0.5;
 
+/** Other entries take over at once; the caller only has to choose one, milliseconds. */
+const LEAVING_RETRY_MS = 20;
+
+/** Time that a stream may need on a busy day, milliseconds. */
+const STREAM_ROOM_MS = 4500;
+
 const KEY_MISSING = 'an API key is needed';
 
 /** The way of one request: from its route over its attempts to one answer. */
@@ -100,6 +106,9 @@
     if (table === null) return this.#refuse('not_ready', 'no configuration yet', RETRY_AFTER_MS);
     const route = table.findRoute(this.#head.host, this.#head.path);
     if (route === undefined) return this.#refuse('unknown_service', 'no route matches');
+    if (!this.#fitsBeforeEnd(route)) {
+      return this.#refuse('leaving', 'this entry is stopping', LEAVING_RETRY_MS);
+    }
     const isKeyed = table.hasWorkspaces() && !route.isPublic;
     const workspace = isKeyed ? table.findWorkspace(this.#head.apiKey ?? '') : null;
     if (workspace === undefined) return this.#refuse('missing_workspace', KEY_MISSING);
@@ -118,6 +127,14 @@
     };
   }
 
+  /** A stopping entry takes only what it can finish. */
+  #fitsBeforeEnd(route: DirectRoute): boolean {
+    const endMs = this.#parts.getEndMs();
+    if (endMs === null) return true;
+    const neededMs = route.kind === 'stream' ? STREAM_ROOM_MS : route.timeoutMs;
+    return this.#startMs + neededMs <= endMs;
+  }
+
   #tryNext(): void {
     const admission = this.#admission as Admission;
     const reason = this.#tryStart(admission);
