--- a/packages/core/test/heldswitch/HeldSwitch.test.ts
+++ b/packages/core/test/heldswitch/HeldSwitch.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
+import { SimGroup } from '@limpetbay/standins';
 import { HeldSwitch, SeededRandom, type RankOrder } from '../../src/index.js';
-import { SimGroup } from './SimGroup.js';
 
 interface Faults {
   /** Share of orders that are carried out but not answered. */
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -6,6 +6,8 @@
 export { sendJson } from './http/sendJson.js';
 export { InstanceListServer } from './instances/InstanceListServer.js';
 export { SilentLink } from './link/SilentLink.js';
+export { SimGroup } from './ranks/SimGroup.js';
+export { SimRank } from './ranks/SimRank.js';
 export { PlainService } from './service/PlainService.js';
 export { KeyValueState } from './store/KeyValueState.js';
 export { MemoryStore } from './store/MemoryStore.js';
--- a/packages/core/test/heldswitch/SimGroup.ts
+++ b/packages/standins/src/ranks/SimGroup.ts
@@ -1,14 +1,5 @@
-import type { OrderAnswer, RankOrder, RankStatus } from '../../src/index.js';
-
-interface SimRank {
-  step: number;
-  map: number;
-  prepared: number | null;
-  loading: { version: number; readyAt: number } | null;
-  armed: { version: number; step: number } | null;
-  held: number | null;
-  highest: number;
-}
+import type { OrderAnswer, RankOrder, RankStatus } from '@limpetbay/core';
+import { SimRank } from './SimRank.js';
 
 /** A lock-step group that begins a pass at every tick unless a rank holds it. */
 export class SimGroup {
@@ -26,15 +17,7 @@
 
   constructor(size: number, loadTicks: number) {
     this.#loadTicks = loadTicks;
-    this.ranks = Array.from({ length: size }, () => ({
-      step: 0,
-      map: 0,
-      prepared: null,
-      loading: null,
-      armed: null,
-      held: null,
-      highest: 0,
-    }));
+    this.ranks = Array.from({ length: size }, () => new SimRank());
   }
 
   tick(): void {
@@ -64,21 +47,15 @@
     const rank = this.ranks[index] as SimRank;
     switch (order.operation) {
       case 'prepare':
-        return this.#prepare(rank, order.version);
+        return rank.prepare(order.version, this.now + this.#loadTicks);
       case 'arm':
-        return arm(rank, order.version, order.step);
+        return rank.arm(order.version, order.step);
       case 'disarm':
-        if (rank.map === order.version) return 'refused';
-        if (rank.armed?.version === order.version) rank.armed = null;
-        return 'done';
+        return rank.disarm(order.version);
       case 'hold':
-        if (rank.held === order.step) return 'done';
-        if (rank.held !== null || order.step <= rank.step) return 'refused';
-        rank.held = order.step;
-        return 'done';
+        return rank.hold(order.step);
       default:
-        if (rank.held === order.step) rank.held = null;
-        return 'done';
+        return rank.release(order.step);
     }
   }
 
@@ -104,20 +81,4 @@
       passMs: 1,
     };
   }
-
-  #prepare(rank: SimRank, version: number): OrderAnswer {
-    if (rank.prepared === version || rank.loading?.version === version) return 'done';
-    if (version <= rank.highest || rank.armed !== null) return 'refused';
-    rank.highest = version;
-    rank.prepared = null;
-    rank.loading = { version, readyAt: this.now + this.#loadTicks };
-    return 'done';
-  }
-}
-
-function arm(rank: SimRank, version: number, step: number): OrderAnswer {
-  if (rank.armed?.version === version && rank.armed.step === step) return 'done';
-  if (rank.armed !== null || rank.prepared !== version || step <= rank.step) return 'refused';
-  rank.armed = { version, step };
-  return 'done';
 }
