See a reset that arrives together with the last bytes of an answer without a length

Cause: libuv reports a reset as a regular end of the stream when it is polled together with data, so the first half of an answer without a length was delivered as whole.

Ruled out: answers with a length or in chunks (Node reports those as broken), and a missed error event (a reset that comes later is seen; the test for it passed before).

Change: after the end of such an answer the channel writes an empty line; a reset connection refuses it. Test: fails before (200 for half an answer), passes after, as does one for a whole answer.

--- a/packages/targets/src/direct/DirectChannel.ts
+++ b/packages/targets/src/direct/DirectChannel.ts
@@ -18,6 +18,12 @@
 
 const FIRST_FINAL_STATUS = 200;
 
+/** Errors of a write to a connection that was reset. */
+const RESET_CODES = new Set(['EPIPE', 'ECONNRESET', 'ENOTCONN']);
+
+/** Time in which the error of a write to a reset connection is reported, milliseconds. */
+const PROBE_MS = 2;
+
 /**
  * One connection to a target with at most one request on it. It is closed after every answer that
  * is not whole and after every byte that belongs to no answer, so that late bytes never meet
@@ -96,16 +102,25 @@
         if (!isOver) listener.acceptData(data);
       });
       response.on('error', (error) => fail(error.message));
-      response.on('close', () => fail('the connection closed before the end of the answer'));
-      response.on('end', () => {
+      response.on('close', () => {
+        if (!response.complete) fail('the connection closed before the end of the answer');
+      });
+      const finish = (): void => {
         if (isOver) return;
-        if (!this.#isWhole(response)) {
+        if (!response.complete || this.#isReset) {
           fail('the connection was reset before the end of the answer');
           return;
         }
         isOver = true;
         listener.acceptEnd();
         if (!this.#isClosed) this.#events.onIdle();
+      };
+      const isFramed = hasFraming(response);
+      if (!isFramed)
+        response.socket.prependListener('end', () => this.#probeReset(response.socket));
+      response.on('end', () => {
+        if (isFramed) finish();
+        else setTimeout(finish, PROBE_MS);
       });
     });
     request.end(call.body ?? undefined);
@@ -123,12 +138,15 @@
     this.#events.onClosed();
   }
 
-  #isWhole(response: IncomingMessage): boolean {
-    if (!response.complete) return false;
-    const { headers } = response;
-    const isFramed =
-      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-    return isFramed || !this.#isReset;
+  /**
+   * Makes a reset show that came in one poll with the last bytes: libuv reports it as a regular
+   * end, but a write to the connection fails. A target that ended regularly ignores the empty line.
+   */
+  #probeReset(socket: Socket): void {
+    socket.write('\r\n', (error) => {
+      const { code } = (error ?? {}) as { code?: string };
+      if (code !== undefined && RESET_CODES.has(code)) this.#isReset = true;
+    });
   }
 
   #listHeaders({ method, headers, body }: DirectCall): string[] {
@@ -148,3 +166,7 @@
     socket.once('close', () => this.close());
   }
 }
+
+function hasFraming({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
