--- a/packages/targets/src/direct/DirectChannel.ts
+++ b/packages/targets/src/direct/DirectChannel.ts
@@ -116,8 +116,9 @@
         if (!this.#isClosed) this.#events.onIdle();
       };
       const isFramed = hasFraming(response);
-      if (!isFramed)
+      if (!isFramed) {
         response.socket.prependListener('end', () => this.#probeReset(response.socket));
+      }
       response.on('end', () => {
         if (isFramed) finish();
         else setTimeout(finish, PROBE_MS);
