--- a/packages/rankagent/test/RankAgent.test.ts
+++ b/packages/rankagent/test/RankAgent.test.ts
@@ -14,7 +14,8 @@
 const SIZE = 4;
 const SETS = 2;
 const EXPERTS = 16;
-const PEER_PORT = 27_340;
+/** Test runs beside each other must not share the addresses. */
+const PEER_PORT = 20_000 + (process.pid % 20_000);
 const PASS_MS = 20;
 const SILENT_LOG = { report: () => {}, warn: () => {}, alert: () => {} };
 
--- a/packages/rpc/src/datagram/PeerSocket.ts
+++ b/packages/rpc/src/datagram/PeerSocket.ts
@@ -16,6 +16,8 @@
 
   readonly #socket: Socket;
 
+  #isClosed = false;
+
   constructor(options: PeerSocketOptions) {
     this.#options = options;
     this.#socket = createSocket('udp4');
@@ -26,13 +28,16 @@
   }
 
   async start(): Promise<void> {
-    await new Promise<void>((resolve) => {
+    await new Promise<void>((resolve, reject) => {
+      this.#socket.once('error', reject);
       this.#socket.bind(this.#options.port, this.#options.host, resolve);
     });
   }
 
   /** @param addresses `IP:PORT` of the receivers */
   send(message: PeerMessage, addresses: Iterable<string>): void {
+    // Answers and orders that were under way when the process stopped have no receiver any more.
+    if (this.#isClosed) return;
     const data = Buffer.from(JSON.stringify(message));
     for (const address of addresses) {
       const [host, port] = address.split(':');
@@ -43,6 +48,8 @@
   }
 
   close(): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
     this.#socket.close();
   }
 
