Adopt the new place of a restarted rank and log what agents cannot read

Cause: found by reading. RankAgent kept the planner, the members and the counts of an earlier life of its rank when that rank came back in another place; errors of reading counts, held experts and polled statuses were dropped without a line; and in an outage of the store the model was asked for every 0.6 s although one was known. Ruled out: wrong orders after such a change. A test in which the ranks of a group change places passed before the change as well, since every rank picks its part of the map; the stale members of another group are what remains. After: a change of group or rank clears planner, members and counts; three warnings name what was not read; a failed read of the model is repeated after 30 s when one is known. Tests: two of three new cases failed before (log lines, model interval).

--- a/packages/rankagent/src/process/GroupMembers.ts
+++ b/packages/rankagent/src/process/GroupMembers.ts
@@ -27,9 +27,17 @@
 
   accept(status: RankStatus, agent: string, isPlanning: boolean): void {
     const heardMs = this.#clock.getNow();
+    // A rank may have another place after a restart.
+    for (const [rank, known] of this.#members) {
+      if (known.agent === agent && rank !== status.rank) this.#members.delete(rank);
+    }
     this.#members.set(status.rank, { status, agent, isPlanning, heardMs });
   }
 
+  clear(): void {
+    this.#members.clear();
+  }
+
   /** Lists the addresses of the agents, also of silent ones. */
   listAgents(): string[] {
     return Array.from(this.#members.values(), ({ agent }) => agent);
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -1,4 +1,4 @@
-import type { RankStatus } from '@limpetbay/core';
+import type { EngineModel, RankStatus } from '@limpetbay/core';
 import { PeerSocket, decodeUnits, encodeUnits, type PeerMessage } from '@limpetbay/rpc';
 import type { Log } from '@limpetbay/runtime';
 import { MapPlanner } from '../planner/MapPlanner.js';
@@ -23,11 +23,14 @@
 /** Interval at which the targets of the service are read, milliseconds. */
 const READ_INTERVAL_MS = 5000;
 
+/** The same until all members of the group are known, milliseconds. */
+const FIRST_READ_INTERVAL_MS = 600;
+
 /** Interval at which the model of the service is read; it hardly ever changes, milliseconds. */
 const MODEL_INTERVAL_MS = 30_000;
 
-/** The same until all members of the group are known, milliseconds. */
-const FIRST_READ_INTERVAL_MS = 600;
+/** The same until it has been read once, milliseconds. */
+const FIRST_MODEL_INTERVAL_MS = 600;
 
 /** A subscription ends after this time without a renewal, milliseconds. */
 const SUBSCRIPTION_MS = 3000;
@@ -66,6 +69,12 @@
 
   #planner: MapPlanner | null = null;
 
+  /** Undefined until the model of the service has been read. */
+  #experts: EngineModel['experts'] | undefined;
+
+  /** Group and rank of the last status. */
+  #place: string | null = null;
+
   #status: RankStatus | null = null;
 
   #counts: readonly number[] | null = null;
@@ -145,7 +154,7 @@
       void this.#readTargets();
     }
     if (nowMs >= this.#nextModelMs) {
-      this.#nextModelMs = nowMs + FIRST_READ_INTERVAL_MS;
+      this.#nextModelMs = nowMs + FIRST_MODEL_INTERVAL_MS;
       void this.#readModel();
     }
     const planner = this.#members.electPlanner(status.rank);
@@ -170,6 +179,7 @@
     }
     const passMs = this.#passes.accept(read.val.step, this.#options.clock.getNow());
     const status = { ...read.val, passMs };
+    this.#adoptPlace(status);
     if (this.#status?.epoch !== status.epoch || this.#status.isOpen !== status.isOpen) {
       this.#log.report('group seen', {
         group: status.group,
@@ -183,6 +193,21 @@
     return status;
   }
 
+  /** Forgets the group of an earlier life of the rank, which may be another rank now. */
+  #adoptPlace({ group, rank }: RankStatus): void {
+    const place = `${group}/${rank}`;
+    if (place === this.#place) return;
+    if (this.#place !== null) {
+      this.#log.report('rank has another place', { was: this.#place, place });
+    }
+    this.#place = place;
+    this.#members.clear();
+    this.#planner = null;
+    this.#isPlanning = false;
+    this.#counts = null;
+    this.#lastReadMs = -Infinity;
+  }
+
   #sendStatus(status: RankStatus, planner: number, nowMs: number): void {
     const isPlanning = planner === status.rank;
     const receivers = new Set<string>();
@@ -217,7 +242,10 @@
 
   async #forwardCounts(status: RankStatus, planner: number): Promise<void> {
     const read = await this.#rank.readCounts();
-    if (read.err) return;
+    if (read.err) {
+      this.#log.warn('counts not read', { cause: read.val.message });
+      return;
+    }
     const { counts } = read.val;
     const known = this.#counts;
     this.#counts = counts;
@@ -251,14 +279,17 @@
   }
 
   #getPlanner(self: number): MapPlanner {
-    this.#planner ??= new MapPlanner({
+    if (this.#planner !== null) return this.#planner;
+    const planner = new MapPlanner({
       clock: this.#options.clock,
       log: this.#options.createLog('planner'),
       metrics: this.#options.metrics,
       self,
       getRank: (rank) => this.#openRank(rank, self),
     });
-    return this.#planner;
+    if (this.#experts !== undefined) planner.setModel(this.#experts);
+    this.#planner = planner;
+    return planner;
   }
 
   #openRank(rank: number, self: number): PlannerRank | null {
@@ -286,11 +317,14 @@
       order: (order, epoch) => rank.order(order, epoch),
       readHeld: async () => {
         const held = await rank.readHeld();
-        return held.ok ? held.val : null;
+        if (held.ok) return held.val;
+        this.#log.warn('experts of a rank not read', { cause: held.val.message });
+        return null;
       },
       pollStatus: async () => {
         const status = await direct.readStatus();
         if (status.ok) this.#planner?.acceptStatus(status.val);
+        else this.#log.warn('status of a rank not read', { cause: status.val.message });
       },
     };
   }
@@ -310,12 +344,16 @@
 
   async #readModel(): Promise<void> {
     const model = await this.#options.readModel();
+    const nextMs = this.#options.clock.getNow() + MODEL_INTERVAL_MS;
     if (model.err) {
       this.#log.warn('model not read', { cause: model.val.message });
+      // An outage of the store does not outdate the model that is known.
+      if (this.#experts !== undefined) this.#nextModelMs = nextMs;
       return;
     }
     if (model.val === null) return;
-    this.#nextModelMs = this.#options.clock.getNow() + MODEL_INTERVAL_MS;
+    this.#nextModelMs = nextMs;
+    this.#experts = model.val.experts;
     this.#planner?.setModel(model.val.experts);
   }
 
--- a/packages/rankagent/test/RankAgent.test.ts
+++ b/packages/rankagent/test/RankAgent.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import {
+  ManualClock,
   Ok,
   fail,
   type DirectTarget,
@@ -7,7 +8,7 @@
   type RankOrder,
   type RankStatus,
 } from '@limpetbay/core';
-import { MetricRegistry, RealClock } from '@limpetbay/runtime';
+import { MetricRegistry, RealClock, type Log } from '@limpetbay/runtime';
 import { SimGroup } from '@limpetbay/standins';
 import { RankAgent, type RankWire } from '../src/index.js';
 
@@ -19,6 +20,10 @@
 const PASS_MS = 20;
 const SILENT_LOG = { report: () => {}, warn: () => {}, alert: () => {} };
 
+function createTestLog(warnings: string[]): Log {
+  return { ...SILENT_LOG, warn: (sentence) => warnings.push(sentence) };
+}
+
 const MODEL: EngineModel = {
   capacity: 8,
   stepMs: 1,
@@ -44,15 +49,19 @@
 class RankFixture {
   readonly group = new SimGroup(SIZE, 2);
 
-  readonly lists: number[][][] = Array.from({ length: SIZE }, (_, rank) =>
-    Array.from({ length: SETS }, () => [0, 1, 2, 3].map((slot) => slot * SIZE + rank)),
-  );
+  readonly lists: number[][][] = Array.from({ length: SIZE }, (_, rank) => createFirstList(rank));
 
   readonly orders: string[] = [];
 
   /** Expert of each set that is wanted most. */
   hotExpert = 5;
 
+  /** Rank that runs beside each agent. */
+  places = Array.from({ length: SIZE }, (_, rank) => rank);
+
+  /** Whether counts and the experts of a rank can be read. */
+  isReadable = true;
+
   readonly #prepared = new Map<string, number[][]>();
 
   readonly #counts = Array.from({ length: SIZE }, () =>
@@ -71,18 +80,39 @@
     }
   }
 
-  openWire(rank: number, address: string): RankWire {
+  /** Forms the group anew with the first map; the rank beside each agent may be another one. */
+  restart(places: readonly number[]): void {
+    this.places = [...places];
+    this.group.restart();
+    for (const rank of this.lists.keys()) this.lists[rank] = createFirstList(rank);
+    this.#prepared.clear();
+    for (const counts of this.#counts) counts.fill(0);
+  }
+
+  openWire(agent: number, address: string): RankWire {
+    const getRank = (): number => this.places[agent] ?? 0;
     return {
       readStatus: () => {
-        const status: RankStatus = { ...this.group.readStatus(rank), address };
+        const status: RankStatus = { ...this.group.readStatus(getRank()), address };
         return Promise.resolve(Ok(status));
       },
-      readCounts: () => Promise.resolve(Ok({ counts: [...(this.#counts[rank] ?? [])] })),
-      readHeld: () =>
+      readCounts: () =>
         Promise.resolve(
-          Ok({ version: this.group.ranks[rank]?.map ?? 0, sets: this.lists[rank] ?? [] }),
+          this.isReadable
+            ? Ok({ counts: [...(this.#counts[getRank()] ?? [])] })
+            : fail('outcome_unknown', 'no counts'),
         ),
-      order: (order: RankOrder) => {
+      readHeld: () => {
+        const rank = getRank();
+        return Promise.resolve(
+          this.isReadable
+            ? Ok({ version: this.group.ranks[rank]?.map ?? 0, sets: this.lists[rank] ?? [] })
+            : fail('outcome_unknown', 'no experts'),
+        );
+      },
+      order: (order: RankOrder, epoch: number) => {
+        const rank = getRank();
+        if (epoch !== this.group.epoch) return Promise.resolve('refused');
         this.orders.push(order.operation);
         if (order.operation === 'prepare') {
           const sets = order.sets.map((ranks) => ranks[rank] ?? []);
@@ -92,6 +122,14 @@
       },
     };
   }
+
+  countHolders(set: number, expert: number): number {
+    return this.lists.filter((sets) => sets[set]?.includes(expert) === true).length;
+  }
+}
+
+function createFirstList(rank: number): number[][] {
+  return Array.from({ length: SETS }, () => [0, 1, 2, 3].map((slot) => slot * SIZE + rank));
 }
 
 function getHost(rank: number): string {
@@ -110,11 +148,13 @@
 
 describe('agents beside the ranks of a group', () => {
   const agents: RankAgent[] = [];
+  const warnings: string[] = [];
   let timer: NodeJS.Timeout | null = null;
 
   afterEach(() => {
     if (timer !== null) clearInterval(timer);
     for (const agent of agents.splice(0)) agent.stop();
+    warnings.length = 0;
   });
 
   async function startAgents(fixture: RankFixture, ranks: readonly number[]): Promise<void> {
@@ -125,7 +165,7 @@
       const agent = new RankAgent({
         clock: new RealClock(),
         metrics: new MetricRegistry(),
-        createLog: () => SILENT_LOG,
+        createLog: () => createTestLog(warnings),
         host: getHost(rank),
         peerPort: PEER_PORT,
         rankAddress: addresses[rank] ?? '',
@@ -141,10 +181,7 @@
   it('give the hot expert to more ranks and never run a pass with two maps', async () => {
     const fixture = new RankFixture();
     await startAgents(fixture, [0, 1, 2, 3]);
-    const isSpread = await waitUntil(() => {
-      const holders = fixture.lists.filter((sets) => sets[0]?.includes(5) === true);
-      return holders.length >= 3;
-    });
+    const isSpread = await waitUntil(() => fixture.countHolders(0, 5) >= 3);
     expect(isSpread).toBe(true);
     expect(fixture.group.mixedPasses).toBe(0);
     expect(fixture.group.stalledTicks).toBeLessThan(3);
@@ -157,10 +194,7 @@
     agents.shift()?.stop();
     // A shift of demand that only the remaining agents can answer.
     fixture.hotExpert = 9;
-    const isSpread = await waitUntil(() => {
-      const holders = fixture.lists.filter((sets) => sets[1]?.includes(9) === true);
-      return holders.length >= 3;
-    });
+    const isSpread = await waitUntil(() => fixture.countHolders(1, 9) >= 3);
     expect(isSpread).toBe(true);
     const isReleased = await waitUntil(() =>
       fixture.group.ranks.every(({ held }) => held === null),
@@ -169,6 +203,57 @@
     expect(fixture.group.mixedPasses).toBe(0);
   });
 
+  it('plan for a group in which their ranks have changed places', async () => {
+    const fixture = new RankFixture();
+    await startAgents(fixture, [0, 1, 2, 3]);
+    await waitUntil(() => fixture.countHolders(0, 5) >= 3);
+    fixture.restart([3, 2, 1, 0]);
+    fixture.hotExpert = 9;
+    expect(await waitUntil(() => fixture.countHolders(1, 9) >= 3)).toBe(true);
+    expect(fixture.group.mixedPasses).toBe(0);
+  });
+
+  it('report what they cannot read', async () => {
+    const fixture = new RankFixture();
+    fixture.isReadable = false;
+    await startAgents(fixture, [0, 1, 2, 3]);
+    const isReported = await waitUntil(
+      () => warnings.includes('counts not read') && warnings.includes('experts of a rank not read'),
+    );
+    expect(isReported).toBe(true);
+  });
+
+  it('keep the model they know while the store is away', async () => {
+    const fixture = new RankFixture();
+    timer = setInterval(() => fixture.advance(), PASS_MS);
+    const clock = new ManualClock();
+    let reads = 0;
+    const agent = new RankAgent({
+      clock,
+      metrics: new MetricRegistry(),
+      createLog: () => SILENT_LOG,
+      host: getHost(0),
+      peerPort: PEER_PORT,
+      rankAddress: `${getHost(0)}:80`,
+      openRank: (address) => fixture.openWire(0, address),
+      listTargets: () => Promise.resolve(Ok<DirectTarget[]>([])),
+      readModel: () => {
+        reads += 1;
+        return Promise.resolve(reads === 1 ? Ok(MODEL) : fail('store_unavailable', 'down'));
+      },
+    });
+    agents.push(agent);
+    await agent.start();
+    await waitUntil(() => reads === 1);
+    clock.advance(30_001);
+    expect(await waitUntil(() => reads === 2)).toBe(true);
+    clock.advance(20_000);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 1000);
+    });
+    expect(reads).toBe(2);
+  });
+
   it('survive a store that does not answer at first', async () => {
     const fixture = new RankFixture();
     timer = setInterval(() => fixture.advance(), PASS_MS);
--- a/packages/standins/src/ranks/SimGroup.ts
+++ b/packages/standins/src/ranks/SimGroup.ts
@@ -7,6 +7,12 @@
 
   now = 0;
 
+  /** Formation of the group; it grows with each one. */
+  epoch = 1;
+
+  /** Whether all ranks are there. */
+  isOpen = true;
+
   /** Passes that began while two ranks had different maps. */
   mixedPasses = 0;
 
@@ -22,6 +28,7 @@
 
   tick(): void {
     this.now += 1;
+    if (!this.isOpen) return;
     for (const rank of this.ranks) {
       if (rank.loading === null || rank.loading.readyAt > this.now) continue;
       rank.prepared = rank.loading.version;
@@ -43,6 +50,13 @@
     if (new Set(this.ranks.map(({ map }) => map)).size > 1) this.mixedPasses += 1;
   }
 
+  /** Forms the group anew: all ranks begin with the first map and nothing prepared. */
+  restart(): void {
+    this.epoch += 1;
+    this.isOpen = true;
+    for (const index of this.ranks.keys()) this.ranks[index] = new SimRank();
+  }
+
   apply(index: number, order: RankOrder): OrderAnswer {
     const rank = this.ranks[index] as SimRank;
     switch (order.operation) {
@@ -64,10 +78,10 @@
     return {
       address: `10.0.0.${index}:1`,
       group: 'g',
-      epoch: 1,
+      epoch: this.epoch,
       rank: index,
       size: this.ranks.length,
-      isOpen: true,
+      isOpen: this.isOpen,
       active: 0,
       queued: 0,
       kvUsed: 0,
