Tell entries at once of closed and formed groups and watch new groups closely

Cause: after a loss of power the agents read a closed or idle group every 0.8 s. Entries that had just started heard nothing of the closed groups and used both tries of their requests on them. Ruled out: the store (targets and configuration were read 60 ms after the start) and the copying of experts (0.45 s). Test: an agent's subscriber hears of both changes within two readings; it failed before (600 ms).

--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -17,9 +17,12 @@
 /** The same while a map is loaded or switched, milliseconds. */
 const SWITCH_TICK_MS = 25;
 
-/** The same while the group begins no passes, milliseconds. */
+/** The same while an open group begins no passes, milliseconds. */
 const IDLE_TICK_MS = 800;
 
+/** A group that formed less than this ago is watched like a busy one, milliseconds. */
+const NEW_GROUP_MS = 3000;
+
 /** Interval at which the targets of the service are read, milliseconds. */
 const READ_INTERVAL_MS = 5000;
 
@@ -38,6 +41,9 @@
 /** All agents of the service hear of this rank at this interval, milliseconds. */
 const HELLO_INTERVAL_MS = 2000;
 
+/** The same until all members of the group are known, milliseconds. */
+const FIRST_HELLO_INTERVAL_MS = 500;
+
 /** The group hears of its planner at this interval, milliseconds. */
 const PLANNER_INTERVAL_MS = 250;
 
@@ -89,6 +95,9 @@
 
   #lastPlannerMs = -Infinity;
 
+  /** When the group was last seen to form or to break. */
+  #changedMs = -Infinity;
+
   #isPlanning = false;
 
   #isStopped = false;
@@ -140,7 +149,10 @@
 
   #chooseTick(): number {
     if (this.#planner?.isSwitching() === true || isSwitching(this.#status)) return SWITCH_TICK_MS;
-    return (this.#status?.passMs ?? 0) === 0 ? IDLE_TICK_MS : TICK_MS;
+    if (this.#status === null) return IDLE_TICK_MS;
+    const { isOpen, passMs } = this.#status;
+    const isNew = this.#options.clock.getNow() - this.#changedMs < NEW_GROUP_MS;
+    return isOpen && !isNew && passMs === 0 ? IDLE_TICK_MS : TICK_MS;
   }
 
   async #tick(): Promise<void> {
@@ -163,7 +175,7 @@
     if (isIntervalOver) {
       this.#lastCountsMs = nowMs;
       await this.#forwardCounts(status, planner);
-      if (planner === status.rank) this.#sendLoad(status, nowMs);
+      if (planner === status.rank) this.#sendLoad(status);
     }
     this.#plan(status, planner, isIntervalOver);
   }
@@ -187,6 +199,8 @@
         rank: status.rank,
         isOpen: status.isOpen,
       });
+      this.#changedMs = this.#options.clock.getNow();
+      this.#sendReport(status, [status], this.#listSubscribers());
     }
     this.#status = status;
     this.#getPlanner(status.rank).acceptStatus(status);
@@ -217,29 +231,48 @@
       this.#lastPlannerMs = nowMs;
       for (const member of this.#members.listAgents()) receivers.add(member);
     }
-    if (nowMs - this.#lastHelloMs >= HELLO_INTERVAL_MS) {
+    const isComplete = this.#members.count() >= status.size - 1;
+    const helloMs = isComplete ? HELLO_INTERVAL_MS : FIRST_HELLO_INTERVAL_MS;
+    if (nowMs - this.#lastHelloMs >= helloMs) {
       this.#lastHelloMs = nowMs;
       for (const peer of this.#peers) receivers.add(peer);
     }
     this.#socket.send({ kind: 'status', status, isPlanning }, receivers);
   }
 
-  #sendLoad(status: RankStatus, nowMs: number): void {
+  #sendLoad(status: RankStatus): void {
+    const ranks = [status, ...this.#members.listStatuses()];
+    this.#sendReport(status, ranks, this.#listSubscribers());
+  }
+
+  #listSubscribers(): string[] {
+    const nowMs = this.#options.clock.getNow();
     const receivers: string[] = [];
     for (const [address, untilMs] of this.#subscribers) {
       if (untilMs < nowMs) this.#subscribers.delete(address);
       else receivers.push(address);
     }
+    return receivers;
+  }
+
+  #sendReport(
+    { group, epoch, isOpen, passMs }: RankStatus,
+    statuses: readonly RankStatus[],
+    receivers: readonly string[],
+  ): void {
     if (receivers.length === 0) return;
-    const { group, epoch, isOpen, passMs } = status;
-    const ranks = [status, ...this.#members.listStatuses()].map(({ address, active, queued }) => ({
-      address,
-      active,
-      queued,
-    }));
+    const ranks = statuses.map(({ address, active, queued }) => ({ address, active, queued }));
     this.#socket.send({ kind: 'load', report: { group, epoch, isOpen, passMs, ranks } }, receivers);
   }
 
+  /** A new subscriber learns the state of this rank at once; loads come from the planner. */
+  #acceptSubscriber(address: string): void {
+    const nowMs = this.#options.clock.getNow();
+    const isNew = (this.#subscribers.get(address) ?? -Infinity) < nowMs;
+    this.#subscribers.set(address, nowMs + SUBSCRIPTION_MS);
+    if (isNew && this.#status !== null) this.#sendReport(this.#status, [this.#status], [address]);
+  }
+
   async #forwardCounts(status: RankStatus, planner: number): Promise<void> {
     const read = await this.#rank.readCounts();
     if (read.err) {
@@ -370,7 +403,7 @@
 
   #acceptMessage(message: PeerMessage, from: string): void {
     if (message.kind === 'subscribe') {
-      this.#subscribers.set(from, this.#options.clock.getNow() + SUBSCRIPTION_MS);
+      this.#acceptSubscriber(from);
       return;
     }
     if (message.kind === 'answer') this.#orders.acceptAnswer(message.id, message.answer);
--- a/packages/rankagent/test/RankAgent.test.ts
+++ b/packages/rankagent/test/RankAgent.test.ts
@@ -9,6 +9,7 @@
   type RankStatus,
 } from '@limpetbay/core';
 import { MetricRegistry, RealClock, type Log } from '@limpetbay/runtime';
+import { PeerSocket } from '@limpetbay/rpc';
 import { SimGroup } from '@limpetbay/standins';
 import { RankAgent, type RankWire } from '../src/index.js';
 
@@ -69,6 +70,7 @@
   );
 
   advance(): void {
+    if (!this.group.isOpen) return;
     const before = this.group.ranks.map(({ map }) => map);
     this.group.tick();
     for (const [rank, { map }] of this.group.ranks.entries()) {
@@ -213,6 +215,44 @@
     expect(fixture.group.mixedPasses).toBe(0);
   });
 
+  it('tell subscribers at once that their group is closed or has formed', async () => {
+    const fixture = new RankFixture();
+    fixture.group.isOpen = false;
+    await startAgents(fixture, [0, 1, 2, 3]);
+    // Long enough to be past the first, quicker readings.
+    await new Promise((resolve) => {
+      setTimeout(resolve, 1000);
+    });
+    const states = new Map<string, boolean>();
+    const subscriber = new PeerSocket({
+      host: getHost(SIZE),
+      port: PEER_PORT,
+      onMessage: (message) => {
+        if (message.kind !== 'load') return;
+        const { ranks, isOpen } = message.report;
+        for (const { address } of ranks) states.set(address, isOpen);
+      },
+      onError: () => {},
+    });
+    await subscriber.start();
+    const agentAddresses = [0, 1, 2, 3].map((rank) => `${getHost(rank)}:${PEER_PORT}`);
+    const startMs = performance.now();
+    subscriber.send({ kind: 'subscribe' }, agentAddresses);
+    await waitUntil(() => states.size === SIZE);
+    const firstMs = performance.now() - startMs;
+    fixture.restart([0, 1, 2, 3]);
+    const formedMs = performance.now();
+    await waitUntil(() => [...states.values()].every((isOpen) => isOpen));
+    const openMs = performance.now() - formedMs;
+    await waitUntil(() => fixture.orders.includes('prepare'));
+    const planMs = performance.now() - formedMs;
+    subscriber.close();
+    // A request that waits for the group has 2 s until its caller leaves; two passes are 0.2 s.
+    expect(firstMs).toBeLessThan(200);
+    expect(openMs).toBeLessThan(250);
+    expect(planMs).toBeLessThan(700);
+  });
+
   it('report what they cannot read', async () => {
     const fixture = new RankFixture();
     fixture.isReadable = false;
