Let streams wait for groups that form and for cold targets

Cause: after a loss of power entries are back 0.2 s before the agents and 1.2 s before the groups. Change: the picker tells closed groups that may form (3 s), and ranks whose first report is due (0.6 s), from targets that are not there; streams wait for these and for cold targets as long as their callers stay, at most as many as the places of one turn; those that can still meet their objective start first, and services do not wait for each other's room. Entries ask agents that they have not heard of four times a second, since one that starts later missed the first message.

--- a/packages/core/src/direct/AdmissionQueue.ts
+++ b/packages/core/src/direct/AdmissionQueue.ts
@@ -1,8 +1,12 @@
 import type { Clock } from '../clock/Clock.js';
 
 interface WaitingRequest {
+  /** Requests of one service wait for the same room. */
+  readonly service: string;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Wait after which the request misses its objective even if it starts, milliseconds. */
+  readonly freshMs: number;
   /** Longest wait, milliseconds. */
   readonly maxWaitMs: number;
   /** Sends the request if a target admits it now. @returns whether it was sent or has ended */
@@ -12,13 +16,15 @@
 }
 
 interface QueuedRequest extends WaitingRequest {
+  readonly freshUntilMs: number;
   readonly untilMs: number;
 }
 
 /**
- * Requests that wait a short time for room at their targets, the most urgent and oldest first. It
- * answers days on which demand for experts shifts: the passes are long until the next map is in
- * force, and streams that start after it still meet their objective.
+ * Requests that wait for room at their targets: the most urgent first, then those that can still
+ * meet their objective, then the oldest. It answers days on which demand for experts shifts, when
+ * passes are long until the next map is in force, and losses of power, after which callers are
+ * back before the groups have formed.
  */
 export class AdmissionQueue {
   readonly #clock: Clock;
@@ -33,26 +39,41 @@
     return this.#waiting.length;
   }
 
+  countOf(service: string): number {
+    let count = 0;
+    for (const request of this.#waiting) if (request.service === service) count += 1;
+    return count;
+  }
+
   enqueue(request: WaitingRequest): void {
-    const untilMs = this.#clock.getNow() + request.maxWaitMs;
-    let at = this.#waiting.length;
-    while (at > 0 && (this.#waiting[at - 1]?.priority ?? 0) > request.priority) at -= 1;
-    this.#waiting.splice(at, 0, { ...request, untilMs });
+    const nowMs = this.#clock.getNow();
+    const freshUntilMs = nowMs + request.freshMs;
+    this.#waiting.push({ ...request, freshUntilMs, untilMs: nowMs + request.maxWaitMs });
   }
 
   /** Starts what can start, in order, and ends the waits that are over. */
   advance(): void {
     const nowMs = this.#clock.getNow();
-    const waiting = this.#waiting;
+    const waiting = this.#sort(nowMs);
     const kept: QueuedRequest[] = [];
+    const full = new Set<string>();
     this.#waiting = [];
-    let hasRoom = true;
     for (const request of waiting) {
-      if (hasRoom && request.tryStart()) continue;
-      hasRoom = false;
+      if (!full.has(request.service) && request.tryStart()) continue;
+      full.add(request.service);
       if (nowMs >= request.untilMs) request.expire();
       else kept.push(request);
     }
     this.#waiting = [...kept, ...this.#waiting];
   }
+
+  #sort(nowMs: number): QueuedRequest[] {
+    return [...this.#waiting].sort((a, b) => {
+      if (a.priority !== b.priority) return a.priority - b.priority;
+      const isLateA = nowMs > a.freshUntilMs;
+      const isLateB = nowMs > b.freshUntilMs;
+      if (isLateA !== isLateB) return isLateA ? 1 : -1;
+      return a.untilMs - b.untilMs;
+    });
+  }
 }
--- a/packages/core/src/direct/DirectRoute.ts
+++ b/packages/core/src/direct/DirectRoute.ts
@@ -16,6 +16,8 @@
   objectiveMs: z.number().positive(),
   /** Longest pause between two events that still meets the objective, milliseconds. */
   gapMs: z.number().positive().nullable(),
+  /** Callers leave a stream that has been silent for this long, milliseconds. */
+  patienceMs: z.number().positive(),
   /** 0 is the most urgent. */
   priority: z.number().int().nonnegative(),
   /** Whether requests need no API key. */
--- a/packages/core/src/direct/PickResult.ts
+++ b/packages/core/src/direct/PickResult.ts
@@ -5,5 +5,6 @@
   | { readonly target: DirectTarget; readonly reason: string }
   | {
       readonly target: null;
-      readonly reason: 'no_target' | 'overloaded' | 'target_cold';
+      /** `not_formed`: the groups of all targets are closed, but for no longer than it takes to form. */
+      readonly reason: 'no_target' | 'not_formed' | 'overloaded' | 'target_cold';
     };
--- a/packages/core/src/direct/TargetPicker.ts
+++ b/packages/core/src/direct/TargetPicker.ts
@@ -31,9 +31,22 @@
 /** A report of a group older than this says nothing any more, milliseconds. */
 const REPORT_MAX_AGE_MS = 1500;
 
+/** A group that has been closed for longer lacks a rank; its return cannot be foreseen, milliseconds. */
+const FORMING_MS = 3000;
+
+/** Agents answer a new subscriber at once; a rank that nothing is heard of by then has none, milliseconds. */
+const FIRST_REPORT_MS = 600;
+
 /** Part of the longest pause that a pass may take before new streams wait, so that it has room. */
 const PASS_SHARE = 0.85;
 
+interface GroupState {
+  readonly report: GroupReport;
+  readonly atMs: number;
+  /** Since when the group is closed; null while it is open. */
+  readonly closedMs: number | null;
+}
+
 /** Chooses the target of a request: the one with the least load that may get it. */
 export class TargetPicker {
   readonly #parts: PickerParts;
@@ -41,7 +54,10 @@
   readonly #stats = new Map<string, TargetStats>();
 
   /** Last report of the group of each rank, by the address of the rank. */
-  readonly #groups = new Map<string, { readonly report: GroupReport; readonly atMs: number }>();
+  readonly #groups = new Map<string, GroupState>();
+
+  /** When each target without any report was first asked for. */
+  readonly #unheardMs = new Map<string, number>();
 
   /** Zones from which operators have withdrawn new work. */
   #evacuated: ReadonlySet<string> = new Set();
@@ -67,16 +83,29 @@
   acceptReport(report: GroupReport): void {
     const atMs = this.#parts.clock.getNow();
     const loads = new Map(report.ranks.map((load) => [load.address, load]));
-    for (const address of loads.keys()) this.#groups.set(address, { report, atMs });
+    for (const address of loads.keys()) {
+      const closedMs = report.isOpen ? null : (this.#groups.get(address)?.closedMs ?? atMs);
+      this.#groups.set(address, { report, atMs, closedMs });
+      this.#unheardMs.delete(address);
+    }
     for (const target of this.#parts.registry.listAll()) {
       const load = loads.get(target.address);
       if (load !== undefined) this.getStats(target.id).acceptLoad(load, atMs);
     }
   }
 
+  /** Tells whether nothing is known of the target's group, or only something too old. */
+  isUnheard(target: DirectTarget): boolean {
+    return this.#getGroup(target) === null;
+  }
+
   pick(request: PickRequest): PickResult {
-    const open = this.#listOpen(request);
-    if (open.length === 0) return { target: null, reason: 'no_target' };
+    const usable = this.#listUsable(request);
+    const open = usable.filter((target) => this.#isOpen(target, request.service));
+    if (open.length === 0) {
+      const isForming = usable.some((target) => this.#isForming(target));
+      return { target: null, reason: isForming ? 'not_formed' : 'no_target' };
+    }
     const warm = open.filter(({ id }) => this.#bears(id, request.service));
     if (warm.length === 0) return { target: null, reason: 'target_cold' };
     const admitted = warm.filter((target) => this.#admits(target, request));
@@ -86,27 +115,43 @@
     return { target, reason: `least loaded of ${admitted.length}` };
   }
 
-  #listOpen({ service, excluded }: PickRequest): DirectTarget[] {
-    const nowMs = this.#parts.clock.getNow();
-    const open: DirectTarget[] = [];
+  #listUsable({ service, excluded }: PickRequest): DirectTarget[] {
+    const usable: DirectTarget[] = [];
     for (const target of this.#parts.registry.listTargets(service.name)) {
       if (target.isDraining || this.#evacuated.has(target.zone)) continue;
-      if (excluded.has(target.id)) continue;
-      if (this.#isBroken(target, nowMs)) continue;
-      open.push(target);
+      if (!excluded.has(target.id)) usable.push(target);
     }
-    return open;
+    return usable;
+  }
+
+  /** Tells whether the target's group is complete, as far as is known. */
+  #isOpen(target: DirectTarget, service: DirectService): boolean {
+    const group = this.#getGroup(target);
+    if (group !== null) return group.closedMs === null;
+    return !this.#isReportDue(target, service);
   }
 
-  /** Tells whether the target's group has lost a rank. */
-  #isBroken(target: DirectTarget, nowMs: number): boolean {
-    return this.#getReport(target, nowMs)?.isOpen === false;
+  #isForming(target: DirectTarget): boolean {
+    const group = this.#getGroup(target);
+    if (group === null) return true;
+    if (group.closedMs === null) return false;
+    return this.#parts.clock.getNow() - group.closedMs < FORMING_MS;
+  }
+
+  /** Tells whether the first report of a rank is still due; its group may be closed. */
+  #isReportDue({ address }: DirectTarget, service: DirectService): boolean {
+    if ((service.engine?.experts ?? null) === null || this.#groups.has(address)) return false;
+    const nowMs = this.#parts.clock.getNow();
+    const fromMs = this.#unheardMs.get(address) ?? nowMs;
+    this.#unheardMs.set(address, fromMs);
+    return nowMs - fromMs < FIRST_REPORT_MS;
   }
 
-  #getReport({ address }: DirectTarget, nowMs: number): GroupReport | null {
+  /** Returns what is known of the target's group; null where it is too old. */
+  #getGroup({ address }: DirectTarget): GroupState | null {
     const known = this.#groups.get(address);
-    if (known === undefined || nowMs - known.atMs > REPORT_MAX_AGE_MS) return null;
-    return known.report;
+    if (known === undefined) return null;
+    return this.#parts.clock.getNow() - known.atMs > REPORT_MAX_AGE_MS ? null : known;
   }
 
   #bears(id: string, service: DirectService): boolean {
@@ -117,7 +162,7 @@
   #admits(target: DirectTarget, { service, gapMs }: PickRequest): boolean {
     if (service.engine === null) return true;
     const nowMs = this.#parts.clock.getNow();
-    const passMs = this.#getReport(target, nowMs)?.passMs ?? 0;
+    const passMs = this.#getGroup(target)?.report.passMs ?? 0;
     if (gapMs !== null && passMs > PASS_SHARE * gapMs) return false;
     const occupancy = this.getStats(target.id).estimateOccupancy(nowMs, this.#parts.countEntries());
     return occupancy < target.capacity;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -86,6 +86,7 @@
 export { TargetRegistry } from './direct/TargetRegistry.js';
 export { TargetStats } from './direct/TargetStats.js';
 export { chooseRetryAfter } from './direct/chooseRetryAfter.js';
+export { chooseStartWait } from './direct/chooseStartWait.js';
 export { chooseService } from './direct/chooseService.js';
 export { decideNextAttempt } from './direct/decideNextAttempt.js';
 export { isRepeatableRoute } from './direct/isRepeatableRoute.js';
--- a/packages/core/test/direct/RouteTable.test.ts
+++ b/packages/core/test/direct/RouteTable.test.ts
@@ -14,6 +14,7 @@
     priority: 0,
     isPublic: false,
     isResumable: false,
+    patienceMs: 2000,
     services: [{ service: 's', weight: 1 }],
   };
 }
--- a/packages/core/test/direct/limits.test.ts
+++ b/packages/core/test/direct/limits.test.ts
@@ -22,6 +22,7 @@
   priority: 1,
   isPublic: false,
   isResumable: true,
+  patienceMs: 2000,
   services: [{ service: 's', weight: 1 }],
 };
 
@@ -106,7 +107,9 @@
     let isOpen = false;
     const add = (id: number, priority = 1): void =>
       queue.enqueue({
+        service: 's',
         priority,
+        freshMs: 250,
         maxWaitMs: 250,
         tryStart: () => {
           if (isOpen) started.push(id);
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -90,8 +90,6 @@
 
   #lastSubscribeMs = -Infinity;
 
-  #subscribedTargets = 0;
-
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { clock, random, timers, store, codec, layout, metrics, createLog } = options;
@@ -124,6 +122,7 @@
       picker,
       queue: new AdmissionQueue(clock),
       log: createLog('request'),
+      countEntries: () => this.#entries.countSharers(),
       getTable: () => this.#view.getTable(),
       getEndMs: () => this.#endMs,
       getBudget: (service) => this.#getBudget(service),
@@ -259,15 +258,16 @@
 
   /** Asks the agents beside model ranks for the loads of their groups. */
   #subscribe(nowMs: number): void {
-    const isKnown = this.#registry.count() === this.#subscribedTargets;
-    if (isKnown && nowMs - this.#lastSubscribeMs < SUBSCRIBE_INTERVAL_MS) return;
-    this.#subscribedTargets = this.#registry.count();
-    this.#lastSubscribeMs = nowMs;
+    const isDue = nowMs - this.#lastSubscribeMs >= SUBSCRIBE_INTERVAL_MS;
+    if (isDue) this.#lastSubscribeMs = nowMs;
     const agents = new Set<string>();
     const [, peerPort] = this.#options.self.peerAddress.split(':');
-    for (const { service, address } of this.#registry.listAll()) {
-      const engine = this.#view.getTable()?.findService(service)?.engine ?? null;
-      if (engine !== null) agents.add(`${address.split(':')[0]}:${peerPort}`);
+    for (const target of this.#registry.listAll()) {
+      const engine = this.#view.getTable()?.findService(target.service)?.engine ?? null;
+      if (engine === null) continue;
+      // An agent that starts after this process has not heard of it yet.
+      if (!isDue && !this.#parts.picker.isUnheard(target)) continue;
+      agents.add(`${target.address.split(':')[0]}:${peerPort}`);
     }
     this.#socket.send({ kind: 'subscribe' }, agents);
   }
--- a/packages/gateway/src/request/GatewayParts.ts
+++ b/packages/gateway/src/request/GatewayParts.ts
@@ -27,6 +27,8 @@
   readonly getTable: () => RouteTable | null;
   /** When this process ends, monotonic milliseconds; null unless it was told to stop. */
   readonly getEndMs: () => number | null;
+  /** Returns the number of entries that send to the same targets. */
+  readonly countEntries: () => number;
   readonly getBudget: (service: string) => RetryBudget;
   readonly getPool: (address: string) => DirectPool;
 }
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -1,6 +1,7 @@
 import {
   chooseRetryAfter,
   chooseService,
+  chooseStartWait,
   decideNextAttempt,
   fail,
   type AttemptOutcome,
@@ -8,6 +9,7 @@
   type DirectService,
   type DirectTarget,
   type ErrorKind,
+  type PickResult,
   type RequestHead,
   type RouteTable,
 } from '@limpetbay/core';
@@ -26,12 +28,12 @@
   readonly deadlineMs: number;
 }
 
+/** Why no target takes a request now. */
+type StartObstacle = Extract<PickResult, { target: null }>['reason'];
+
 /** Wait that is told with failures that a short pause may mend, milliseconds. */
 const RETRY_AFTER_MS = 200;
 
-/** Part of the latency objective that a stream may wait for room before it is refused. */
-const QUEUE_SHARE = 0.5;
-
 /** Other entries take over at once; the caller only has to choose one, milliseconds. */
 const LEAVING_RETRY_MS = 20;
 
@@ -139,21 +141,43 @@
     const admission = this.#admission as Admission;
     const reason = this.#tryStart(admission);
     if (reason === null) return;
-    const maxWaitMs = QUEUE_SHARE * admission.route.objectiveMs;
-    if (reason !== 'overloaded' || admission.route.kind !== 'stream') {
+    const { route, service, priority } = admission;
+    const wait = chooseStartWait(route, reason, this.#getElapsedMs());
+    const isFull = this.#parts.queue.countOf(service.name) >= this.#countWaitPlaces(service);
+    if (wait.maxWaitMs === 0 || isFull) {
       this.#refuseStart(admission, reason);
       return;
     }
+    this.#parts.log.report('request waits for a target', {
+      id: this.#head.id,
+      reason,
+      maxWaitMs: Math.round(wait.maxWaitMs),
+    });
+    let latest: StartObstacle = reason;
     this.#parts.queue.enqueue({
-      priority: admission.priority,
-      maxWaitMs,
-      tryStart: () => this.#isOver || this.#tryStart(admission) === null,
-      expire: () => this.#refuseStart(admission, reason),
+      service: service.name,
+      priority,
+      ...wait,
+      tryStart: () => {
+        if (this.#isOver) return true;
+        const obstacle = this.#tryStart(admission);
+        latest = obstacle ?? latest;
+        return obstacle === null;
+      },
+      expire: () => this.#refuseStart(admission, latest),
     });
   }
 
+  /** As many requests wait here as this entry's share of the places that one turn frees. */
+  #countWaitPlaces({ name }: DirectService): number {
+    const { registry, countEntries } = this.#parts;
+    let places = 0;
+    for (const { capacity } of registry.listTargets(name)) places += capacity;
+    return Math.ceil(places / countEntries());
+  }
+
   /** Sends the request if a target admits it. @returns null, or why none does */
-  #tryStart(admission: Admission): 'no_target' | 'overloaded' | 'target_cold' | null {
+  #tryStart(admission: Admission): StartObstacle | null {
     const picked = this.#parts.picker.pick({
       service: admission.service,
       excluded: this.#excluded,
@@ -164,14 +188,14 @@
     return null;
   }
 
-  #refuseStart(admission: Admission, reason: 'no_target' | 'overloaded' | 'target_cold'): void {
+  #refuseStart(admission: Admission, reason: StartObstacle): void {
     if (this.#mayHaveRun) {
       this.#refuse('outcome_unknown', `no further target: ${reason}`);
       return;
     }
-    const cause = reason === 'no_target' ? 'away' : 'busy';
-    const waitMs = chooseRetryAfter(admission.route, cause, this.#parts.random);
-    this.#refuse(reason, 'no target can take the request', waitMs);
+    const isAway = reason === 'no_target' || reason === 'not_formed';
+    const waitMs = chooseRetryAfter(admission.route, isAway ? 'away' : 'busy', this.#parts.random);
+    this.#refuse(isAway ? 'no_target' : reason, `no target can take it: ${reason}`, waitMs);
   }
 
   #send(admission: Admission, target: DirectTarget, reason: string): void {
