Keep passes short by estimated time and leave late streams half of the places

Cause: after a loss of power everything that has waited starts at once, because measured pass times are 0 in an idle group; on the first map (skew 3) a pass with 8 requests a rank takes 137 ms, over the pause of 120 ms, and the streams hold their places for 3 s. Change: planners report the skew of their map; an entry admits a stream where the estimated pass with one more request stays under the bound, with a skew of 3 where none is known; streams that are late in any case use half of the places.

--- a/packages/core/src/direct/TargetPicker.ts
+++ b/packages/core/src/direct/TargetPicker.ts
@@ -6,6 +6,7 @@
 import type { PickResult } from './PickResult.js';
 import type { GroupReport } from './GroupReport.js';
 import type { TargetRegistry } from './TargetRegistry.js';
+import { estimatePassMs } from './estimatePassMs.js';
 import { TargetStats } from './TargetStats.js';
 
 interface PickerParts {
@@ -23,6 +24,8 @@
   readonly excluded: ReadonlySet<string>;
   /** Longest pause of the stream that meets its objective; null for other requests. */
   readonly gapMs: number | null;
+  /** Whether the request misses its objective in any case. */
+  readonly isLate: boolean;
 }
 
 /** Weight of a recent failure in the score of a target, in requests in flight. */
@@ -40,6 +43,12 @@
 /** Part of the longest pause that a pass may take before new streams wait, so that it has room. */
 const PASS_SHARE = 0.85;
 
+/** Skew of a map that was made without knowledge of demand: 3.0 to 3.3 on both sites of the platform. */
+const UNKNOWN_SKEW = 3;
+
+/** Late requests leave the rest of the places to those that can still meet their objective. */
+const LATE_SHARE = 0.5;
+
 interface GroupState {
   readonly report: GroupReport;
   readonly atMs: number;
@@ -159,13 +168,20 @@
     return this.#parts.cold.hasRoom(id, service.coldPerSecond, this.#parts.countEntries());
   }
 
-  #admits(target: DirectTarget, { service, gapMs }: PickRequest): boolean {
-    if (service.engine === null) return true;
+  #admits(target: DirectTarget, { service, gapMs, isLate }: PickRequest): boolean {
+    const { engine } = service;
+    if (engine === null) return true;
     const nowMs = this.#parts.clock.getNow();
-    const passMs = this.#getGroup(target)?.report.passMs ?? 0;
-    if (gapMs !== null && passMs > PASS_SHARE * gapMs) return false;
+    const report = this.#getGroup(target)?.report ?? null;
     const occupancy = this.getStats(target.id).estimateOccupancy(nowMs, this.#parts.countEntries());
-    return occupancy < target.capacity;
+    const places = isLate ? LATE_SHARE * target.capacity : target.capacity;
+    if (occupancy >= places) return false;
+    if (gapMs === null || report === null) return true;
+    const longestMs = PASS_SHARE * gapMs;
+    if (report.passMs > longestMs) return false;
+    // Measured passes lag behind what has just been sent, most of all in a group that was idle.
+    const sequences = isLate ? (occupancy + 1) / LATE_SHARE : occupancy + 1;
+    return estimatePassMs(engine, sequences, report.skew ?? UNKNOWN_SKEW) <= longestMs;
   }
 
   #chooseLeast(targets: readonly DirectTarget[], service: DirectService): DirectTarget {
--- a/packages/core/src/direct/chooseStartWait.ts
+++ b/packages/core/src/direct/chooseStartWait.ts
@@ -1,3 +1,4 @@
+import { computeFreshMs } from './computeFreshMs.js';
 import type { DirectRoute } from './DirectRoute.js';
 import type { PickResult } from './PickResult.js';
 
@@ -10,9 +11,6 @@
 
 type Obstacle = Extract<PickResult, { target: null }>['reason'];
 
-/** Part of the latency objective that a stream may wait; the rest is for its first event. */
-const WAIT_SHARE = 0.5;
-
 /**
  * Decides how long a request that no target can take now waits for one. Groups that are about to
  * form and cold targets serve within the time that callers stay, which is better for them than a refusal after a
@@ -25,7 +23,7 @@
   obstacle: Obstacle,
   elapsedMs: number,
 ): StartWait {
-  const freshMs = Math.max(0, WAIT_SHARE * route.objectiveMs - elapsedMs);
+  const freshMs = computeFreshMs(route, elapsedMs);
   if (route.kind !== 'stream') return { freshMs, maxWaitMs: 0 };
   if (obstacle === 'overloaded') return { freshMs, maxWaitMs: freshMs };
   if (obstacle === 'no_target') return { freshMs, maxWaitMs: 0 };
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -2,6 +2,7 @@
   chooseRetryAfter,
   chooseService,
   chooseStartWait,
+  computeFreshMs,
   decideNextAttempt,
   fail,
   type AttemptOutcome,
@@ -182,6 +183,7 @@
       service: admission.service,
       excluded: this.#excluded,
       gapMs: admission.route.gapMs,
+      isLate: this.#sent === 0 && computeFreshMs(admission.route, this.#getElapsedMs()) === 0,
     });
     if (picked.target === null) return picked.reason;
     this.#send(admission, picked.target, picked.reason);
--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -55,6 +55,9 @@
 
   #switchSets: ExpertSets = [];
 
+  /** Skew that the map of the switch is planned to have. */
+  #switchSkew: number | null = null;
+
   #isReading = false;
 
   /** Whether the last interval of counts differed from the estimate. */
@@ -79,6 +82,11 @@
     return this.#switch !== null;
   }
 
+  /** Returns the skew of the map in force as far as this process has planned; otherwise null. */
+  getSkew(): number | null {
+    return this.#planner?.getSkew() ?? null;
+  }
+
   setModel(model: NonNullable<EngineModel['experts']> | null): void {
     const isSame = JSON.stringify(model) === JSON.stringify(this.#model);
     if (isSame) return;
@@ -125,6 +133,7 @@
   /** Forgets the map, because another process has planned meanwhile. */
   forget(): void {
     this.#present = null;
+    this.#planner?.setSkew(null);
   }
 
   #pollSilent(): void {
@@ -194,6 +203,7 @@
     const options = this.#createOptions(statuses, planned.sets);
     this.#switch = new HeldSwitch(options);
     this.#switchSets = planned.sets;
+    this.#switchSkew = planned.skewNext;
     this.#switchFromMs = nowMs;
     this.#options.log.report('map planned', {
       group: statuses[0]?.group,
@@ -309,6 +319,7 @@
     if (!isDone || this.#present === null) return;
     const { epoch } = this.#present;
     this.#present = { version: current.getVersion(), epoch, sets: this.#switchSets };
+    this.#planner?.setSkew(this.#switchSkew);
   }
 
   async #readPresent(statuses: readonly RankStatus[]): Promise<void> {
@@ -326,6 +337,7 @@
       for (const [set, experts] of reply.sets.entries()) (sets[set] ??= [])[rank] = experts;
     }
     this.#present = { version: first.map, epoch: first.epoch, sets };
+    this.#planner?.setSkew(null);
     this.#options.log.report('map read', { group: first.group, version: first.map });
   }
 }
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -256,13 +256,15 @@
   }
 
   #sendReport(
-    { group, epoch, isOpen, passMs }: RankStatus,
+    { group, epoch, isOpen, passMs, size }: RankStatus,
     statuses: readonly RankStatus[],
     receivers: readonly string[],
   ): void {
     if (receivers.length === 0) return;
     const ranks = statuses.map(({ address, active, queued }) => ({ address, active, queued }));
-    this.#socket.send({ kind: 'load', report: { group, epoch, isOpen, passMs, ranks } }, receivers);
+    const skew = size === 1 ? 1 : (this.#planner?.getSkew() ?? null);
+    const report = { group, epoch, isOpen, passMs, skew, ranks };
+    this.#socket.send({ kind: 'load', report }, receivers);
   }
 
   /** A new subscriber learns the state of this rank at once; loads come from the planner. */
