Send few requests to a group that has just formed until a map fits its demand

Cause: with the first map (skew 3) the prompts of a few dozen streams alone make passes longer than the pause of 120 ms; streams that start then are late in any case and hold their places for 3 s. Change: instead of the estimate of pass times of the last change, the planner tells whether the map in force fits the demand. Until then, 3 s at most, all entries together send two requests a rank.

--- a/packages/core/src/direct/GroupReport.ts
+++ b/packages/core/src/direct/GroupReport.ts
@@ -8,8 +8,8 @@
   isOpen: z.boolean(),
   /** Mean time of the recent passes, milliseconds; 0 where the group was idle. */
   passMs: z.number().nonnegative(),
-  /** Load of the most loaded rank by experts, relative to the mean; null where it is not known. */
-  skew: z.number().positive().nullable(),
+  /** Whether the map in force fits the demand; after a formation it is made without knowing any. */
+  isMapped: z.boolean(),
   ranks: z.array(RankLoad),
 });
 
--- a/packages/core/src/direct/TargetPicker.ts
+++ b/packages/core/src/direct/TargetPicker.ts
@@ -6,7 +6,6 @@
 import type { PickResult } from './PickResult.js';
 import type { GroupReport } from './GroupReport.js';
 import type { TargetRegistry } from './TargetRegistry.js';
-import { estimatePassMs } from './estimatePassMs.js';
 import { TargetStats } from './TargetStats.js';
 
 interface PickerParts {
@@ -34,7 +33,7 @@
 /** A report of a group older than this says nothing any more, milliseconds. */
 const REPORT_MAX_AGE_MS = 1500;
 
-/** A group that has been closed for longer lacks a rank; its return cannot be foreseen, milliseconds. */
+/** A group that has been closed for longer lacks a rank, and one without a map lacks a planner, milliseconds. */
 const FORMING_MS = 3000;
 
 /** Agents answer a new subscriber at once; a rank that nothing is heard of by then has none, milliseconds. */
@@ -43,8 +42,11 @@
 /** Part of the longest pause that a pass may take before new streams wait, so that it has room. */
 const PASS_SHARE = 0.85;
 
-/** Skew of a map that was made without knowledge of demand: 3.0 to 3.3 on both sites of the platform. */
-const UNKNOWN_SKEW = 3;
+/**
+ * Requests that a rank gets while its group has no map that fits the demand. They show the demand;
+ * more would all be late, and their long passes would delay the map.
+ */
+const UNMAPPED_PLACES = 2;
 
 /** Late requests leave the rest of the places to those that can still meet their objective. */
 const LATE_SHARE = 0.5;
@@ -54,6 +56,8 @@
   readonly atMs: number;
   /** Since when the group is closed; null while it is open. */
   readonly closedMs: number | null;
+  /** Since when it is open, as far as this entry has seen. */
+  readonly openMs: number;
 }
 
 /** Chooses the target of a request: the one with the least load that may get it. */
@@ -93,8 +97,10 @@
     const atMs = this.#parts.clock.getNow();
     const loads = new Map(report.ranks.map((load) => [load.address, load]));
     for (const address of loads.keys()) {
-      const closedMs = report.isOpen ? null : (this.#groups.get(address)?.closedMs ?? atMs);
-      this.#groups.set(address, { report, atMs, closedMs });
+      const known = this.#groups.get(address);
+      const closedMs = report.isOpen ? null : (known?.closedMs ?? atMs);
+      const isSame = known?.report.epoch === report.epoch && known.closedMs === null;
+      this.#groups.set(address, { report, atMs, closedMs, openMs: isSame ? known.openMs : atMs });
       this.#unheardMs.delete(address);
     }
     for (const target of this.#parts.registry.listAll()) {
@@ -117,7 +123,10 @@
     }
     const warm = open.filter(({ id }) => this.#bears(id, request.service));
     if (warm.length === 0) return { target: null, reason: 'target_cold' };
-    const admitted = warm.filter((target) => this.#admits(target, request));
+    const isShareUsed = this.#isUnmappedShareUsed(open);
+    const admitted = warm.filter(
+      (target) => !(isShareUsed && this.#isUnmapped(target)) && this.#admits(target, request),
+    );
     if (admitted.length === 0) return { target: null, reason: 'overloaded' };
     const target = this.#chooseLeast(admitted, request.service);
     if (this.#parts.registry.isCold(target.id)) this.#parts.cold.take(target.id);
@@ -169,19 +178,31 @@
   }
 
   #admits(target: DirectTarget, { service, gapMs, isLate }: PickRequest): boolean {
-    const { engine } = service;
-    if (engine === null) return true;
+    if (service.engine === null) return true;
     const nowMs = this.#parts.clock.getNow();
-    const report = this.#getGroup(target)?.report ?? null;
+    const passMs = this.#getGroup(target)?.report.passMs ?? 0;
+    if (gapMs !== null && passMs > PASS_SHARE * gapMs) return false;
     const occupancy = this.getStats(target.id).estimateOccupancy(nowMs, this.#parts.countEntries());
-    const places = isLate ? LATE_SHARE * target.capacity : target.capacity;
-    if (occupancy >= places) return false;
-    if (gapMs === null || report === null) return true;
-    const longestMs = PASS_SHARE * gapMs;
-    if (report.passMs > longestMs) return false;
-    // Measured passes lag behind what has just been sent, most of all in a group that was idle.
-    const sequences = isLate ? (occupancy + 1) / LATE_SHARE : occupancy + 1;
-    return estimatePassMs(engine, sequences, report.skew ?? UNKNOWN_SKEW) <= longestMs;
+    return occupancy < (isLate ? LATE_SHARE * target.capacity : target.capacity);
+  }
+
+  /** Tells whether the target's group has formed shortly before and has its first map. */
+  #isUnmapped(target: DirectTarget): boolean {
+    const group = this.#getGroup(target);
+    if (group === null || group.closedMs !== null || group.report.isMapped) return false;
+    return this.#parts.clock.getNow() - group.openMs < FORMING_MS;
+  }
+
+  /** All entries find such a group empty at the same moment, so each has a part of its places. */
+  #isUnmappedShareUsed(targets: readonly DirectTarget[]): boolean {
+    let places = 0;
+    let inFlight = 0;
+    for (const target of targets) {
+      if (!this.#isUnmapped(target)) continue;
+      places += UNMAPPED_PLACES;
+      inFlight += this.getStats(target.id).inFlight;
+    }
+    return inFlight >= Math.max(1, places / this.#parts.countEntries());
   }
 
   #chooseLeast(targets: readonly DirectTarget[], service: DirectService): DirectTarget {
--- a/packages/core/src/heldswitch/GroupPlanner.ts
+++ b/packages/core/src/heldswitch/GroupPlanner.ts
@@ -37,8 +37,6 @@
 
   #total = 0;
 
-  #skew: number | null = null;
-
   constructor(clock: Clock, model: ExpertModel) {
     this.#clock = clock;
     this.#model = model;
@@ -64,26 +62,20 @@
     return hasShifted;
   }
 
-  /** Returns the skew of the present map under the demand of the last plan; null before the first. */
-  getSkew(): number | null {
-    return this.#skew;
-  }
-
-  /** Records that a planned map is in force, or that the skew is not known any more. */
-  setSkew(skew: number | null): void {
-    this.#skew = skew;
+  /** Tells whether enough choices are known for a plan. */
+  hasDemand(): boolean {
+    return this.#total >= MIN_COUNTS;
   }
 
   /** Plans the next map; null where the present one is good enough or too little is known. */
   plan(present: ExpertSets): PlannedMap | null {
     const loads = this.#demand.getLoads();
-    if (loads === null || this.#total < MIN_COUNTS) return null;
+    if (loads === null || !this.hasDemand()) return null;
     const plan = planReplicas(present, loads, {
       slotsPerRank: this.#model.slotsPerRank,
       newPerRankAndSet: this.#model.spareSlots,
       newPerRank: COPIES_PER_CHANGE,
     });
-    this.#skew = plan.skewNow;
     return plan.skewNow - plan.skewNext < MIN_GAIN ? null : plan;
   }
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -90,7 +90,6 @@
 export { chooseService } from './direct/chooseService.js';
 export { computeFreshMs } from './direct/computeFreshMs.js';
 export { decideNextAttempt } from './direct/decideNextAttempt.js';
-export { estimatePassMs } from './direct/estimatePassMs.js';
 export { isRepeatableRoute } from './direct/isRepeatableRoute.js';
 export { RouteRule } from './document/RouteRule.js';
 export { ServiceDocument } from './document/ServiceDocument.js';
--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -55,8 +55,8 @@
 
   #switchSets: ExpertSets = [];
 
-  /** Skew that the map of the switch is planned to have. */
-  #switchSkew: number | null = null;
+  /** Whether the map in force fits the demand; unknown counts as false. */
+  #isMapped = false;
 
   #isReading = false;
 
@@ -82,9 +82,10 @@
     return this.#switch !== null;
   }
 
-  /** Returns the skew of the map in force as far as this process has planned; otherwise null. */
-  getSkew(): number | null {
-    return this.#planner?.getSkew() ?? null;
+  /** Tells whether the map in force fits the demand, as far as this process has planned. */
+  isMapped(): boolean {
+    const own = this.#statuses.get(this.#options.self)?.status;
+    return this.#isMapped && this.#present?.epoch === own?.epoch;
   }
 
   setModel(model: NonNullable<EngineModel['experts']> | null): void {
@@ -133,7 +134,7 @@
   /** Forgets the map, because another process has planned meanwhile. */
   forget(): void {
     this.#present = null;
-    this.#planner?.setSkew(null);
+    this.#isMapped = false;
   }
 
   #pollSilent(): void {
@@ -199,11 +200,13 @@
     const planned = this.#planner.plan(this.#present.sets);
     const planMs = this.#options.clock.getNow() - nowMs;
     this.#options.metrics.record('limpetbay_plan_ms', planMs);
-    if (planned === null) return;
+    if (planned === null) {
+      this.#isMapped ||= this.#planner.hasDemand();
+      return;
+    }
     const options = this.#createOptions(statuses, planned.sets);
     this.#switch = new HeldSwitch(options);
     this.#switchSets = planned.sets;
-    this.#switchSkew = planned.skewNext;
     this.#switchFromMs = nowMs;
     this.#options.log.report('map planned', {
       group: statuses[0]?.group,
@@ -319,7 +322,7 @@
     if (!isDone || this.#present === null) return;
     const { epoch } = this.#present;
     this.#present = { version: current.getVersion(), epoch, sets: this.#switchSets };
-    this.#planner?.setSkew(this.#switchSkew);
+    this.#isMapped = true;
   }
 
   async #readPresent(statuses: readonly RankStatus[]): Promise<void> {
@@ -337,7 +340,8 @@
       for (const [set, experts] of reply.sets.entries()) (sets[set] ??= [])[rank] = experts;
     }
     this.#present = { version: first.map, epoch: first.epoch, sets };
-    this.#planner?.setSkew(null);
+    // A group begins with map 0, which is made without knowing the demand.
+    this.#isMapped = first.map > 0;
     this.#options.log.report('map read', { group: first.group, version: first.map });
   }
 }
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -262,8 +262,8 @@
   ): void {
     if (receivers.length === 0) return;
     const ranks = statuses.map(({ address, active, queued }) => ({ address, active, queued }));
-    const skew = size === 1 ? 1 : (this.#planner?.getSkew() ?? null);
-    const report = { group, epoch, isOpen, passMs, skew, ranks };
+    const isMapped = size === 1 || this.#planner?.isMapped() === true;
+    const report = { group, epoch, isOpen, passMs, isMapped, ranks };
     this.#socket.send({ kind: 'load', report }, receivers);
   }
 
