--- a/packages/core/src/direct/PickResult.ts
+++ b/packages/core/src/direct/PickResult.ts
@@ -5,6 +5,6 @@
   | { readonly target: DirectTarget; readonly reason: string }
   | {
       readonly target: null;
-      /** `not_formed`: the groups of all targets are closed, but for no longer than it takes to form. */
+      /** `not_formed`: the groups of all targets form at the moment or wait for their first map. */
       readonly reason: 'no_target' | 'not_formed' | 'overloaded' | 'target_cold';
     };
--- a/packages/core/src/direct/TargetPicker.ts
+++ b/packages/core/src/direct/TargetPicker.ts
@@ -127,7 +127,10 @@
     const admitted = warm.filter(
       (target) => !(isShareUsed && this.#isUnmapped(target)) && this.#admits(target, request),
     );
-    if (admitted.length === 0) return { target: null, reason: 'overloaded' };
+    if (admitted.length === 0) {
+      const isForming = isShareUsed && warm.some((target) => this.#isUnmapped(target));
+      return { target: null, reason: isForming ? 'not_formed' : 'overloaded' };
+    }
     const target = this.#chooseLeast(admitted, request.service);
     if (this.#parts.registry.isCold(target.id)) this.#parts.cold.take(target.id);
     return { target, reason: `least loaded of ${admitted.length}` };
--- a/packages/core/test/direct/groupRestart.test.ts
+++ b/packages/core/test/direct/groupRestart.test.ts
@@ -211,6 +211,17 @@
     expect(sent).toBeGreaterThan(2 * RANKS);
   });
 
+  it('let requests wait for the first map as for the group itself', () => {
+    reportGroup(true);
+    for (let id = 0; id < 3 * RANKS; id += 1) arrive(id);
+    clock.advance(600);
+    queue.advance();
+    expect(refused).toEqual([]);
+    reportGroup(true, true);
+    queue.advance();
+    expect(started.length).toBe(3 * RANKS);
+  });
+
   it('refuse a request before its caller leaves', () => {
     run(0, 1600, false);
     // 2 s until the caller leaves, less the time to a first event.
