--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -333,7 +333,7 @@
       this.#parts.codec.listOwnHeaders(this.#head),
     );
     this.#parts.metrics.increase(`limpetbay_refused_total{kind="${kind}"}`);
-    this.#parts.log.report('request refused', {
+    this.#parts.log.warn('request refused', {
       id: this.#head.id,
       kind,
       reason: message,
