Answer callers that send a head or body too slowly with 408

Cause: found by raw-socket tests of bad input: a body that stopped on the way was held for ever (no time limit), and heads had 10 s whatever the configuration said. Change: heads have the time of the configuration; a body without a further byte for the idle time is answered 408, which is true, since nothing was sent on.

--- a/packages/callers/src/direct/DirectAnswer.ts
+++ b/packages/callers/src/direct/DirectAnswer.ts
@@ -47,6 +47,12 @@
     this.#response.destroy();
   }
 
+  /** Answers with an error to a caller that has stopped sending, and closes the connection. */
+  refuseSlow(failure: Failure): void {
+    this.#response.once('finish', () => this.#response.destroy());
+    this.fail(failure, ['Connection', 'close']);
+  }
+
   /** Answers with an error of the closed list. @param headers further headers, as for `start` */
   fail(failure: Failure, headers: readonly string[] = []): void {
     const body = Buffer.from(`${JSON.stringify(toErrorBody(failure))}\n`);
--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -19,8 +19,11 @@
 /** Idle time until a configuration states one, milliseconds. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
-/** Time for the head of a request, milliseconds. */
-const HEAD_TIMEOUT_MS = 10_000;
+/** Time for the head of a request until a configuration states one, milliseconds. */
+const DEFAULT_HEAD_TIMEOUT_MS = 10_000;
+
+/** Interval at which connections are checked against the time for a head, milliseconds. */
+const CHECK_INTERVAL_MS = 1000;
 
 /** Serves callers over HTTP/1.1 and hands whole requests to a handler. */
 export class DirectServer {
@@ -38,7 +41,8 @@
       {
         maxHeaderSize: MAX_HEADER_BYTES,
         keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
-        headersTimeout: HEAD_TIMEOUT_MS,
+        headersTimeout: DEFAULT_HEAD_TIMEOUT_MS,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
         requestTimeout: 0,
         noDelay: true,
       },
@@ -53,9 +57,13 @@
     });
   }
 
-  /** Sets how long a caller's connection may stay idle, milliseconds. */
-  setIdleTimeout(idleTimeoutMs: number): void {
+  /**
+   * @param idleTimeoutMs how long a connection may stay idle, or a body without a further byte
+   * @param headTimeoutMs how long the head of a request may take
+   */
+  setTimeouts(idleTimeoutMs: number, headTimeoutMs: number): void {
     this.#server.keepAliveTimeout = idleTimeoutMs;
+    this.#server.headersTimeout = headTimeoutMs;
   }
 
   /** Returns the number of requests that have no whole answer yet. */
@@ -84,12 +92,23 @@
       this.#requests -= 1;
       if (!response.writableFinished) cancel?.();
     });
+    const watchBody = (): NodeJS.Timeout =>
+      setTimeout(() => {
+        if (!response.headersSent) answer.refuseSlow(fail('request_too_slow', 'body too slow').val);
+      }, this.#server.keepAliveTimeout);
+    let timer = watchBody();
+    message.on('close', () => clearTimeout(timer));
     message.on('data', (chunk: Buffer) => {
+      clearTimeout(timer);
+      timer = watchBody();
       bytes += chunk.length;
       if (bytes <= this.#options.getMaxBodyBytes()) chunks.push(chunk);
-      else if (!response.headersSent) answer.fail(fail('body_too_large', 'body too large').val);
+      else if (!response.headersSent) {
+        answer.fail(fail('body_too_large', 'body too large').val);
+      }
     });
     message.on('end', () => {
+      clearTimeout(timer);
       if (response.headersSent || response.destroyed) return;
       cancel = this.#options.handler.acceptRequest(head, Buffer.concat(chunks), answer);
     });
--- a/packages/core/src/direct/DirectConfig.ts
+++ b/packages/core/src/direct/DirectConfig.ts
@@ -21,6 +21,8 @@
     .nullable(),
   /** How long a caller's connection may stay idle, milliseconds. */
   idleTimeoutMs: z.number().positive(),
+  /** Time for the head of a request, milliseconds. */
+  headTimeoutMs: z.number().positive(),
   /** Largest request body, bytes. */
   maxBodyBytes: z.number().positive(),
 });
--- a/packages/core/src/errors/ErrorKind.ts
+++ b/packages/core/src/errors/ErrorKind.ts
@@ -6,6 +6,7 @@
   'unknown_service',
   'method_not_allowed',
   'body_too_large',
+  'request_too_slow',
   'missing_workspace',
   'key_reused',
   'key_expired',
--- a/packages/core/src/errors/answerTable.ts
+++ b/packages/core/src/errors/answerTable.ts
@@ -15,6 +15,7 @@
   unknown_service: { status: 404, run: 'no', retryElsewhere: false },
   method_not_allowed: { status: 405, run: 'no', retryElsewhere: false },
   body_too_large: { status: 413, run: 'no', retryElsewhere: false },
+  request_too_slow: { status: 408, run: 'no', retryElsewhere: false },
   missing_workspace: { status: 401, run: 'no', retryElsewhere: false },
   key_reused: { status: 422, run: 'no', retryElsewhere: false },
   key_expired: { status: 422, run: 'no', retryElsewhere: false },
--- a/packages/core/test/direct/RouteTable.test.ts
+++ b/packages/core/test/direct/RouteTable.test.ts
@@ -29,6 +29,7 @@
   services: [{ name: 's', maxConnections: 1, coldPerSecond: 0, engine: null }],
   workspaces: [{ name: 'w', apiKeys: ['k1', 'k2'], priority: 2 }],
   idleTimeoutMs: 1000,
+  headTimeoutMs: 1000,
   maxBodyBytes: 1000,
 };
 
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -110,7 +110,8 @@
       registry: this.#registry,
       entries: this.#entries,
       picker,
-      onConfig: (table) => this.#server.setIdleTimeout(table.config.idleTimeoutMs),
+      onConfig: ({ config }) =>
+        this.#server.setTimeouts(config.idleTimeoutMs, config.headTimeoutMs),
     });
     this.#parts = {
       clock,
