Give streams that broke off their short wait for room again

Cause: found by reading. Since waits count from the request's arrival, a stream that goes on at another target after a failure had no wait left and was broken off at once where all targets were full; before it had 250 ms. Change: a repeat counts from the last event that its caller got, with 250 ms at least. Test: failed before.

--- a/packages/core/src/direct/TargetPicker.ts
+++ b/packages/core/src/direct/TargetPicker.ts
@@ -33,10 +33,10 @@
 /** A report of a group older than this says nothing any more, milliseconds. */
 const REPORT_MAX_AGE_MS = 1500;
 
-/** A group that has been closed for longer lacks a rank, and one without a map lacks a planner, milliseconds. */
+/** A group that is closed for longer lacks a rank; one without a map lacks a planner, milliseconds. */
 const FORMING_MS = 3000;
 
-/** Agents answer a new subscriber at once; a rank that nothing is heard of by then has none, milliseconds. */
+/** Agents answer new subscribers at once; a rank not heard of by then has none, milliseconds. */
 const FIRST_REPORT_MS = 600;
 
 /** Part of the longest pause that a pass may take before new streams wait, so that it has room. */
--- a/packages/core/test/direct/groupRestart.test.ts
+++ b/packages/core/test/direct/groupRestart.test.ts
@@ -122,7 +122,7 @@
     const arrivedMs = clock.getNow();
     const obstacle = pick(id, arrivedMs);
     if (obstacle === null) return;
-    const wait = chooseStartWait(ROUTE, obstacle, 0);
+    const wait = chooseStartWait(ROUTE, obstacle, 0, false);
     if (wait.maxWaitMs === 0) refused.push(id);
     else {
       queue.enqueue({
@@ -246,6 +246,19 @@
   });
 });
 
+describe('chooseStartWait', () => {
+  it('gives a stream that broke off a short wait for room, though its objective is used up', () => {
+    expect(chooseStartWait(ROUTE, 'overloaded', 1500, true).maxWaitMs).toBe(250);
+    expect(chooseStartWait(ROUTE, 'not_formed', 1500, true).maxWaitMs).toBe(250);
+    expect(chooseStartWait(ROUTE, 'overloaded', 1500, false).maxWaitMs).toBe(0);
+  });
+
+  it('lets nothing wait where no target is there, nor what is no stream', () => {
+    expect(chooseStartWait(ROUTE, 'no_target', 0, false).maxWaitMs).toBe(0);
+    expect(chooseStartWait({ ...ROUTE, kind: 'safe' }, 'not_formed', 0, false).maxWaitMs).toBe(0);
+  });
+});
+
 describe('AdmissionQueue', () => {
   it('does not let the requests of one service wait for the room of another', () => {
     const queue = new AdmissionQueue(new ManualClock());
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -63,6 +63,9 @@
 
   #cancelDeadline: (() => void) | null = null;
 
+  /** When the request arrived, or the caller got the last events. */
+  #progressMs: number;
+
   #sent = 0;
 
   #unreachable = 0;
@@ -81,6 +84,7 @@
     this.#body = body;
     this.#answer = answer;
     this.#startMs = parts.clock.getNow();
+    this.#progressMs = this.#startMs;
   }
 
   start(): void {
@@ -143,7 +147,8 @@
     const reason = this.#tryStart(admission);
     if (reason === null) return;
     const { route, service, priority } = admission;
-    const wait = chooseStartWait(route, reason, this.#getElapsedMs());
+    const silentMs = this.#parts.clock.getNow() - this.#progressMs;
+    const wait = chooseStartWait(route, reason, silentMs, this.#sent > 0);
     const isFull = this.#parts.queue.countOf(service.name) >= this.#countWaitPlaces(service);
     if (wait.maxWaitMs === 0 || isFull) {
       this.#refuseStart(admission, reason);
@@ -234,6 +239,7 @@
           if (!this.#answer.isStarted()) this.#answer.start(head.status, head.forwarded);
           if (lastId !== null) this.#lastEventId = lastId;
           this.#answer.write(bytes);
+          this.#progressMs = this.#parts.clock.getNow();
         },
         acceptResult: (result) => this.#acceptResult(target, result),
       },
