--- a/packages/core/src/heldswitch/GroupPlanner.ts
+++ b/packages/core/src/heldswitch/GroupPlanner.ts
@@ -14,7 +14,7 @@
 type ExpertModel = NonNullable<EngineModel['experts']>;
 
 /** Gain in skew from which a change is worth its copies and the longer passes meanwhile. */
-const MIN_GAIN = 0.15;
+const MIN_GAIN = 0.3;
 
 /** Copies that each rank loads in one change; the rest follows in the next. */
 const COPIES_PER_CHANGE = 2;
