--- a/packages/core/src/direct/AdmissionQueue.ts
+++ b/packages/core/src/direct/AdmissionQueue.ts
@@ -39,16 +39,14 @@
     return this.#waiting.length;
   }
 
-  countOf(service: string): number {
-    let count = 0;
-    for (const request of this.#waiting) if (request.service === service) count += 1;
-    return count;
-  }
-
-  enqueue(request: WaitingRequest): void {
+  /**
+   * @param maxWaiting requests of the service that may wait; beyond it the last in order is refused
+   */
+  enqueue(request: WaitingRequest, maxWaiting: number): void {
     const nowMs = this.#clock.getNow();
     const freshUntilMs = nowMs + request.freshMs;
     this.#waiting.push({ ...request, freshUntilMs, untilMs: nowMs + request.maxWaitMs });
+    if (this.#countOf(request.service) > maxWaiting) this.#refuseLast(request.service, nowMs);
   }
 
   /** Starts what can start, in order, and ends the waits that are over. */
@@ -67,6 +65,19 @@
     this.#waiting = [...kept, ...this.#waiting];
   }
 
+  #countOf(service: string): number {
+    let count = 0;
+    for (const request of this.#waiting) if (request.service === service) count += 1;
+    return count;
+  }
+
+  /** A request that can still meet its objective takes the place of one that cannot. */
+  #refuseLast(service: string, nowMs: number): void {
+    this.#waiting = this.#sort(nowMs);
+    const at = this.#waiting.map((request) => request.service).lastIndexOf(service);
+    for (const request of this.#waiting.splice(at, 1)) request.expire();
+  }
+
   #sort(nowMs: number): QueuedRequest[] {
     return [...this.#waiting].sort((a, b) => {
       if (a.priority !== b.priority) return a.priority - b.priority;
--- a/packages/core/test/direct/groupRestart.test.ts
+++ b/packages/core/test/direct/groupRestart.test.ts
@@ -51,6 +51,7 @@
 type Obstacle = Extract<PickResult, { target: null }>['reason'];
 
 const RANKS = 8;
+const MAX_WAITING = 100;
 const ARRIVAL_MS = 40;
 
 describe('entries after a loss of power, while the groups of all targets form', () => {
@@ -125,13 +126,16 @@
     const wait = chooseStartWait(ROUTE, obstacle, 0, false);
     if (wait.maxWaitMs === 0) refused.push(id);
     else {
-      queue.enqueue({
-        service: 's',
-        priority: 1,
-        ...wait,
-        tryStart: () => pick(id, arrivedMs) === null,
-        expire: () => refused.push(id),
-      });
+      queue.enqueue(
+        {
+          service: 's',
+          priority: 1,
+          ...wait,
+          tryStart: () => pick(id, arrivedMs) === null,
+          expire: () => refused.push(id),
+        },
+        MAX_WAITING,
+      );
     }
   }
 
@@ -260,22 +264,51 @@
 });
 
 describe('AdmissionQueue', () => {
+  it('refuses one that is late, not the one that has just come, when too many wait', () => {
+    const clock = new ManualClock();
+    const queue = new AdmissionQueue(clock);
+    const refused: number[] = [];
+    const add = (id: number): void =>
+      queue.enqueue(
+        {
+          service: 's',
+          priority: 1,
+          freshMs: 250,
+          maxWaitMs: 1500,
+          tryStart: () => false,
+          expire: () => refused.push(id),
+        },
+        3,
+      );
+    add(1);
+    clock.advance(100);
+    add(2);
+    clock.advance(300);
+    add(3);
+    add(4);
+    expect(refused).toEqual([2]);
+    expect(queue.count()).toBe(3);
+  });
+
   it('does not let the requests of one service wait for the room of another', () => {
     const queue = new AdmissionQueue(new ManualClock());
     const started: string[] = [];
     for (const service of ['closed', 'open']) {
-      queue.enqueue({
-        service,
-        priority: 1,
-        freshMs: 250,
-        maxWaitMs: 250,
-        tryStart: () => {
-          if (service === 'closed') return false;
-          started.push(service);
-          return true;
+      queue.enqueue(
+        {
+          service,
+          priority: 1,
+          freshMs: 250,
+          maxWaitMs: 250,
+          tryStart: () => {
+            if (service === 'closed') return false;
+            started.push(service);
+            return true;
+          },
+          expire: () => {},
         },
-        expire: () => {},
-      });
+        MAX_WAITING,
+      );
     }
     queue.advance();
     expect(started).toEqual(['open']);
--- a/packages/core/test/direct/limits.test.ts
+++ b/packages/core/test/direct/limits.test.ts
@@ -10,6 +10,8 @@
   type DirectRoute,
 } from '../../src/index.js';
 
+const MAX_WAITING = 100;
+
 const STREAM: DirectRoute = {
   name: 'r',
   host: 'h',
@@ -106,17 +108,20 @@
     const refused: number[] = [];
     let isOpen = false;
     const add = (id: number, priority = 1): void =>
-      queue.enqueue({
-        service: 's',
-        priority,
-        freshMs: 250,
-        maxWaitMs: 250,
-        tryStart: () => {
-          if (isOpen) started.push(id);
-          return isOpen;
+      queue.enqueue(
+        {
+          service: 's',
+          priority,
+          freshMs: 250,
+          maxWaitMs: 250,
+          tryStart: () => {
+            if (isOpen) started.push(id);
+            return isOpen;
+          },
+          expire: () => refused.push(id),
         },
-        expire: () => refused.push(id),
-      });
+        MAX_WAITING,
+      );
     add(1);
     clock.advance(200);
     add(2);
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -149,8 +149,7 @@
     const { route, service, priority } = admission;
     const silentMs = this.#parts.clock.getNow() - this.#progressMs;
     const wait = chooseStartWait(route, reason, silentMs, this.#sent > 0);
-    const isFull = this.#parts.queue.countOf(service.name) >= this.#countWaitPlaces(service);
-    if (wait.maxWaitMs === 0 || isFull) {
+    if (wait.maxWaitMs === 0) {
       this.#refuseStart(admission, reason);
       return;
     }
@@ -160,7 +159,7 @@
       maxWaitMs: Math.round(wait.maxWaitMs),
     });
     let latest: StartObstacle = reason;
-    this.#parts.queue.enqueue({
+    const waiting = {
       service: service.name,
       priority,
       ...wait,
@@ -170,8 +169,11 @@
         latest = obstacle ?? latest;
         return obstacle === null;
       },
-      expire: () => this.#refuseStart(admission, latest),
-    });
+      expire: () => {
+        if (!this.#isOver) this.#refuseStart(admission, latest);
+      },
+    };
+    this.#parts.queue.enqueue(waiting, this.#countWaitPlaces(service));
   }
 
   /** As many requests wait here as this entry's share of the places that one turn frees. */
