Use one token bucket for store writes, cold targets and log lines

WriteBudget of the claims was one already; ColdLimiter and LogLimiter had written it again. It is TokenBucket in core/src/rate now. A change of the number of entries counts from then on and no longer back to the last request to a cold target. Tests unchanged.

--- a/packages/core/src/claims/BatchWriter.ts
+++ b/packages/core/src/claims/BatchWriter.ts
@@ -5,7 +5,7 @@
 import type { CommitResult } from '../store/CommitResult.js';
 import type { Store } from '../store/Store.js';
 import type { ClaimOptions } from './ClaimOptions.js';
-import type { WriteBudget } from './WriteBudget.js';
+import type { TokenBucket } from '../rate/TokenBucket.js';
 import type { WriteOrder } from './WriteOrder.js';
 
 type NewOrder = Omit<WriteOrder, 'uncertain' | 'alone'>;
@@ -29,7 +29,7 @@
 
   readonly #random: RandomSource;
 
-  readonly #budget: WriteBudget;
+  readonly #budget: TokenBucket;
 
   readonly #options: ClaimOptions;
 
@@ -48,7 +48,7 @@
     store: Store,
     clock: Clock,
     random: RandomSource,
-    budget: WriteBudget,
+    budget: TokenBucket,
     options: ClaimOptions,
   ) {
     this.#store = store;
--- a/packages/core/src/claims/ClaimLedger.ts
+++ b/packages/core/src/claims/ClaimLedger.ts
@@ -25,7 +25,7 @@
 import { LeaseBuckets } from './LeaseBuckets.js';
 import { OutcomeMemory } from './OutcomeMemory.js';
 import type { OwnerView } from './OwnerView.js';
-import { WriteBudget } from './WriteBudget.js';
+import { TokenBucket } from '../rate/TokenBucket.js';
 import { defaultClaimOptions } from './defaultClaimOptions.js';
 
 interface ClaimLedgerParts {
@@ -84,6 +84,9 @@
   return { type: 'unknown' };
 }
 
+/** Writes at once after a quiet time; the store sees the service's rate plus this for each agent. */
+const WRITE_BURST = 2;
+
 /**
  * The claims of an agent on callers' keys. A keyed request is handed to the target only after its
  * claim is confirmed at the store, so no other agent runs it. `tick()` must be called every few
@@ -100,7 +103,7 @@
 
   readonly #options: ClaimOptions;
 
-  readonly #budget: WriteBudget;
+  readonly #budget: TokenBucket;
 
   readonly #writer: BatchWriter;
 
@@ -129,7 +132,7 @@
     this.#owner = parts.owner;
     this.#owners = parts.owners;
     this.#options = { ...defaultClaimOptions, ...parts.options };
-    this.#budget = new WriteBudget(clock, parts.writesPerSecond);
+    this.#budget = new TokenBucket(clock, parts.writesPerSecond, WRITE_BURST);
     this.#writer = new BatchWriter(store, clock, random, this.#budget, this.#options);
     this.#leases = new LeaseBuckets(
       store,
--- a/packages/core/src/claims/LeaseBuckets.ts
+++ b/packages/core/src/claims/LeaseBuckets.ts
@@ -4,7 +4,7 @@
 import type { RandomSource } from '../random/RandomSource.js';
 import type { Store } from '../store/Store.js';
 import type { ClaimOptions } from './ClaimOptions.js';
-import type { WriteBudget } from './WriteBudget.js';
+import type { TokenBucket } from '../rate/TokenBucket.js';
 
 const LeaseRecord = z.object({ lease: z.string() });
 
@@ -24,7 +24,7 @@
 
   readonly #clock: Clock;
 
-  readonly #budget: WriteBudget;
+  readonly #budget: TokenBucket;
 
   readonly #options: ClaimOptions;
 
@@ -54,7 +54,7 @@
     store: Store,
     clock: Clock,
     random: RandomSource,
-    budget: WriteBudget,
+    budget: TokenBucket,
     options: ClaimOptions,
     service: ServiceName,
     acceptLease: () => void,
--- a/packages/core/src/direct/ColdLimiter.ts
+++ b/packages/core/src/direct/ColdLimiter.ts
@@ -1,15 +1,9 @@
 import type { Clock } from '../clock/Clock.js';
-
-interface Bucket {
-  tokens: number;
-  atMs: number;
-}
+import { TokenBucket } from '../rate/TokenBucket.js';
 
 /** Requests that one entry may send at once to a cold target, before its rate holds. */
 const BURST = 1;
 
-const MS_PER_SECOND = 1000;
-
 /**
  * Holds the rate of requests to cold targets. The rate of a target holds over all entries, so each
  * entry takes an equal part of it and none depends on what the others do at the moment.
@@ -17,7 +11,7 @@
 export class ColdLimiter {
   readonly #clock: Clock;
 
-  readonly #buckets = new Map<string, Bucket>();
+  readonly #buckets = new Map<string, TokenBucket>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -30,20 +24,17 @@
    * @param entries number of entries that may send to it
    */
   hasRoom(id: string, perSecond: number, entries: number): boolean {
-    return this.#refill(id, perSecond / entries).tokens >= 1;
+    const rate = perSecond / entries;
+    let bucket = this.#buckets.get(id);
+    if (bucket === undefined) {
+      bucket = new TokenBucket(this.#clock, rate, BURST);
+      this.#buckets.set(id, bucket);
+    }
+    bucket.setRate(rate);
+    return bucket.hasToken();
   }
 
   take(id: string): void {
-    const bucket = this.#buckets.get(id);
-    if (bucket !== undefined) bucket.tokens -= 1;
-  }
-
-  #refill(id: string, rate: number): Bucket {
-    const nowMs = this.#clock.getNow();
-    const bucket = this.#buckets.get(id) ?? { tokens: BURST, atMs: nowMs };
-    bucket.tokens = Math.min(BURST, bucket.tokens + ((nowMs - bucket.atMs) / MS_PER_SECOND) * rate);
-    bucket.atMs = nowMs;
-    this.#buckets.set(id, bucket);
-    return bucket;
+    this.#buckets.get(id)?.take();
   }
 }
