--- a/packages/core/src/direct/TargetRegistry.ts
+++ b/packages/core/src/direct/TargetRegistry.ts
@@ -105,14 +105,6 @@
     return this.#clock.getNow() < (this.#targets.get(id)?.warmAtMs ?? 0);
   }
 
-  /** Records what a target itself said about its warm-up. */
-  acceptColdLeft(id: string, coldLeftMs: number): void {
-    const known = this.#targets.get(id);
-    if (known === undefined) return;
-    this.#targets.set(id, { ...known, warmAtMs: this.#clock.getNow() + coldLeftMs });
-    this.#services = null;
-  }
-
   /** Lists the targets of a service, also those that are draining. */
   listTargets(service: string): readonly DirectTarget[] {
     this.#services ??= this.#groupByService();
--- a/packages/core/src/direct/TargetStats.ts
+++ b/packages/core/src/direct/TargetStats.ts
@@ -3,9 +3,6 @@
 /** Time constant with which failures are forgotten, milliseconds. */
 const FAILURE_MEMORY_MS = 3000;
 
-/** Weight of one answer in the mean service time. */
-const SERVICE_TIME_GAIN = 0.2;
-
 /** A load report older than this says nothing any more, milliseconds. */
 const REPORT_MAX_AGE_MS = 1500;
 
@@ -17,9 +14,6 @@
   /** Requests of this entry that the target has not answered yet. */
   inFlight = 0;
 
-  /** Mean time to the whole answer, for streams to the first event, milliseconds. */
-  serviceMs = 0;
-
   #failures = 0;
 
   #failuresAtMs = 0;
@@ -40,11 +34,6 @@
     this.inFlight = Math.max(0, this.inFlight - 1);
   }
 
-  recordSuccess(serviceMs: number): void {
-    if (this.serviceMs === 0) this.serviceMs = serviceMs;
-    this.serviceMs += SERVICE_TIME_GAIN * (serviceMs - this.serviceMs);
-  }
-
   recordFailure(nowMs: number): void {
     this.#failures = this.getFailures(nowMs) + 1;
     this.#failuresAtMs = nowMs;
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -6,7 +6,6 @@
   RetryBudget,
   TargetPicker,
   TargetRegistry,
-  type EntryRecord,
   type RequestHead,
 } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
@@ -190,10 +189,6 @@
     return [...addresses];
   }
 
-  listPeers(): readonly EntryRecord[] {
-    return this.#entries.listEntries();
-  }
-
   acceptRequest(head: RequestHead, body: Buffer, answer: DirectAnswer): () => void {
     this.#lastRequestMs = this.#options.clock.getNow();
     const run = new RequestRun(this.#parts, head, body, answer);
--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -143,10 +143,8 @@
 
   #recordFirst(): void {
     this.#hasEvents = true;
-    const { parts, target } = this.#options;
-    const firstMs = parts.clock.getNow() - this.#startMs;
-    parts.picker.getStats(target.id).recordSuccess(firstMs);
-    parts.metrics.record('limpetbay_first_byte_ms', firstMs);
+    const { parts } = this.#options;
+    parts.metrics.record('limpetbay_first_byte_ms', parts.clock.getNow() - this.#startMs);
   }
 
   /** Restarts the wait for the next sign of life of a request that can go on elsewhere. */
