Open each rank once in the planning agent

Cause: found by reading. For every order, status and list of experts the planner opened a new client with its own connections to the rank, although the remote rank was kept; 10 in one switch of four ranks. The clients of agents that are gone were never closed. Change: client and remote rank are kept together by agent and opened anew only when the rank's address changes; they are closed when the agent stops or its rank has another place. Whether all members are known is asked in one place. Test: failed before. The tests of single agents share one way to start them; their assertions are as they were.

--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -47,6 +47,13 @@
 /** The group hears of its planner at this interval, milliseconds. */
 const PLANNER_INTERVAL_MS = 250;
 
+interface OpenRank {
+  readonly address: string;
+  /** The rank itself, for what its agent does not answer. */
+  readonly direct: RankWire;
+  readonly remote: RemoteRank;
+}
+
 /** The process beside one rank: it reads the rank, carries out orders and may plan the maps. */
 export class RankAgent {
   readonly #options: RankAgentOptions;
@@ -65,7 +72,8 @@
 
   readonly #passes = new PassClock();
 
-  readonly #remotes = new Map<string, RemoteRank>();
+  /** Other ranks of the group, by the address of the agent beside them. */
+  readonly #remotes = new Map<string, OpenRank>();
 
   /** Times until which entries want status messages, by address. */
   readonly #subscribers = new Map<string, number>();
@@ -133,6 +141,7 @@
 
   stop(): void {
     this.#isStopped = true;
+    this.#closeRemotes();
     this.#server.close();
     this.#socket.close();
     this.#log.report('stopped');
@@ -159,8 +168,7 @@
     const nowMs = this.#options.clock.getNow();
     const status = await this.#readStatus();
     if (status === null || this.#isStopped) return;
-    const isComplete = this.#members.count() >= status.size - 1;
-    const intervalMs = isComplete ? READ_INTERVAL_MS : FIRST_READ_INTERVAL_MS;
+    const intervalMs = this.#isComplete(status) ? READ_INTERVAL_MS : FIRST_READ_INTERVAL_MS;
     if (nowMs - this.#lastReadMs >= intervalMs) {
       this.#lastReadMs = nowMs;
       void this.#readTargets();
@@ -180,6 +188,11 @@
     this.#plan(status, planner, isIntervalOver);
   }
 
+  /** Tells whether the agents of all ranks of the group are known. */
+  #isComplete({ size }: RankStatus): boolean {
+    return this.#members.count() >= size - 1;
+  }
+
   async #readStatus(): Promise<RankStatus | null> {
     const read = await this.#rank.readStatus();
     if (read.err) {
@@ -216,6 +229,7 @@
     }
     this.#place = place;
     this.#members.clear();
+    this.#closeRemotes();
     this.#planner = null;
     this.#isPlanning = false;
     this.#counts = null;
@@ -231,8 +245,7 @@
       this.#lastPlannerMs = nowMs;
       for (const member of this.#members.listAgents()) receivers.add(member);
     }
-    const isComplete = this.#members.count() >= status.size - 1;
-    const helloMs = isComplete ? HELLO_INTERVAL_MS : FIRST_HELLO_INTERVAL_MS;
+    const helloMs = this.#isComplete(status) ? HELLO_INTERVAL_MS : FIRST_HELLO_INTERVAL_MS;
     if (nowMs - this.#lastHelloMs >= helloMs) {
       this.#lastHelloMs = nowMs;
       for (const peer of this.#peers) receivers.add(peer);
@@ -332,21 +345,26 @@
     const agent = this.#members.getAgent(rank);
     const address = this.#members.getRankAddress(rank);
     if (agent === null || address === null) return null;
+    const known = this.#remotes.get(agent);
+    if (known?.address === address) return this.#wrapRank(known.remote, known.direct);
+    known?.remote.close();
     const direct = this.#options.openRank(address);
-    let remote = this.#remotes.get(agent);
-    if (remote === undefined) {
-      remote = new RemoteRank({
-        clock: this.#options.clock,
-        agentAddress: agent,
-        direct,
-        onStatus: (status) => this.#planner?.acceptStatus(status),
-        sendOrder: (to, order, epoch) => this.#orders.send(to, order, epoch),
-      });
-      this.#remotes.set(agent, remote);
-    }
+    const remote = new RemoteRank({
+      clock: this.#options.clock,
+      agentAddress: agent,
+      direct,
+      onStatus: (status) => this.#planner?.acceptStatus(status),
+      sendOrder: (to, order, epoch) => this.#orders.send(to, order, epoch),
+    });
+    this.#remotes.set(agent, { address, direct, remote });
     return this.#wrapRank(remote, direct);
   }
 
+  #closeRemotes(): void {
+    for (const { remote } of this.#remotes.values()) remote.close();
+    this.#remotes.clear();
+  }
+
   #wrapRank(rank: Pick<RankWire, 'order' | 'readHeld'>, direct: RankWire): PlannerRank {
     return {
       order: (order, epoch) => rank.order(order, epoch),
--- a/packages/rankagent/test/RankAgent.test.ts
+++ b/packages/rankagent/test/RankAgent.test.ts
@@ -11,7 +11,7 @@
 import { MetricRegistry, RealClock, type Log } from '@limpetbay/runtime';
 import { PeerSocket } from '@limpetbay/rpc';
 import { SimGroup } from '@limpetbay/standins';
-import { RankAgent, type RankWire } from '../src/index.js';
+import { RankAgent, type RankAgentOptions, type RankWire } from '../src/index.js';
 
 const SIZE = 4;
 const SETS = 2;
@@ -155,29 +155,37 @@
 
   afterEach(() => {
     if (timer !== null) clearInterval(timer);
+    timer = null;
     for (const agent of agents.splice(0)) agent.stop();
     warnings.length = 0;
   });
 
-  async function startAgents(fixture: RankFixture, ranks: readonly number[]): Promise<void> {
-    timer = setInterval(() => fixture.advance(), PASS_MS);
-    const addresses = Array.from({ length: SIZE }, (_, rank) => `${getHost(rank)}:80`);
+  async function startAgent(
+    fixture: RankFixture,
+    rank: number,
+    changes: Partial<RankAgentOptions> = {},
+  ): Promise<void> {
+    timer ??= setInterval(() => fixture.advance(), PASS_MS);
+    const addresses = Array.from({ length: SIZE }, (_, index) => `${getHost(index)}:80`);
     const targets = addresses.map((address) => ({ address }) as DirectTarget);
-    for (const rank of ranks) {
-      const agent = new RankAgent({
-        clock: new RealClock(),
-        metrics: new MetricRegistry(),
-        createLog: () => createTestLog(warnings),
-        host: getHost(rank),
-        peerPort: PEER_PORT,
-        rankAddress: addresses[rank] ?? '',
-        openRank: (address) => fixture.openWire(addresses.indexOf(address), address),
-        listTargets: () => Promise.resolve(Ok(targets)),
-        readModel: () => Promise.resolve(Ok(MODEL)),
-      });
-      agents.push(agent);
-      await agent.start();
-    }
+    const agent = new RankAgent({
+      clock: new RealClock(),
+      metrics: new MetricRegistry(),
+      createLog: () => createTestLog(warnings),
+      host: getHost(rank),
+      peerPort: PEER_PORT,
+      rankAddress: addresses[rank] ?? '',
+      openRank: (address) => fixture.openWire(addresses.indexOf(address), address),
+      listTargets: () => Promise.resolve(Ok(targets)),
+      readModel: () => Promise.resolve(Ok(MODEL)),
+      ...changes,
+    });
+    agents.push(agent);
+    await agent.start();
+  }
+
+  async function startAgents(fixture: RankFixture, ranks: readonly number[]): Promise<void> {
+    for (const rank of ranks) await startAgent(fixture, rank);
   }
 
   it('give the hot expert to more ranks and never run a pass with two maps', async () => {
@@ -263,27 +271,32 @@
     expect(isReported).toBe(true);
   });
 
-  it('keep the model they know while the store is away', async () => {
+  it('open each rank once, however many orders it gets', async () => {
     const fixture = new RankFixture();
-    timer = setInterval(() => fixture.advance(), PASS_MS);
+    const opened: string[] = [];
+    await startAgents(fixture, [1, 2, 3]);
+    await startAgent(fixture, 0, {
+      openRank: (address) => {
+        opened.push(address);
+        return fixture.openWire(Number(address.split('.')[3]?.split(':')[0]) - 11, address);
+      },
+    });
+    await waitUntil(() => fixture.countHolders(0, 5) >= 3);
+    expect(opened.length).toBe(SIZE);
+    expect(new Set(opened).size).toBe(SIZE);
+  });
+
+  it('keep the model they know while the store is away', async () => {
     const clock = new ManualClock();
     let reads = 0;
-    const agent = new RankAgent({
+    await startAgent(new RankFixture(), 0, {
       clock,
-      metrics: new MetricRegistry(),
-      createLog: () => SILENT_LOG,
-      host: getHost(0),
-      peerPort: PEER_PORT,
-      rankAddress: `${getHost(0)}:80`,
-      openRank: (address) => fixture.openWire(0, address),
       listTargets: () => Promise.resolve(Ok<DirectTarget[]>([])),
       readModel: () => {
         reads += 1;
         return Promise.resolve(reads === 1 ? Ok(MODEL) : fail('store_unavailable', 'down'));
       },
     });
-    agents.push(agent);
-    await agent.start();
     await waitUntil(() => reads === 1);
     clock.advance(30_001);
     expect(await waitUntil(() => reads === 2)).toBe(true);
@@ -295,17 +308,8 @@
   });
 
   it('survive a store that does not answer at first', async () => {
-    const fixture = new RankFixture();
-    timer = setInterval(() => fixture.advance(), PASS_MS);
     let reads = 0;
-    const agent = new RankAgent({
-      clock: new RealClock(),
-      metrics: new MetricRegistry(),
-      createLog: () => SILENT_LOG,
-      host: getHost(0),
-      peerPort: PEER_PORT,
-      rankAddress: `${getHost(0)}:80`,
-      openRank: (address) => fixture.openWire(0, address),
+    await startAgent(new RankFixture(), 0, {
       listTargets: () => {
         reads += 1;
         return Promise.resolve(
@@ -314,8 +318,6 @@
       },
       readModel: () => Promise.resolve(fail('store_unavailable', 'down')),
     });
-    agents.push(agent);
-    await agent.start();
     expect(await waitUntil(() => reads >= 2)).toBe(true);
   });
 });
