Keep what an entry knows of groups in a class of its own

TargetPicker had grown a second job. GroupStates holds the reports of groups and says which are open, forming or without a map; the age from which a report says nothing and the reasons why no target takes a request were written twice and three times and are one each now. Behaviour is as it was.

--- a/packages/core/src/direct/TargetPicker.ts
+++ b/packages/core/src/direct/TargetPicker.ts
@@ -5,6 +5,7 @@
 import type { DirectTarget } from './DirectTarget.js';
 import type { PickResult } from './PickResult.js';
 import type { GroupReport } from './GroupReport.js';
+import { GroupStates } from './GroupStates.js';
 import type { TargetRegistry } from './TargetRegistry.js';
 import { TargetStats } from './TargetStats.js';
 
@@ -30,15 +31,6 @@
 /** Weight of a recent failure in the score of a target, in requests in flight. */
 const FAILURE_WEIGHT = 4;
 
-/** A report of a group older than this says nothing any more, milliseconds. */
-const REPORT_MAX_AGE_MS = 1500;
-
-/** A group that is closed for longer lacks a rank; one without a map lacks a planner, milliseconds. */
-const FORMING_MS = 3000;
-
-/** Agents answer new subscribers at once; a rank not heard of by then has none, milliseconds. */
-const FIRST_REPORT_MS = 600;
-
 /** Part of the longest pause that a pass may take before new streams wait, so that it has room. */
 const PASS_SHARE = 0.85;
 
@@ -54,32 +46,20 @@
 /** Late requests leave the rest of the places to those that can still meet their objective. */
 const LATE_SHARE = 0.5;
 
-interface GroupState {
-  readonly report: GroupReport;
-  readonly atMs: number;
-  /** Since when the group is closed; null while it is open. */
-  readonly closedMs: number | null;
-  /** Since when it is open, as far as this entry has seen. */
-  readonly openMs: number;
-}
-
 /** Chooses the target of a request: the one with the least load that may get it. */
 export class TargetPicker {
   readonly #parts: PickerParts;
 
   readonly #stats = new Map<string, TargetStats>();
 
-  /** Last report of the group of each rank, by the address of the rank. */
-  readonly #groups = new Map<string, GroupState>();
-
-  /** When each target without any report was first asked for. */
-  readonly #unheardMs = new Map<string, number>();
+  readonly #groups: GroupStates;
 
   /** Zones from which operators have withdrawn new work. */
   #evacuated: ReadonlySet<string> = new Set();
 
   constructor(parts: PickerParts) {
     this.#parts = parts;
+    this.#groups = new GroupStates(parts.clock);
   }
 
   setEvacuated(zones: ReadonlySet<string>): void {
@@ -98,14 +78,8 @@
   /** Takes in the loads of a group. */
   acceptReport(report: GroupReport): void {
     const atMs = this.#parts.clock.getNow();
+    this.#groups.accept(report);
     const loads = new Map(report.ranks.map((load) => [load.address, load]));
-    for (const address of loads.keys()) {
-      const known = this.#groups.get(address);
-      const closedMs = report.isOpen ? null : (known?.closedMs ?? atMs);
-      const isSame = known?.report.epoch === report.epoch && known.closedMs === null;
-      this.#groups.set(address, { report, atMs, closedMs, openMs: isSame ? known.openMs : atMs });
-      this.#unheardMs.delete(address);
-    }
     for (const target of this.#parts.registry.listAll()) {
       const load = loads.get(target.address);
       if (load !== undefined) this.getStats(target.id).acceptLoad(load, atMs);
@@ -114,24 +88,26 @@
 
   /** Tells whether nothing is known of the target's group, or only something too old. */
   isUnheard(target: DirectTarget): boolean {
-    return this.#getGroup(target) === null;
+    return this.#groups.getReport(target.address) === null;
   }
 
   pick(request: PickRequest): PickResult {
     const usable = this.#listUsable(request);
-    const open = usable.filter((target) => this.#isOpen(target, request.service));
+    const hasGroups = (request.service.engine?.experts ?? null) !== null;
+    const open = usable.filter(({ address }) => this.#groups.isOpen(address, hasGroups));
     if (open.length === 0) {
-      const isForming = usable.some((target) => this.#isForming(target));
+      const isForming = usable.some(({ address }) => this.#groups.isForming(address));
       return { target: null, reason: isForming ? 'not_formed' : 'no_target' };
     }
     const warm = open.filter(({ id }) => this.#bears(id, request.service));
     if (warm.length === 0) return { target: null, reason: 'target_cold' };
     const isShareUsed = this.#isUnmappedShareUsed(open);
     const admitted = warm.filter(
-      (target) => !(isShareUsed && this.#isUnmapped(target)) && this.#admits(target, request),
+      (target) =>
+        !(isShareUsed && this.#groups.isUnmapped(target.address)) && this.#admits(target, request),
     );
     if (admitted.length === 0) {
-      const isForming = isShareUsed && warm.some((target) => this.#isUnmapped(target));
+      const isForming = isShareUsed && warm.some(({ address }) => this.#groups.isUnmapped(address));
       return { target: null, reason: isForming ? 'not_formed' : 'overloaded' };
     }
     const target = this.#chooseLeast(this.#drawCandidates(admitted, request), request.service);
@@ -148,36 +124,6 @@
     return usable;
   }
 
-  /** Tells whether the target's group is complete, as far as is known. */
-  #isOpen(target: DirectTarget, service: DirectService): boolean {
-    const group = this.#getGroup(target);
-    if (group !== null) return group.closedMs === null;
-    return !this.#isReportDue(target, service);
-  }
-
-  #isForming(target: DirectTarget): boolean {
-    const group = this.#getGroup(target);
-    if (group === null) return true;
-    if (group.closedMs === null) return false;
-    return this.#parts.clock.getNow() - group.closedMs < FORMING_MS;
-  }
-
-  /** Tells whether the first report of a rank is still due; its group may be closed. */
-  #isReportDue({ address }: DirectTarget, service: DirectService): boolean {
-    if ((service.engine?.experts ?? null) === null || this.#groups.has(address)) return false;
-    const nowMs = this.#parts.clock.getNow();
-    const fromMs = this.#unheardMs.get(address) ?? nowMs;
-    this.#unheardMs.set(address, fromMs);
-    return nowMs - fromMs < FIRST_REPORT_MS;
-  }
-
-  /** Returns what is known of the target's group; null where it is too old. */
-  #getGroup({ address }: DirectTarget): GroupState | null {
-    const known = this.#groups.get(address);
-    if (known === undefined) return null;
-    return this.#parts.clock.getNow() - known.atMs > REPORT_MAX_AGE_MS ? null : known;
-  }
-
   #bears(id: string, service: DirectService): boolean {
     if (!this.#parts.registry.isCold(id) || service.coldPerSecond <= 0) return true;
     return this.#parts.cold.hasRoom(id, service.coldPerSecond, this.#parts.countEntries());
@@ -186,27 +132,20 @@
   #admits(target: DirectTarget, { service, gapMs, isLate }: PickRequest): boolean {
     if (service.engine === null) return true;
     const nowMs = this.#parts.clock.getNow();
-    const passMs = this.#getGroup(target)?.report.passMs ?? 0;
+    const passMs = this.#groups.getReport(target.address)?.passMs ?? 0;
     if (gapMs !== null && passMs > PASS_SHARE * gapMs) return false;
     const occupancy = this.getStats(target.id).estimateOccupancy(nowMs, this.#parts.countEntries());
     return occupancy < (isLate ? LATE_SHARE * target.capacity : target.capacity);
   }
 
-  /** Tells whether the target's group has formed shortly before and has its first map. */
-  #isUnmapped(target: DirectTarget): boolean {
-    const group = this.#getGroup(target);
-    if (group === null || group.closedMs !== null || group.report.isMapped) return false;
-    return this.#parts.clock.getNow() - group.openMs < FORMING_MS;
-  }
-
-  /** All entries find such a group empty at the same moment, so each has a part of its places. */
+  /** All entries find a new group empty at the same moment, so each has a part of its places. */
   #isUnmappedShareUsed(targets: readonly DirectTarget[]): boolean {
     let places = 0;
     let inFlight = 0;
-    for (const target of targets) {
-      if (!this.#isUnmapped(target)) continue;
+    for (const { id, address } of targets) {
+      if (!this.#groups.isUnmapped(address)) continue;
       places += UNMAPPED_PLACES;
-      inFlight += this.getStats(target.id).inFlight;
+      inFlight += this.getStats(id).inFlight;
     }
     return inFlight >= Math.max(1, places / this.#parts.countEntries());
   }
--- a/packages/core/src/direct/TargetStats.ts
+++ b/packages/core/src/direct/TargetStats.ts
@@ -1,11 +1,9 @@
 import type { RankLoad } from './RankLoad.js';
+import { reportMaxAgeMs } from './reportMaxAgeMs.js';
 
 /** Time constant with which failures are forgotten, milliseconds. */
 const FAILURE_MEMORY_MS = 3000;
 
-/** A load report older than this says nothing any more, milliseconds. */
-const REPORT_MAX_AGE_MS = 1500;
-
 /** Way of a request to the target until its reports show it, milliseconds. */
 const REPORT_DELAY_MS = 60;
 
@@ -52,7 +50,7 @@
 
   /** Returns the last load report, or null where it is too old. */
   getLoad(nowMs: number): RankLoad | null {
-    return nowMs - this.#loadAtMs <= REPORT_MAX_AGE_MS ? this.#load : null;
+    return nowMs - this.#loadAtMs <= reportMaxAgeMs ? this.#load : null;
   }
 
   /**
--- a/packages/core/src/direct/chooseStartWait.ts
+++ b/packages/core/src/direct/chooseStartWait.ts
@@ -1,6 +1,6 @@
 import { computeFreshMs } from './computeFreshMs.js';
 import type { DirectRoute } from './DirectRoute.js';
-import type { PickResult } from './PickResult.js';
+import type { StartObstacle } from './StartObstacle.js';
 
 interface StartWait {
   /** Wait after which the request misses its objective even if it starts, milliseconds. */
@@ -9,8 +9,6 @@
   readonly maxWaitMs: number;
 }
 
-type Obstacle = Extract<PickResult, { target: null }>['reason'];
-
 /**
  * Decides how long a request that no target can take now waits for one. Groups that are about to
  * form and cold targets serve within the time that callers stay. That is better for them than a
@@ -21,7 +19,7 @@
  */
 export function chooseStartWait(
   route: DirectRoute,
-  obstacle: Obstacle,
+  obstacle: StartObstacle,
   silentMs: number,
   isRepeat: boolean,
 ): StartWait {
--- a/packages/core/test/direct/groupRestart.test.ts
+++ b/packages/core/test/direct/groupRestart.test.ts
@@ -1,54 +1,14 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import {
   AdmissionQueue,
-  ColdLimiter,
   ManualClock,
-  SeededRandom,
-  TargetPicker,
-  TargetRegistry,
   chooseStartWait,
   computeFreshMs,
-  type DirectRoute,
-  type DirectService,
-  type PickResult,
+  type StartObstacle,
+  type TargetPicker,
 } from '../../src/index.js';
-
-const ROUTE: DirectRoute = {
-  name: 'r',
-  host: 'h',
-  prefix: '/a/',
-  kind: 'stream',
-  maxAttempts: 2,
-  timeoutMs: 8000,
-  objectiveMs: 500,
-  gapMs: 120,
-  patienceMs: 2000,
-  priority: 1,
-  isPublic: false,
-  isResumable: true,
-  services: [{ service: 's', weight: 1 }],
-};
-
-const SERVICE: DirectService = {
-  name: 's',
-  maxConnections: 100,
-  coldPerSecond: 0,
-  engine: {
-    capacity: 8,
-    stepMs: 4,
-    perSequenceMs: 1,
-    contextMsPerThousand: 0,
-    prefillTokensPerSecond: 60_000,
-    chunkTokens: 512,
-    stride: 4,
-    kvCapacity: 100_000,
-    usualPromptTokens: 800,
-    usualAnswerTokens: 96,
-    experts: { sets: 6, count: 64, slotsPerRank: 11, spareSlots: 4, copyMs: 148, workShare: 0.85 },
-  },
-};
-
-type Obstacle = Extract<PickResult, { target: null }>['reason'];
+import { RankBed } from './support/RankBed.js';
+import { streamRoute } from './support/streamRoute.js';
 
 const RANKS = 8;
 const MAX_WAITING = 100;
@@ -56,62 +16,34 @@
 
 describe('entries after a loss of power, while the groups of all targets form', () => {
   let clock: ManualClock;
+  let bed: RankBed;
   let picker: TargetPicker;
   let queue: AdmissionQueue;
   let started: number[];
   let refused: number[];
 
-  function createPicker(entries: number): TargetPicker {
-    const registry = new TargetRegistry(clock);
-    for (let rank = 0; rank < RANKS; rank += 1) {
-      registry.accept({
-        id: `t${rank}`,
-        service: 's',
-        address: getAddress(rank),
-        zone: 'a',
-        capacity: 8,
-        isDraining: false,
-        coldLeftMs: 0,
-        bornMs: 1,
-      });
-    }
-    return new TargetPicker({
-      clock,
-      random: new SeededRandom(3),
-      registry,
-      cold: new ColdLimiter(clock),
-      countEntries: () => entries,
-    });
-  }
-
   beforeEach(() => {
     clock = new ManualClock();
-    picker = createPicker(1);
+    bed = new RankBed(clock, RANKS);
+    picker = bed.createPicker(1);
     queue = new AdmissionQueue(clock);
     started = [];
     refused = [];
   });
 
-  function getAddress(rank: number): string {
-    return `10.0.0.${rank}:1`;
-  }
-
   function reportGroup(isOpen: boolean, isMapped = false): void {
-    const ranks = Array.from({ length: RANKS }, (_, rank) => ({
-      address: getAddress(rank),
-      active: started.filter((__, at) => at % RANKS === rank).length,
-      queued: 0,
-    }));
-    picker.acceptReport({ group: 'g', epoch: 1, isOpen, passMs: 0, isMapped, ranks });
+    const countActive = (rank: number): number =>
+      started.filter((__, at) => at % RANKS === rank).length;
+    picker.acceptReport(bed.createReport({ isOpen, isMapped }, countActive));
   }
 
-  function pick(id: number, arrivedMs: number): Obstacle | null {
+  function pick(id: number, arrivedMs: number): StartObstacle | null {
     const elapsedMs = clock.getNow() - arrivedMs;
     const picked = picker.pick({
-      service: SERVICE,
+      service: bed.service,
       excluded: new Set(),
-      gapMs: ROUTE.gapMs,
-      isLate: computeFreshMs(ROUTE, elapsedMs) === 0,
+      gapMs: streamRoute.gapMs,
+      isLate: computeFreshMs(streamRoute, elapsedMs) === 0,
     });
     if (picked.target === null) return picked.reason;
     picker.getStats(picked.target.id).recordSent(clock.getNow());
@@ -123,7 +55,7 @@
     const arrivedMs = clock.getNow();
     const obstacle = pick(id, arrivedMs);
     if (obstacle === null) return;
-    const wait = chooseStartWait(ROUTE, obstacle, 0, false);
+    const wait = chooseStartWait(streamRoute, obstacle, 0, false);
     if (wait.maxWaitMs === 0) refused.push(id);
     else {
       queue.enqueue(
@@ -184,14 +116,14 @@
   });
 
   it('send a few requests to a group that has just formed, together, until it has a map', () => {
-    const pickers = Array.from({ length: 8 }, () => createPicker(8));
-    const ranks = Array.from({ length: RANKS }, (_, rank) => ({
-      address: getAddress(rank),
-      active: 0,
-      queued: 0,
-    }));
-    const request = { service: SERVICE, excluded: new Set<string>(), gapMs: 120, isLate: false };
-    const report = { group: 'g', epoch: 2, isOpen: true, passMs: 0, isMapped: false, ranks };
+    const pickers = Array.from({ length: 8 }, () => bed.createPicker(8));
+    const request = {
+      service: bed.service,
+      excluded: new Set<string>(),
+      gapMs: 120,
+      isLate: false,
+    };
+    const report = bed.createReport({ epoch: 2 });
     let sent = 0;
     const sendAll = (): void => {
       for (const entry of pickers) {
@@ -252,14 +184,16 @@
 
 describe('chooseStartWait', () => {
   it('gives a stream that broke off a short wait for room, though its objective is used up', () => {
-    expect(chooseStartWait(ROUTE, 'overloaded', 1500, true).maxWaitMs).toBe(250);
-    expect(chooseStartWait(ROUTE, 'not_formed', 1500, true).maxWaitMs).toBe(250);
-    expect(chooseStartWait(ROUTE, 'overloaded', 1500, false).maxWaitMs).toBe(0);
+    expect(chooseStartWait(streamRoute, 'overloaded', 1500, true).maxWaitMs).toBe(250);
+    expect(chooseStartWait(streamRoute, 'not_formed', 1500, true).maxWaitMs).toBe(250);
+    expect(chooseStartWait(streamRoute, 'overloaded', 1500, false).maxWaitMs).toBe(0);
   });
 
   it('lets nothing wait where no target is there, nor what is no stream', () => {
-    expect(chooseStartWait(ROUTE, 'no_target', 0, false).maxWaitMs).toBe(0);
-    expect(chooseStartWait({ ...ROUTE, kind: 'safe' }, 'not_formed', 0, false).maxWaitMs).toBe(0);
+    expect(chooseStartWait(streamRoute, 'no_target', 0, false).maxWaitMs).toBe(0);
+    expect(
+      chooseStartWait({ ...streamRoute, kind: 'safe' }, 'not_formed', 0, false).maxWaitMs,
+    ).toBe(0);
   });
 });
 
--- a/packages/core/test/direct/limits.test.ts
+++ b/packages/core/test/direct/limits.test.ts
@@ -7,27 +7,11 @@
   SeededRandom,
   chooseRetryAfter,
   decideNextAttempt,
-  type DirectRoute,
 } from '../../src/index.js';
+import { streamRoute } from './support/streamRoute.js';
 
 const MAX_WAITING = 100;
 
-const STREAM: DirectRoute = {
-  name: 'r',
-  host: 'h',
-  prefix: '/a/',
-  kind: 'stream',
-  maxAttempts: 2,
-  timeoutMs: 8000,
-  objectiveMs: 500,
-  gapMs: 120,
-  priority: 1,
-  isPublic: false,
-  isResumable: true,
-  patienceMs: 2000,
-  services: [{ service: 's', weight: 1 }],
-};
-
 describe('ColdLimiter', () => {
   it('keeps the sum over eight entries under the rate that a cold target bears', () => {
     const clock = new ManualClock();
@@ -73,27 +57,29 @@
   const state = { sent: 1, unreachable: 0, leftMs: 500 };
 
   it('never repeats what may have run once on a route that must not', () => {
-    const unsafe = { ...STREAM, kind: 'unsafe' as const, maxAttempts: 3 };
+    const unsafe = { ...streamRoute, kind: 'unsafe' as const, maxAttempts: 3 };
     expect(decideNextAttempt(unsafe, { ...state, outcome: 'broken' })).toBe('give_up');
     expect(decideNextAttempt(unsafe, { ...state, outcome: 'failed' })).toBe('give_up');
     expect(decideNextAttempt(unsafe, { ...state, outcome: 'rejected' })).toBe('retry');
-    const plain = { ...STREAM, isResumable: false };
+    const plain = { ...streamRoute, isResumable: false };
     expect(decideNextAttempt(plain, { ...state, outcome: 'broken' })).toBe('give_up');
   });
 
   it('stops at the number of targets that the route allows', () => {
-    expect(decideNextAttempt(STREAM, { ...state, sent: 2, outcome: 'rejected' })).toBe('give_up');
-    expect(decideNextAttempt(STREAM, { ...state, outcome: 'broken' })).toBe('retry');
+    expect(decideNextAttempt(streamRoute, { ...state, sent: 2, outcome: 'rejected' })).toBe(
+      'give_up',
+    );
+    expect(decideNextAttempt(streamRoute, { ...state, outcome: 'broken' })).toBe('retry');
   });
 });
 
 describe('chooseRetryAfter', () => {
   it('sends callers back while they still have time, and apart from each other', () => {
     const random = new SeededRandom(7);
-    const waits = Array.from({ length: 100 }, () => chooseRetryAfter(STREAM, 'away', random));
+    const waits = Array.from({ length: 100 }, () => chooseRetryAfter(streamRoute, 'away', random));
     expect(Math.min(...waits)).toBeGreaterThanOrEqual(1200);
     expect(Math.max(...waits) - Math.min(...waits)).toBeGreaterThan(500);
-    const brief = { ...STREAM, timeoutMs: 800 };
+    const brief = { ...streamRoute, timeoutMs: 800 };
     for (let draw = 0; draw < 100; draw += 1) {
       expect(chooseRetryAfter(brief, 'away', random)).toBeLessThanOrEqual(800 / 3);
     }
--- /dev/null
+++ b/packages/core/test/direct/support/RankBed.ts
@@ -0,0 +1,83 @@
+import {
+  ColdLimiter,
+  SeededRandom,
+  TargetPicker,
+  TargetRegistry,
+  type Clock,
+  type DirectService,
+  type EngineModel,
+  type GroupReport,
+  type RankLoad,
+} from '../../../src/index.js';
+
+const ENGINE: EngineModel = {
+  capacity: 8,
+  stepMs: 4,
+  perSequenceMs: 1,
+  contextMsPerThousand: 0,
+  prefillTokensPerSecond: 60_000,
+  chunkTokens: 512,
+  stride: 4,
+  kvCapacity: 100_000,
+  usualPromptTokens: 800,
+  usualAnswerTokens: 96,
+  experts: { sets: 6, count: 64, slotsPerRank: 11, spareSlots: 4, copyMs: 148, workShare: 0.85 },
+};
+
+/** One group of model ranks as several entries see it; targets are named after their rank. */
+export class RankBed {
+  readonly service: DirectService = {
+    name: 's',
+    maxConnections: 100,
+    coldPerSecond: 0,
+    engine: ENGINE,
+  };
+
+  readonly engine = ENGINE;
+
+  readonly #clock: Clock;
+
+  readonly #ranks: number;
+
+  constructor(clock: Clock, ranks: number) {
+    this.#clock = clock;
+    this.#ranks = ranks;
+  }
+
+  /** Creates the picker of one of `entries` entries. */
+  createPicker(entries: number, seed = 3): TargetPicker {
+    const registry = new TargetRegistry(this.#clock);
+    for (let rank = 0; rank < this.#ranks; rank += 1) {
+      registry.accept({
+        id: String(rank),
+        service: this.service.name,
+        address: `10.0.0.${rank}:1`,
+        zone: 'a',
+        capacity: ENGINE.capacity,
+        isDraining: false,
+        coldLeftMs: 0,
+        bornMs: 1,
+      });
+    }
+    return new TargetPicker({
+      clock: this.#clock,
+      random: new SeededRandom(seed),
+      registry,
+      cold: new ColdLimiter(this.#clock),
+      countEntries: () => entries,
+    });
+  }
+
+  /** @param countActive requests in the batch of a rank */
+  createReport(
+    changes: Partial<GroupReport> = {},
+    countActive: (rank: number) => number = () => 0,
+  ): GroupReport {
+    const ranks: RankLoad[] = Array.from({ length: this.#ranks }, (_, rank) => ({
+      address: `10.0.0.${rank}:1`,
+      active: countActive(rank),
+      queued: 0,
+    }));
+    return { group: 'g', epoch: 1, isOpen: true, passMs: 0, isMapped: false, ranks, ...changes };
+  }
+}
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -10,9 +10,9 @@
   type DirectService,
   type DirectTarget,
   type ErrorKind,
-  type PickResult,
   type RequestHead,
   type RouteTable,
+  type StartObstacle,
 } from '@limpetbay/core';
 import type { DirectAnswer } from '@limpetbay/callers';
 import { AttemptRun } from './AttemptRun.js';
@@ -29,9 +29,6 @@
   readonly deadlineMs: number;
 }
 
-/** Why no target takes a request now. */
-type StartObstacle = Extract<PickResult, { target: null }>['reason'];
-
 /** Wait that is told with failures that a short pause may mend, milliseconds. */
 const RETRY_AFTER_MS = 200;
 
