--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -92,15 +92,12 @@
       this.#requests -= 1;
       if (!response.writableFinished) cancel?.();
     });
-    const watchBody = (): NodeJS.Timeout =>
-      setTimeout(() => {
-        if (!response.headersSent) answer.refuseSlow(fail('request_too_slow', 'body too slow').val);
-      }, this.#server.keepAliveTimeout);
-    let timer = watchBody();
+    const timer = setTimeout(() => {
+      if (!response.headersSent) answer.refuseSlow(fail('request_too_slow', 'body too slow').val);
+    }, this.#server.keepAliveTimeout);
     message.on('close', () => clearTimeout(timer));
     message.on('data', (chunk: Buffer) => {
-      clearTimeout(timer);
-      timer = watchBody();
+      timer.refresh();
       bytes += chunk.length;
       if (bytes <= this.#options.getMaxBodyBytes()) chunks.push(chunk);
       else if (!response.headersSent) {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -138,6 +138,7 @@
 export { TargetId } from './ids/TargetId.js';
 export { Workspace } from './ids/Workspace.js';
 export { Zone } from './ids/Zone.js';
+export { splitAddress } from './ids/splitAddress.js';
 export type { EngineSteps } from './mapswitch/EngineSteps.js';
 export type { ExpertCounts } from './mapswitch/ExpertCounts.js';
 export type { GroupPeers } from './mapswitch/GroupPeers.js';
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -6,6 +6,7 @@
   RetryBudget,
   TargetPicker,
   TargetRegistry,
+  splitAddress,
   type RequestHead,
 } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
@@ -144,10 +145,8 @@
       key: `${layout.entryPrefix}${options.self.name}`,
       record: options.self,
     });
-    const [peerHost = '', peerPort = '0'] = options.self.peerAddress.split(':');
     this.#socket = new PeerSocket({
-      host: peerHost,
-      port: Number(peerPort),
+      ...splitAddress(options.self.peerAddress),
       onMessage: (message) => {
         if (message.kind !== 'load') return;
         picker.acceptReport(message.report);
@@ -155,10 +154,8 @@
       },
       onError: (cause) => this.#log.warn('datagram lost', { cause }),
     });
-    const [host = '', port = '0'] = options.self.callerAddress.split(':');
     this.#server = new DirectServer({
-      host,
-      port: Number(port),
+      ...splitAddress(options.self.callerAddress),
       handler: this,
       readHead: (message) => codec.readRequest(message),
       getMaxBodyBytes: () => this.#view.getTable()?.config.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
@@ -257,13 +254,13 @@
     const isDue = nowMs - this.#lastSubscribeMs >= SUBSCRIBE_INTERVAL_MS;
     if (isDue) this.#lastSubscribeMs = nowMs;
     const agents = new Set<string>();
-    const [, peerPort] = this.#options.self.peerAddress.split(':');
+    const { port } = splitAddress(this.#options.self.peerAddress);
     for (const target of this.#registry.listAll()) {
       const engine = this.#view.getTable()?.findService(target.service)?.engine ?? null;
       if (engine === null) continue;
       // An agent that starts after this process has not heard of it yet.
       if (!isDue && !this.#parts.picker.isUnheard(target)) continue;
-      agents.add(`${target.address.split(':')[0]}:${peerPort}`);
+      agents.add(`${splitAddress(target.address).host}:${port}`);
     }
     this.#socket.send({ kind: 'subscribe' }, agents);
   }
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -1,4 +1,4 @@
-import type { EngineModel, RankStatus } from '@limpetbay/core';
+import { splitAddress, type EngineModel, type RankStatus } from '@limpetbay/core';
 import { PeerSocket, decodeUnits, encodeUnits, type PeerMessage } from '@limpetbay/rpc';
 import type { Log } from '@limpetbay/runtime';
 import { MapPlanner } from '../planner/MapPlanner.js';
@@ -388,7 +388,7 @@
       const peers = new Set<string>();
       for (const { address } of targets.val) {
         if (address === this.#options.rankAddress) continue;
-        peers.add(`${address.split(':')[0]}:${this.#options.peerPort}`);
+        peers.add(`${splitAddress(address).host}:${this.#options.peerPort}`);
       }
       this.#peers = [...peers];
       if (this.#members.count() === 0) this.#lastHelloMs = -Infinity;
--- a/packages/rpc/src/datagram/PeerSocket.ts
+++ b/packages/rpc/src/datagram/PeerSocket.ts
@@ -1,4 +1,5 @@
 import { createSocket, type Socket } from 'node:dgram';
+import { splitAddress } from '@limpetbay/core';
 import { PeerMessage } from './PeerMessage.js';
 
 interface PeerSocketOptions {
@@ -40,8 +41,8 @@
     if (this.#isClosed) return;
     const data = Buffer.from(JSON.stringify(message));
     for (const address of addresses) {
-      const [host, port] = address.split(':');
-      this.#socket.send(data, Number(port), host, (error) => {
+      const { host, port } = splitAddress(address);
+      this.#socket.send(data, port, host, (error) => {
         if (error !== null) this.#options.onError(`${address}: ${error.message}`);
       });
     }
--- a/packages/targets/src/direct/DirectChannel.ts
+++ b/packages/targets/src/direct/DirectChannel.ts
@@ -1,5 +1,6 @@
 import { Agent, request as openRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import { splitAddress } from '@limpetbay/core';
 import type { DirectCall } from './DirectCall.js';
 import type { DirectListener } from './DirectListener.js';
 
@@ -55,9 +56,9 @@
 
   /** @param address `IP:PORT` */
   constructor(address: string, events: ChannelEvents) {
-    const [host = '', port = '0'] = address.split(':');
+    const { host, port } = splitAddress(address);
     this.#host = host;
-    this.#port = Number(port);
+    this.#port = port;
     this.#events = events;
     this.#agent.on('free', (socket: Socket) => socket.on('data', this.#closeOnData));
   }
--- a/packages/targets/src/http/listHeaders.ts
+++ b/packages/targets/src/http/listHeaders.ts
@@ -1,23 +1,12 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Header } from '@limpetbay/core';
-
-const HOP_BY_HOP = new Set([
-  'connection',
-  'keep-alive',
-  'transfer-encoding',
-  'upgrade',
-  'trailer',
-  'te',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'date',
-]);
+import { hopByHopHeaders } from './hopByHopHeaders.js';
 
 /** Lists the headers that are passed on, without those that belong to one connection. */
 export function listHeaders(headers: IncomingHttpHeaders): Header[] {
   const list: Header[] = [];
   for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || HOP_BY_HOP.has(name)) continue;
+    if (value === undefined || hopByHopHeaders.has(name)) continue;
     for (const item of Array.isArray(value) ? value : [value]) list.push({ name, value: item });
   }
   return list;
