--- a/packages/core/src/barrierswitch/BarrierSwitch.ts
+++ b/packages/core/src/barrierswitch/BarrierSwitch.ts
@@ -111,6 +111,11 @@
     return this.#phase === 'done' || this.#phase === 'failed';
   }
 
+  /** Returns whether the holder may hold the boundary pass. */
+  isHolding(): boolean {
+    return this.#boundary !== null && !this.isFinished();
+  }
+
   /** Aborts the switch if it is still preparing; later phases need the orders that undo them. */
   abort(): void {
     if (this.#phase === 'preparing') this.#enter('failed');
--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -69,6 +69,9 @@
 
   #switchStartMs = 0;
 
+  /** When the group was first asked to hold a pass for the current switch; null before. */
+  #holdStartMs: number | null = null;
+
   /** Time since which a rank holds a pass without a switch of this process; null if none does. */
   #unexplainedHoldSinceMs: number | null = null;
 
@@ -288,16 +291,23 @@
 
   async #sendOrder(current: BarrierSwitch, rank: number, order: RankOrder): Promise<void> {
     const { epoch } = current;
-    const answer = (await this.#options.getRank(rank)?.order(order, epoch)) ?? 'lost';
+    const sentMs = this.#options.clock.getNow();
+    const handle = this.#options.getRank(rank);
+    const path = handle?.getPath() ?? 'none';
+    const answer = (await handle?.order(order, epoch)) ?? 'lost';
+    const ms = Math.round(this.#options.clock.getNow() - sentMs);
     this.#options.metrics.increase(
-      `limpetbay_orders_total{operation="${order.operation}",answer="${answer}"}`,
+      `limpetbay_orders_total{operation="${order.operation}",path="${path}",answer="${answer}"}`,
     );
+    this.#options.metrics.record(`limpetbay_order_ms{operation="${order.operation}"}`, ms);
     if (answer !== 'done') {
       this.#options.log.warn('order to a rank refused or unanswered', {
         rank,
         operation: order.operation,
         version: current.getVersion(),
+        path,
         answer,
+        ms,
       });
     }
     const previousPhase = current.getPhase();
@@ -309,6 +319,7 @@
   }
 
   #reportPhase(current: BarrierSwitch): void {
+    if (current.isHolding()) this.#holdStartMs ??= this.#options.clock.getNow();
     this.#options.log.report('map switch entered a new phase', {
       version: current.getVersion(),
       phase: current.getPhase(),
@@ -319,11 +330,16 @@
   #finishSwitch(current: BarrierSwitch): void {
     const ms = Math.round(this.#options.clock.getNow() - this.#switchStartMs);
     const isSuccessful = current.getPhase() === 'done';
+    const heldMs =
+      this.#holdStartMs === null ? 0 : Math.round(this.#options.clock.getNow() - this.#holdStartMs);
+    this.#holdStartMs = null;
+    this.#options.metrics.increase('limpetbay_held_ms_total', heldMs);
     this.#switch = null;
     this.#options.metrics.increase(`limpetbay_map_switches_total{done="${String(isSuccessful)}"}`);
     this.#options.log.report(isSuccessful ? 'expert map active' : 'map switch failed', {
       version: current.getVersion(),
       ms,
+      heldMs,
     });
     if (!isSuccessful || this.#map === null) return;
     const { epoch } = this.#map;
--- a/packages/rankagent/src/planner/RankHandle.ts
+++ b/packages/rankagent/src/planner/RankHandle.ts
@@ -2,6 +2,8 @@
 
 /** A rank of the group, as the planner reads it and sends it orders. */
 export interface RankHandle {
+  /** Returns how orders reach the rank now; `direct` means that its agent does not answer. */
+  getPath(): 'local' | 'agent' | 'direct';
   order(order: RankOrder, epoch: number): Promise<OrderAnswer>;
   /** Reads the status from the rank itself; used while its agent sends none. */
   pollStatus(): Promise<void>;
--- a/packages/rankagent/src/planner/RemoteRank.ts
+++ b/packages/rankagent/src/planner/RemoteRank.ts
@@ -49,9 +49,13 @@
     this.#pool = new DirectPool(options.agentAddress, options.clock);
   }
 
+  /** Returns whether orders go to the rank itself because its agent did not answer. */
+  isBypassed(): boolean {
+    return this.#options.clock.getNow() < this.#directUntilMs;
+  }
+
   async order(order: RankOrder, epoch: number): Promise<OrderAnswer> {
-    const { clock, direct } = this.#options;
-    if (clock.getNow() < this.#directUntilMs) return direct.order(order, epoch);
+    if (this.isBypassed()) return this.#options.direct.order(order, epoch);
     // Only a map is too large for a datagram, which costs a fraction of an HTTP call.
     return order.operation === 'prepare'
       ? this.#sendCall(order, epoch)
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -122,6 +122,11 @@
       host: options.host,
       port: options.peerPort,
       onMessage: (message, from) => this.#handleMessage(message, from),
+      onTraffic: (direction, kind, bytes) =>
+        options.metrics.increase(
+          `limpetbay_datagram_bytes_total{direction="${direction}",kind="${kind}"}`,
+          bytes,
+        ),
       onError: (cause) => this.#log.warn('datagram failed', { cause }),
     });
     this.#orders = new OrderClient(options.clock, (message, agent) =>
@@ -353,12 +358,12 @@
   }
 
   #openRank(rank: number, ownRank: number): RankHandle | null {
-    if (rank === ownRank) return this.#wrapRank(this.#rank, this.#rank);
+    if (rank === ownRank) return this.#wrapRank(this.#rank, this.#rank, () => 'local');
     const agent = this.#members.getAgent(rank);
     const address = this.#members.getRankAddress(rank);
     if (agent === null || address === null) return null;
     const existing = this.#remotes.get(agent);
-    if (existing?.address === address) return this.#wrapRank(existing.remote, existing.direct);
+    if (existing?.address === address) return this.#wrapRemote(existing);
     existing?.remote.close();
     const direct = this.#options.openRank(address);
     const remote = new RemoteRank({
@@ -368,8 +373,13 @@
       onStatus: (status) => this.#planner?.handleStatus(status),
       sendOrder: (to, order, epoch) => this.#orders.send(to, order, epoch),
     });
-    this.#remotes.set(agent, { address, direct, remote });
-    return this.#wrapRank(remote, direct);
+    const opened = { address, direct, remote };
+    this.#remotes.set(agent, opened);
+    return this.#wrapRemote(opened);
+  }
+
+  #wrapRemote({ remote, direct }: OpenRank): RankHandle {
+    return this.#wrapRank(remote, direct, () => (remote.isBypassed() ? 'direct' : 'agent'));
   }
 
   #closeRemotes(): void {
@@ -377,8 +387,13 @@
     this.#remotes.clear();
   }
 
-  #wrapRank(rank: Pick<RankControl, 'order' | 'readHeld'>, direct: RankControl): RankHandle {
+  #wrapRank(
+    rank: Pick<RankControl, 'order' | 'readHeld'>,
+    direct: RankControl,
+    getPath: RankHandle['getPath'],
+  ): RankHandle {
     return {
+      getPath,
       order: (order, epoch) => rank.order(order, epoch),
       readHeld: async () => {
         const held = await rank.readHeld();
--- a/packages/rpc/src/datagram/PeerSocket.ts
+++ b/packages/rpc/src/datagram/PeerSocket.ts
@@ -7,6 +7,8 @@
   readonly port: number;
   /** @param from `IP:PORT` of the sender */
   readonly onMessage: (message: PeerMessage, from: string) => void;
+  /** Called for each datagram with the size of its payload in bytes. */
+  readonly onTraffic?: (direction: 'in' | 'out', kind: PeerMessage['kind'], bytes: number) => void;
   /** Called for datagrams that fail to parse and for errors of the socket. */
   readonly onError: (cause: string) => void;
 }
@@ -47,6 +49,7 @@
     const data = Buffer.from(JSON.stringify(message));
     for (const address of addresses) {
       const { host, port } = splitAddress(address);
+      this.#options.onTraffic?.('out', message.kind, data.length);
       this.#socket.send(data, port, host, (error) => {
         if (error !== null) this.#options.onError(`${address}: ${error.message}`);
       });
@@ -67,6 +70,7 @@
       this.#options.onError(`${from}: ${(error as Error).message}`);
       return;
     }
+    this.#options.onTraffic?.('in', message.kind, data.length);
     this.#options.onMessage(message, from);
   }
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -5,6 +5,7 @@
 export { createLog } from './log/createLog.js';
 export { formatFields } from './log/formatFields.js';
 export { MetricRegistry } from './metrics/MetricRegistry.js';
+export { startCounterLog } from './metrics/startCounterLog.js';
 export { startMetricsServer } from './metrics/startMetricsServer.js';
 export type { EventLoop } from './process/EventLoop.js';
 export { PushSource } from './process/PushSource.js';
--- a/packages/runtime/src/metrics/MetricRegistry.ts
+++ b/packages/runtime/src/metrics/MetricRegistry.ts
@@ -41,6 +41,11 @@
     histogram.recordValue(Math.max(0, Math.round(value)));
   }
 
+  /** Lists the counters with their labels and values. */
+  listCounters(): [string, number][] {
+    return [...this.#counters];
+  }
+
   /** Formats all metrics as text, one `name value` pair per line. */
   format(): string {
     const lines: string[] = [];
