--- a/packages/rankagent/src/process/AgentServer.ts
+++ b/packages/rankagent/src/network/AgentServer.ts
@@ -1,18 +1,14 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { RankStatus } from '@limpetbay/core';
+import type { AgentCalls } from '../ports/AgentCalls.js';
 import { OrderRequest } from '../ports/OrderRequest.js';
-import type { OrderReply } from '../ports/OrderReply.js';
-import type { RankControl } from '../ports/RankControl.js';
 
 interface AgentServerOptions {
   readonly host: string;
   readonly port: number;
-  readonly rank: RankControl;
-  /** Reads the current status of the rank; null if it does not answer. */
-  readonly readStatus: () => Promise<RankStatus | null>;
+  readonly calls: AgentCalls;
 }
 
-/** HTTP server through which the planner of the group sends orders to this agent's rank. */
+/** HTTP server through which the planner of the group calls this agent. */
 export class AgentServer {
   readonly #options: AgentServerOptions;
 
@@ -46,7 +42,7 @@
   ): Promise<void> {
     if (request.method === 'POST' && request.url === '/order') await this.#order(response, body);
     else if (request.method === 'GET' && request.url === '/held') {
-      const held = await this.#options.rank.readHeld();
+      const held = await this.#options.calls.readHeld();
       if (held.ok) writeJson(response, 200, held.val);
       else writeJson(response, 502, held.val);
     } else writeJson(response, 404, {});
@@ -60,9 +56,9 @@
       writeJson(response, 400, { cause: (error as Error).message });
       return;
     }
-    const answer = await this.#options.rank.order(call.order, call.epoch);
-    const reply: OrderReply = { answer, status: await this.#options.readStatus() };
-    writeJson(response, 200, reply);
+    const reply = await this.#options.calls.order(call.order, call.epoch);
+    if (reply.ok) writeJson(response, 200, reply.val);
+    else writeJson(response, 502, reply.val);
   }
 }
 
--- /dev/null
+++ b/packages/rankagent/src/network/HttpAgent.ts
@@ -0,0 +1,43 @@
+import { Ok, fail, type Clock, type Failure, type RankOrder, type Result } from '@limpetbay/core';
+import { DirectPool, requestJson } from '@limpetbay/targets';
+import type { z } from 'zod';
+import { HeldReply } from '../ports/HeldReply.js';
+import { OrderReply } from '../ports/OrderReply.js';
+import type { RemoteAgent } from '../ports/RemoteAgent.js';
+
+/** Agents answer in a few milliseconds, but wait for the rank, which may not answer. */
+const CALL_TIMEOUT_MS = 200;
+
+/** Calls to the HTTP server of another agent. */
+export class HttpAgent implements RemoteAgent {
+  readonly #pool: DirectPool;
+
+  /** @param address `IP:PORT` */
+  constructor(address: string, clock: Clock) {
+    this.#pool = new DirectPool(address, clock);
+  }
+
+  order(order: RankOrder, epoch: number): Promise<Result<OrderReply, Failure>> {
+    return this.#call('POST', '/order', OrderReply, { order, epoch });
+  }
+
+  readHeld(): Promise<Result<HeldReply, Failure>> {
+    return this.#call('GET', '/held', HeldReply);
+  }
+
+  close(): void {
+    this.#pool.close();
+  }
+
+  async #call<Schema extends z.ZodType>(
+    method: string,
+    url: string,
+    schema: Schema,
+    body?: unknown,
+  ): Promise<Result<z.infer<Schema>, Failure>> {
+    const answer = await requestJson(this.#pool, { method, url, body, timeoutMs: CALL_TIMEOUT_MS });
+    if (answer.err) return answer;
+    const reply = schema.safeParse(answer.val.body);
+    return reply.success ? Ok(reply.data) : fail('outcome_unknown', reply.error.message);
+  }
+}
--- /dev/null
+++ b/packages/rankagent/src/network/SocketNetwork.ts
@@ -0,0 +1,41 @@
+import type { Clock } from '@limpetbay/core';
+import { PeerSocket } from '@limpetbay/rpc';
+import type { AgentCalls } from '../ports/AgentCalls.js';
+import type { PeerNetwork } from '../ports/PeerNetwork.js';
+import type { PeerTransport } from '../ports/PeerTransport.js';
+import type { PeerTransportEvents } from '../ports/PeerTransportEvents.js';
+import type { RemoteAgent } from '../ports/RemoteAgent.js';
+import { AgentServer } from './AgentServer.js';
+import { HttpAgent } from './HttpAgent.js';
+
+interface SocketNetworkOptions {
+  readonly clock: Clock;
+  /** Address and port of this agent, for datagrams and for calls. */
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Network of the operating system: datagrams over UDP, calls over HTTP. */
+export class SocketNetwork implements PeerNetwork {
+  readonly #options: SocketNetworkOptions;
+
+  constructor(options: SocketNetworkOptions) {
+    this.#options = options;
+  }
+
+  openTransport(events: PeerTransportEvents): PeerTransport {
+    const { host, port } = this.#options;
+    return new PeerSocket({ host, port, ...events });
+  }
+
+  async serve(calls: AgentCalls): Promise<() => void> {
+    const { host, port } = this.#options;
+    const server = new AgentServer({ host, port, calls });
+    await server.start();
+    return () => server.close();
+  }
+
+  openAgent(address: string): RemoteAgent {
+    return new HttpAgent(address, this.#options.clock);
+  }
+}
--- a/packages/rankagent/src/planner/RemoteRank.ts
+++ b/packages/rankagent/src/planner/RemoteRank.ts
@@ -1,22 +1,13 @@
-import {
-  Ok,
-  fail,
-  type Clock,
-  type Failure,
-  type OrderAnswer,
-  type RankOrder,
-  type RankStatus,
-  type Result,
-} from '@limpetbay/core';
-import { DirectPool, requestJson } from '@limpetbay/targets';
-import { OrderReply } from '../ports/OrderReply.js';
-import { HeldReply } from '../ports/HeldReply.js';
+import type { Clock, Failure, OrderAnswer, RankOrder, RankStatus, Result } from '@limpetbay/core';
+import type { HeldReply } from '../ports/HeldReply.js';
 import type { RankControl } from '../ports/RankControl.js';
+import type { RemoteAgent } from '../ports/RemoteAgent.js';
 
 interface RemoteRankOptions {
   readonly clock: Clock;
   /** `IP:PORT` of the rank's agent. */
   readonly agentAddress: string;
+  readonly agent: RemoteAgent;
   /** The rank itself, used while its agent does not answer. */
   readonly direct: RankControl;
   readonly onStatus: (status: RankStatus) => void;
@@ -24,9 +15,6 @@
   readonly sendOrder: (agent: string, order: RankOrder, epoch: number) => Promise<OrderAnswer>;
 }
 
-/** Agents answer in a few milliseconds, but wait for the rank, which may not answer. */
-const CALL_TIMEOUT_MS = 200;
-
 /** Time for which orders go to the rank itself after its agent did not answer, milliseconds. */
 const AGENT_BYPASS_MS = 1000;
 
@@ -37,8 +25,6 @@
 export class RemoteRank {
   readonly #options: RemoteRankOptions;
 
-  readonly #pool: DirectPool;
-
   #directUntilMs = -Infinity;
 
   /** Unanswered orders in a row. */
@@ -46,7 +32,6 @@
 
   constructor(options: RemoteRankOptions) {
     this.#options = options;
-    this.#pool = new DirectPool(options.agentAddress, options.clock);
   }
 
   /** Returns whether orders go to the rank itself because its agent did not answer. */
@@ -71,34 +56,23 @@
   }
 
   async #sendCall(order: RankOrder, epoch: number): Promise<OrderAnswer> {
-    const { clock, onStatus } = this.#options;
-    const answer = await requestJson(this.#pool, {
-      method: 'POST',
-      url: '/order',
-      body: { order, epoch },
-      timeoutMs: CALL_TIMEOUT_MS,
-    });
-    const reply = answer.ok ? OrderReply.safeParse(answer.val.body) : null;
-    if (reply === null || !reply.success) {
+    const { clock, agent, onStatus } = this.#options;
+    const reply = await agent.order(order, epoch);
+    if (reply.err) {
       this.#directUntilMs = clock.getNow() + AGENT_BYPASS_MS;
       return 'lost';
     }
-    if (reply.data.status !== null) onStatus(reply.data.status);
-    return reply.data.answer;
+    const { answer, status } = reply.val;
+    if (status !== null) onStatus(status);
+    return answer;
   }
 
   async readHeld(): Promise<Result<HeldReply, Failure>> {
-    const answer = await requestJson(this.#pool, {
-      method: 'GET',
-      url: '/held',
-      timeoutMs: CALL_TIMEOUT_MS,
-    });
-    if (answer.err) return this.#options.direct.readHeld();
-    const reply = HeldReply.safeParse(answer.val.body);
-    return reply.success ? Ok(reply.data) : fail('outcome_unknown', reply.error.message);
+    const held = await this.#options.agent.readHeld();
+    return held.ok ? held : this.#options.direct.readHeld();
   }
 
   close(): void {
-    this.#pool.close();
+    this.#options.agent.close();
   }
 }
--- /dev/null
+++ b/packages/rankagent/src/ports/PeerTransport.ts
@@ -0,0 +1,13 @@
+import type { PeerMessage } from '@limpetbay/rpc';
+
+/** Datagram socket of an agent. */
+export interface PeerTransport {
+  start(): Promise<void>;
+  /**
+   * Sends a message without confirmation of delivery.
+   *
+   * @param addresses `IP:PORT` of the receivers
+   */
+  send(message: PeerMessage, addresses: Iterable<string>): void;
+  close(): void;
+}
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -1,12 +1,12 @@
-import { splitAddress, type EngineModel, type RankStatus } from '@limpetbay/core';
-import { PeerSocket, decodeUnits, encodeUnits, type PeerMessage } from '@limpetbay/rpc';
+import { Ok, splitAddress, type EngineModel, type RankStatus } from '@limpetbay/core';
+import { decodeUnits, encodeUnits, type PeerMessage } from '@limpetbay/rpc';
 import type { Log } from '@limpetbay/runtime';
 import { MapPlanner } from '../planner/MapPlanner.js';
 import { OrderClient } from '../planner/OrderClient.js';
 import type { RankHandle } from '../planner/RankHandle.js';
 import { RemoteRank } from '../planner/RemoteRank.js';
+import type { PeerTransport } from '../ports/PeerTransport.js';
 import type { RankControl } from '../ports/RankControl.js';
-import { AgentServer } from './AgentServer.js';
 import { GroupMembers } from './GroupMembers.js';
 import { PassTimeEstimator } from './PassTimeEstimator.js';
 import type { RankAgentOptions } from './RankAgentOptions.js';
@@ -65,9 +65,10 @@
 
   readonly #rank: RankControl;
 
-  readonly #socket: PeerSocket;
+  readonly #socket: PeerTransport;
 
-  readonly #server: AgentServer;
+  /** Stops answering calls of other agents; null until the server has started. */
+  #stopServing: (() => void) | null = null;
 
   readonly #members: GroupMembers;
 
@@ -118,9 +119,7 @@
     this.#log = options.createLog('agent');
     this.#rank = options.openRank(options.rankAddress);
     this.#members = new GroupMembers(options.clock);
-    this.#socket = new PeerSocket({
-      host: options.host,
-      port: options.peerPort,
+    this.#socket = options.network.openTransport({
       onMessage: (message, from) => this.#handleMessage(message, from),
       onTraffic: (direction, kind, bytes) =>
         options.metrics.increase(
@@ -132,17 +131,17 @@
     this.#orders = new OrderClient(options.clock, (message, agent) =>
       this.#socket.send(message, [agent]),
     );
-    this.#server = new AgentServer({
-      host: options.host,
-      port: options.peerPort,
-      rank: this.#rank,
-      readStatus: () => this.#readStatus(),
-    });
   }
 
   async start(): Promise<void> {
     await this.#socket.start();
-    await this.#server.start();
+    this.#stopServing = await this.#options.network.serve({
+      order: async (order, epoch) => {
+        const answer = await this.#rank.order(order, epoch);
+        return Ok({ answer, status: await this.#readStatus() });
+      },
+      readHeld: () => this.#rank.readHeld(),
+    });
     this.#log.report('started', { rank: this.#options.rankAddress });
     void this.#run();
   }
@@ -150,7 +149,7 @@
   stop(): void {
     this.#isStopped = true;
     this.#closeRemotes();
-    this.#server.close();
+    this.#stopServing?.();
     this.#socket.close();
     this.#log.report('stopped');
   }
@@ -369,6 +368,7 @@
     const remote = new RemoteRank({
       clock: this.#options.clock,
       agentAddress: agent,
+      agent: this.#options.network.openAgent(agent),
       direct,
       onStatus: (status) => this.#planner?.handleStatus(status),
       sendOrder: (to, order, epoch) => this.#orders.send(to, order, epoch),
--- a/packages/rankagent/src/process/RankAgentOptions.ts
+++ b/packages/rankagent/src/process/RankAgentOptions.ts
@@ -1,5 +1,6 @@
 import type { Clock, DirectTarget, EngineModel, Failure, Result } from '@limpetbay/core';
 import type { Log, MetricRegistry } from '@limpetbay/runtime';
+import type { PeerNetwork } from '../ports/PeerNetwork.js';
 import type { RankControl } from '../ports/RankControl.js';
 
 /** Settings and dependencies of a {@link RankAgent}. */
@@ -8,8 +9,8 @@
   readonly metrics: MetricRegistry;
   /** Creates the log of a component; the prefix names it. */
   readonly createLog: (prefix: string) => Log;
-  /** Address at which other agents reach this process; `peerPort` is the same for all agents. */
-  readonly host: string;
+  readonly network: PeerNetwork;
+  /** Port at which agents reach each other; the same for all. */
   readonly peerPort: number;
   /** `IP:PORT` of the rank that this agent serves. */
   readonly rankAddress: string;
--- a/packages/rankagent/test/RankAgent.test.ts
+++ b/packages/rankagent/test/RankAgent.test.ts
@@ -11,7 +11,7 @@
 import { MetricRegistry, RealClock, type Log } from '@limpetbay/runtime';
 import { PeerSocket } from '@limpetbay/rpc';
 import { SimGroup } from '@limpetbay/standins';
-import { RankAgent, type RankAgentOptions, type RankControl } from '../src/index.js';
+import { RankAgent, SocketNetwork, type RankAgentOptions, type RankControl } from '../src/index.js';
 
 const GROUP_SIZE = 4;
 const SET_COUNT = 2;
@@ -180,7 +180,7 @@
       clock: new RealClock(),
       metrics: new MetricRegistry(),
       createLog: () => createTestLog(warnings),
-      host: getHost(rank),
+      network: new SocketNetwork({ clock: new RealClock(), host: getHost(rank), port: PEER_PORT }),
       peerPort: PEER_PORT,
       rankAddress: addresses[rank] ?? '',
       openRank: (address) => fixture.openRank(addresses.indexOf(address), address),
