--- a/packages/rankagent/src/network/HttpAgent.ts
+++ b/packages/rankagent/src/network/HttpAgent.ts
@@ -5,9 +5,6 @@
 import { OrderReply } from '../ports/OrderReply.js';
 import type { RemoteAgent } from '../ports/RemoteAgent.js';
 
-/** Agents answer in a few milliseconds, but wait for the rank, which may not answer. */
-const CALL_TIMEOUT_MS = 200;
-
 /** Calls to the HTTP server of another agent. */
 export class HttpAgent implements RemoteAgent {
   readonly #pool: DirectPool;
@@ -17,12 +14,12 @@
     this.#pool = new DirectPool(address, clock);
   }
 
-  order(order: RankOrder, epoch: number): Promise<Result<OrderReply, Failure>> {
-    return this.#call('POST', '/order', OrderReply, { order, epoch });
+  order(order: RankOrder, epoch: number, timeoutMs: number): Promise<Result<OrderReply, Failure>> {
+    return this.#call('POST', '/order', OrderReply, timeoutMs, { order, epoch });
   }
 
-  readHeld(): Promise<Result<HeldReply, Failure>> {
-    return this.#call('GET', '/held', HeldReply);
+  readHeld(timeoutMs: number): Promise<Result<HeldReply, Failure>> {
+    return this.#call('GET', '/held', HeldReply, timeoutMs);
   }
 
   close(): void {
@@ -33,9 +30,10 @@
     method: string,
     url: string,
     schema: Schema,
+    timeoutMs: number,
     body?: unknown,
   ): Promise<Result<z.infer<Schema>, Failure>> {
-    const answer = await requestJson(this.#pool, { method, url, body, timeoutMs: CALL_TIMEOUT_MS });
+    const answer = await requestJson(this.#pool, { method, url, body, timeoutMs });
     if (answer.err) return answer;
     const reply = schema.safeParse(answer.val.body);
     return reply.success ? Ok(reply.data) : fail('outcome_unknown', reply.error.message);
--- a/packages/rankagent/src/planner/RemoteRank.ts
+++ b/packages/rankagent/src/planner/RemoteRank.ts
@@ -15,6 +15,9 @@
   readonly sendOrder: (agent: string, order: RankOrder, epoch: number) => Promise<OrderAnswer>;
 }
 
+/** Agents answer in a few milliseconds, but wait for the rank, which may not answer. */
+const CALL_TIMEOUT_MS = 200;
+
 /** Time for which orders go to the rank itself after its agent did not answer, milliseconds. */
 const AGENT_BYPASS_MS = 1000;
 
@@ -57,7 +60,7 @@
 
   async #sendCall(order: RankOrder, epoch: number): Promise<OrderAnswer> {
     const { clock, agent, onStatus } = this.#options;
-    const reply = await agent.order(order, epoch);
+    const reply = await agent.order(order, epoch, CALL_TIMEOUT_MS);
     if (reply.err) {
       this.#directUntilMs = clock.getNow() + AGENT_BYPASS_MS;
       return 'lost';
@@ -68,7 +71,7 @@
   }
 
   async readHeld(): Promise<Result<HeldReply, Failure>> {
-    const held = await this.#options.agent.readHeld();
+    const held = await this.#options.agent.readHeld(CALL_TIMEOUT_MS);
     return held.ok ? held : this.#options.direct.readHeld();
   }
 
--- a/packages/rankagent/src/ports/RemoteAgent.ts
+++ b/packages/rankagent/src/ports/RemoteAgent.ts
@@ -1,6 +1,10 @@
-import type { AgentCalls } from './AgentCalls.js';
+import type { Failure, RankOrder, Result } from '@limpetbay/core';
+import type { HeldReply } from './HeldReply.js';
+import type { OrderReply } from './OrderReply.js';
 
-/** Connection to another agent. */
-export interface RemoteAgent extends AgentCalls {
+/** Calls to another agent; each fails if no complete reply arrives within `timeoutMs`. */
+export interface RemoteAgent {
+  order(order: RankOrder, epoch: number, timeoutMs: number): Promise<Result<OrderReply, Failure>>;
+  readHeld(timeoutMs: number): Promise<Result<HeldReply, Failure>>;
   close(): void;
 }
--- /dev/null
+++ b/packages/rankagent/test/support/SimDeployment.ts
@@ -0,0 +1,186 @@
+import {
+  Ok,
+  fail,
+  type Clock,
+  type DirectTarget,
+  type EngineModel,
+  type GroupReport,
+  type RankStatus,
+} from '@limpetbay/core';
+import { MetricRegistry, type Log } from '@limpetbay/runtime';
+import { RankAgent, type RankControl } from '../../src/index.js';
+import { SimExpertGroup } from './SimExpertGroup.js';
+import type { SimHost } from './SimHost.js';
+import { SimNetwork } from './SimNetwork.js';
+
+interface DeploymentShape {
+  readonly ranks: number;
+  readonly sets: number;
+  readonly experts: number;
+  readonly slotsPerRank: number;
+  readonly entries: number;
+  readonly agentBitsPerSecond: number;
+  readonly entryBitsPerSecond: number;
+}
+
+const PEER_PORT = 7340;
+
+const ENGINE_PORT = 8000;
+
+/** Interval at which entries renew their subscriptions to load reports, milliseconds. */
+const SUBSCRIBE_INTERVAL_MS = 1000;
+
+/** Time limits of calls to the engine of another machine, milliseconds. */
+const DIRECT_ORDER_TIMEOUT_MS = 60;
+const DIRECT_READ_TIMEOUT_MS = 120;
+
+const NOOP_LOG: Log = { report: () => {}, warn: () => {}, alert: () => {} };
+
+/**
+ * One group with its agents and the entries that subscribe to its load reports, on a simulated
+ * network. `clock` must be the time of the timers.
+ */
+export class SimDeployment {
+  readonly network: SimNetwork;
+
+  readonly group: SimExpertGroup;
+
+  readonly agentHosts: SimHost[] = [];
+
+  readonly metrics = new MetricRegistry();
+
+  /** Load reports that the entries received. */
+  readonly reports: { readonly receivedMs: number; readonly report: GroupReport }[] = [];
+
+  readonly #clock: Clock;
+
+  readonly #shape: DeploymentShape;
+
+  readonly #agents: RankAgent[] = [];
+
+  constructor(clock: Clock, shape: DeploymentShape, seed: number) {
+    this.#clock = clock;
+    this.#shape = shape;
+    this.network = new SimNetwork(clock);
+    this.group = new SimExpertGroup(
+      clock,
+      { size: shape.ranks, sets: shape.sets, experts: shape.experts },
+      seed,
+    );
+  }
+
+  async start(): Promise<void> {
+    for (let rank = 0; rank < this.#shape.ranks; rank += 1) {
+      const address = `10.0.0.${rank + 1}`;
+      const host = this.network.addHost(`${address}:${PEER_PORT}`, this.#shape.agentBitsPerSecond);
+      this.agentHosts.push(host);
+    }
+    for (let entry = 0; entry < this.#shape.entries; entry += 1) this.#startEntry(entry);
+    this.group.start();
+    for (const rank of this.agentHosts.keys()) await this.#startAgent(rank);
+  }
+
+  stop(): void {
+    for (const agent of this.#agents) agent.stop();
+  }
+
+  async #startAgent(rank: number): Promise<void> {
+    const { ranks, sets, experts, slotsPerRank } = this.#shape;
+    const host = this.agentHosts[rank] as SimHost;
+    const targets = Array.from({ length: ranks }, (_, index) => ({
+      address: getEngineAddress(index),
+    }));
+    const agent = new RankAgent({
+      clock: this.#clock,
+      metrics: this.metrics,
+      createLog: () => NOOP_LOG,
+      network: host,
+      peerPort: PEER_PORT,
+      rankAddress: getEngineAddress(rank),
+      openRank: (address) => this.#openRank(host, address),
+      listTargets: () => Promise.resolve(Ok(targets as DirectTarget[])),
+      readModel: () => Promise.resolve(Ok(createModel(sets, experts, slotsPerRank))),
+    });
+    this.#agents.push(agent);
+    await agent.start();
+  }
+
+  #startEntry(entry: number): void {
+    const address = `10.0.1.${entry + 1}:${PEER_PORT}`;
+    const host = this.network.addHost(address, this.#shape.entryBitsPerSecond);
+    const transport = host.openTransport({
+      onMessage: (message) => {
+        if (message.kind !== 'load') return;
+        this.reports.push({ receivedMs: this.#clock.getNow(), report: message.report });
+      },
+      onTraffic: () => {},
+      onError: () => {},
+    });
+    const subscribe = (): void => {
+      const agents = this.agentHosts.map((agent) => agent.address);
+      transport.send({ kind: 'subscribe' }, agents);
+      setTimeout(subscribe, SUBSCRIBE_INTERVAL_MS);
+    };
+    subscribe();
+  }
+
+  /** Opens the engine of a rank; from another machine every call crosses the network. */
+  #openRank(host: SimHost, address: string): RankControl {
+    const rank = this.agentHosts.findIndex((_, index) => getEngineAddress(index) === address);
+    const local = this.#openLocalRank(rank, address);
+    const owner = this.agentHosts[rank] as SimHost;
+    if (owner === host) return local;
+    return {
+      readStatus: () =>
+        host.call(owner.address, {}, DIRECT_READ_TIMEOUT_MS, () => local.readStatus()),
+      readCounts: () => Promise.resolve(fail('outcome_unknown', 'not read from other machines')),
+      readHeld: () => host.call(owner.address, {}, DIRECT_READ_TIMEOUT_MS, () => local.readHeld()),
+      order: async (order, epoch) => {
+        const answer = await host.call(owner.address, order, DIRECT_ORDER_TIMEOUT_MS, async () =>
+          Ok(await local.order(order, epoch)),
+        );
+        return answer.ok ? answer.val : 'lost';
+      },
+    };
+  }
+
+  #openLocalRank(rank: number, address: string): RankControl {
+    const { group } = this.group;
+    return {
+      readStatus: () => {
+        const status: RankStatus = { ...group.readStatus(rank), address, active: 7, queued: 2 };
+        return Promise.resolve(Ok(status));
+      },
+      readCounts: () => Promise.resolve(Ok({ counts: this.group.readCounts(rank) })),
+      readHeld: () =>
+        Promise.resolve(
+          Ok({
+            version: group.ranks[rank]?.map ?? 0,
+            sets: this.group.experts[rank] ?? [],
+          }),
+        ),
+      order: (order, epoch) =>
+        Promise.resolve(epoch === group.epoch ? this.group.apply(rank, order) : 'refused'),
+    };
+  }
+}
+
+function getEngineAddress(rank: number): string {
+  return `10.0.0.${rank + 1}:${ENGINE_PORT}`;
+}
+
+function createModel(sets: number, experts: number, slotsPerRank: number): EngineModel {
+  return {
+    capacity: 7,
+    stepMs: 4.55,
+    perSequenceMs: 1.09,
+    contextMsPerThousand: 0.022,
+    prefillTokensPerSecond: 61_400,
+    chunkTokens: 512,
+    stride: 5,
+    kvCapacity: 163_333,
+    usualPromptTokens: 800,
+    usualAnswerTokens: 95,
+    experts: { sets, count: experts, slotsPerRank, spareSlots: 2, copyMs: 37, workShare: 0.85 },
+  };
+}
--- /dev/null
+++ b/packages/rankagent/test/support/SimExpertGroup.ts
@@ -0,0 +1,171 @@
+import { SeededRandom, type Clock, type RankOrder, type OrderAnswer } from '@limpetbay/core';
+import { SimGroup } from '@limpetbay/standins';
+
+interface GroupShape {
+  readonly size: number;
+  readonly sets: number;
+  readonly experts: number;
+}
+
+/** Time of a pass with evenly loaded ranks, milliseconds. */
+const EVEN_PASS_MS = 50;
+
+/** Fraction of a pass that the experts take. */
+const EXPERT_SHARE = 0.85;
+
+/** Passes until a rank has loaded a prepared map. */
+const LOAD_PASSES = 2;
+
+/** Expert choices that a rank counts in one pass, by set. */
+const CHOICES_PER_PASS = 4000;
+
+/** Exponent of the popularity of experts (Zipf's law). */
+const POPULARITY_EXPONENT = 0.8;
+
+/** Fraction of the experts that exchange their popularity when demand shifts. */
+const SHIFTED_FRACTION = 0.78;
+
+/**
+ * Lock-step group whose passes take as long as its most loaded rank. It stands for a model under
+ * full load whose demand for experts shifts abruptly.
+ */
+export class SimExpertGroup {
+  readonly group: SimGroup;
+
+  /** Active experts by rank and set. */
+  readonly experts: number[][][];
+
+  /** Time for which a hold kept the group from beginning the next pass, milliseconds. */
+  heldMs = 0;
+
+  /** Times at which a new map became active, milliseconds. */
+  readonly mapTimesMs: number[] = [];
+
+  /** Slowest rank relative to the mean rank, summed over all passes, and their number. */
+  skewSum = 0;
+
+  passes = 0;
+
+  readonly #clock: Clock;
+
+  readonly #shape: GroupShape;
+
+  readonly #random: SeededRandom;
+
+  readonly #prepared = new Map<string, number[][]>();
+
+  readonly #counts: number[][];
+
+  /** Fraction of the choices by set and expert. */
+  #popularity: number[][];
+
+  constructor(clock: Clock, shape: GroupShape, seed: number) {
+    const { size, sets, experts } = shape;
+    this.#clock = clock;
+    this.#shape = shape;
+    this.#random = new SeededRandom(seed);
+    this.group = new SimGroup(size, LOAD_PASSES);
+    this.experts = Array.from({ length: size }, (_, rank) =>
+      Array.from({ length: sets }, () =>
+        Array.from({ length: experts / size }, (__, slot) => slot * size + rank),
+      ),
+    );
+    this.#counts = Array.from({ length: size }, () => new Array<number>(sets * experts).fill(0));
+    this.#popularity = Array.from({ length: sets }, () => this.#drawPopularity());
+  }
+
+  start(): void {
+    this.#runPass();
+  }
+
+  /** Gives most experts the popularity of others. */
+  shiftDemand(): void {
+    for (const shares of this.#popularity) {
+      const moved = [...shares.keys()].filter(() => this.#random.next() < SHIFTED_FRACTION);
+      const values = moved.map((expert) => shares[expert] ?? 0);
+      shuffle(values, this.#random);
+      for (const [index, expert] of moved.entries()) shares[expert] = values[index] ?? 0;
+    }
+  }
+
+  readCounts(rank: number): number[] {
+    return [...(this.#counts[rank] ?? [])];
+  }
+
+  apply(rank: number, order: RankOrder): OrderAnswer {
+    if (order.operation === 'prepare') {
+      this.#prepared.set(
+        `${rank}/${order.version}`,
+        order.sets.map((ranks) => ranks[rank] ?? []),
+      );
+    }
+    return this.group.apply(rank, order);
+  }
+
+  #runPass(): void {
+    const oldMaps = this.group.ranks.map(({ map }) => map);
+    this.group.tick();
+    if (this.group.stalledTicks > 0) {
+      this.heldMs += 1;
+      setTimeout(() => this.#runPass(), 1);
+      return;
+    }
+    for (const [rank, { map }] of this.group.ranks.entries()) {
+      if (map !== oldMaps[rank]) this.experts[rank] = this.#prepared.get(`${rank}/${map}`) ?? [];
+    }
+    if (this.group.ranks[0]?.map !== oldMaps[0]) this.mapTimesMs.push(this.#clock.getNow());
+    this.#countChoices();
+    const skew = this.#computeSkew();
+    this.skewSum += skew;
+    this.passes += 1;
+    const passMs = EVEN_PASS_MS * (1 - EXPERT_SHARE + EXPERT_SHARE * skew);
+    setTimeout(() => this.#runPass(), passMs);
+  }
+
+  #countChoices(): void {
+    for (const counts of this.#counts) {
+      for (const [set, shares] of this.#popularity.entries()) {
+        for (const [expert, share] of shares.entries()) {
+          const index = set * this.#shape.experts + expert;
+          const choices = CHOICES_PER_PASS * share * (0.5 + this.#random.next());
+          counts[index] = (counts[index] ?? 0) + Math.round(choices);
+        }
+      }
+    }
+  }
+
+  #computeSkew(): number {
+    let sum = 0;
+    for (const [set, shares] of this.#popularity.entries()) {
+      const copies = new Array<number>(shares.length).fill(0);
+      for (const sets of this.experts) {
+        for (const expert of sets[set] ?? []) copies[expert] = (copies[expert] ?? 0) + 1;
+      }
+      let slowest = 0;
+      for (const sets of this.experts) {
+        let load = 0;
+        for (const expert of sets[set] ?? []) load += (shares[expert] ?? 0) / (copies[expert] ?? 1);
+        slowest = Math.max(slowest, load);
+      }
+      sum += slowest * this.#shape.size;
+    }
+    return sum / this.#popularity.length;
+  }
+
+  #drawPopularity(): number[] {
+    const weights = Array.from(
+      { length: this.#shape.experts },
+      (_, place) => (place + 1) ** -POPULARITY_EXPONENT,
+    );
+    shuffle(weights, this.#random);
+    const sum = weights.reduce((total, weight) => total + weight, 0);
+    return weights.map((weight) => weight / sum);
+  }
+}
+
+function shuffle(values: number[], random: SeededRandom): void {
+  for (let index = values.length - 1; index > 0; index -= 1) {
+    const other = Math.floor(random.next() * (index + 1));
+    [values[index], values[other]] = [values[other] as number, values[index] as number];
+  }
+}
