Test: a group of 32 ranks on slow links (fails)

The load of a large deployment without the network: 32 agents with links of 5.6 Mbit/s, 12 sets of 128 experts, 37 entries, demand that shifts every 3.7 s.

--- a/packages/rankagent/test/largeGroup.test.ts
+++ b/packages/rankagent/test/largeGroup.test.ts
@@ -1,8 +1,7 @@
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { SimDeployment } from './support/SimDeployment.js';
 import { SimTimers } from './support/SimTimers.js';
 
-/** A full group of a large deployment: its agents have 5.6 Mbit/s, its planner serves 37 entries. */
 const SHAPE = {
   ranks: 32,
   sets: 12,
@@ -19,15 +18,20 @@
 
 const SHIFTS = 3;
 
-describe('a group of 32 ranks whose demand shifts every 3.7 s', () => {
+const PERIOD_MS = SHIFT_INTERVAL_MS * (SHIFTS + 1);
+
+/** Slowest simulation that is accepted on a busy machine, milliseconds. */
+const SIMULATION_TIMEOUT_MS = 120_000;
+
+// The load of a large deployment: a busy group of 32 ranks with 12 sets of 128 experts, whose demand
+// shifts every 3.7 s, agents with links of 5.6 Mbit/s, and 37 entries.
+describe('a group of 32 ranks with slow links and 37 entries', () => {
   const timers = new SimTimers();
-  let deployment: SimDeployment;
+  const deployment = new SimDeployment(timers, SHAPE, SEED);
   const shiftTimesMs: number[] = [];
 
-  beforeEach(async () => {
+  beforeAll(async () => {
     timers.install();
-    shiftTimesMs.length = 0;
-    deployment = new SimDeployment(timers, SHAPE, SEED);
     await deployment.start();
     for (let shift = 0; shift < SHIFTS; shift += 1) {
       await timers.advance(SHIFT_INTERVAL_MS);
@@ -35,34 +39,38 @@
       shiftTimesMs.push(timers.getNow());
     }
     await timers.advance(SHIFT_INTERVAL_MS);
-  }, 120_000);
+  }, SIMULATION_TIMEOUT_MS);
 
-  afterEach(() => {
+  afterAll(() => {
     deployment.stop();
     timers.uninstall();
   });
 
-  // Guards against orders that are lost on a full link while the group is held.
-  it('has a new map a third of the interval after each shift, with passes held under 5%', () => {
-    const periodMs = SHIFT_INTERVAL_MS * (SHIFTS + 1);
-    const { group, agentHosts } = deployment;
-    const delaysMs = shiftTimesMs.map(
-      (shiftMs) => (group.mapTimesMs.find((timeMs) => timeMs > shiftMs) ?? Infinity) - shiftMs,
-    );
-    console.log({
-      delaysMs,
-      maps: group.mapTimesMs.length,
-      held: group.heldMs,
-      skew: group.skewSum / group.passes,
-      passes: group.passes,
-      up: agentHosts[0]?.uplink.getUse(periodMs),
-      down: agentHosts[0]?.downlink.getUse(periodMs),
-      traffic: agentHosts[0]?.traffic,
-      reports: deployment.reports.length,
-      counters: deployment.metrics.listCounters().filter(([n]) => n.includes('orders')),
-    });
-    expect(Math.max(...delaysMs)).toBeLessThan(SHIFT_INTERVAL_MS / 3);
-    expect(group.heldMs).toBeLessThan(0.05 * periodMs);
-    expect(group.group.mixedPasses).toBe(0);
+  // Guards against maps that arrive when the next shift of demand is already due.
+  it('has a new map within a third of the time between two shifts', () => {
+    for (const shiftMs of shiftTimesMs) {
+      const activeMs = deployment.group.mapTimesMs.find((timeMs) => timeMs > shiftMs) ?? Infinity;
+      expect(activeMs - shiftMs).toBeLessThan(SHIFT_INTERVAL_MS / 3);
+    }
+  });
+
+  // Guards against a group that is held while its planner waits for answers on a full link.
+  it('is held for less than 5% of the time and runs no pass with two maps', () => {
+    expect(deployment.group.heldMs).toBeLessThan(0.05 * PERIOD_MS);
+    expect(deployment.group.group.mixedPasses).toBe(0);
+  });
+
+  // Guards against counts, statuses and reports that grow with the group until they fill the link.
+  it('leaves half of the link of every agent free', () => {
+    for (const { uplink, downlink } of deployment.agentHosts) {
+      expect(uplink.getUse(PERIOD_MS)).toBeLessThan(0.5);
+      expect(downlink.getUse(PERIOD_MS)).toBeLessThan(0.5);
+    }
+  });
+
+  // Guards against entries that lose sight of a group because its reports became too rare.
+  it('reports its load to each entry at least twice a second', () => {
+    const reportsPerEntry = deployment.reports.length / SHAPE.entries;
+    expect(reportsPerEntry).toBeGreaterThan((2 * PERIOD_MS) / 1000);
   });
 });
