Bound the flows at the planner of a group by its link

Cause: the planning agent received the counts of all ranks and sent load reports to all entries ten times a second, whatever the numbers of ranks, experts and entries. Orders and their answers were lost behind them while the group was held.

The ranks now take turns with their counts, as many in an interval as fit in a quarter of the link; counts are one byte each, loads eight bytes a rank; statuses and reports follow the numbers of their receivers, and a changed state is still sent at once. Idle ranks send no counts.

--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -9,7 +9,7 @@
   splitAddress,
   type RequestHead,
 } from '@limpetbay/core';
-import { PeerSocket } from '@limpetbay/rpc';
+import { PeerSocket, decodeLoads } from '@limpetbay/rpc';
 import type { Log } from '@limpetbay/runtime';
 import { DirectPool } from '@limpetbay/targets';
 import { EntryLease } from '../feed/EntryLease.js';
@@ -149,7 +149,7 @@
       ...splitAddress(options.self.peerAddress),
       onMessage: (message) => {
         if (message.kind !== 'load') return;
-        picker.handleReport(message.report);
+        picker.handleReport({ ...message.report, ranks: decodeLoads(message.ranks) });
         this.#requestContext.queue.advance();
       },
       onError: (cause) => this.#log.warn('datagram failed', { cause }),
--- a/packages/rankagent/src/index.ts
+++ b/packages/rankagent/src/index.ts
@@ -18,3 +18,4 @@
 export { PassTimeEstimator } from './process/PassTimeEstimator.js';
 export { RankAgent } from './process/RankAgent.js';
 export type { RankAgentOptions } from './process/RankAgentOptions.js';
+export { TrafficBudget } from './process/TrafficBudget.js';
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -1,5 +1,5 @@
 import { Ok, splitAddress, type EngineModel, type RankStatus } from '@limpetbay/core';
-import { decodeUnits, encodeUnits, type PeerMessage } from '@limpetbay/rpc';
+import { decodeUnits, encodeLoads, encodeUnits, type PeerMessage } from '@limpetbay/rpc';
 import type { Log } from '@limpetbay/runtime';
 import { MapPlanner } from '../planner/MapPlanner.js';
 import { OrderClient } from '../planner/OrderClient.js';
@@ -10,6 +10,7 @@
 import { GroupMembers } from './GroupMembers.js';
 import { PassTimeEstimator } from './PassTimeEstimator.js';
 import type { RankAgentOptions } from './RankAgentOptions.js';
+import { TrafficBudget } from './TrafficBudget.js';
 
 /** Interval at which the rank is read; a pass takes about half of it, milliseconds. */
 const TICK_MS = 100;
@@ -74,6 +75,8 @@
 
   readonly #orders: OrderClient;
 
+  readonly #budget: TrafficBudget;
+
   readonly #passTimes = new PassTimeEstimator();
 
   /** Other ranks of the group, by the address of their agent. */
@@ -99,6 +102,16 @@
 
   #lastCountsReadMs = -Infinity;
 
+  /** Number of intervals of counts since the start. */
+  #countsIntervals = 0;
+
+  #lastStatusMs = -Infinity;
+
+  /** Status that was last sent to a planner, and the agent of that planner. */
+  #sentStatus: { readonly status: RankStatus; readonly to: string } | null = null;
+
+  #lastReportMs = -Infinity;
+
   #lastTargetsReadMs = -Infinity;
 
   #nextModelReadMs = -Infinity;
@@ -119,6 +132,7 @@
     this.#log = options.createLog('agent');
     this.#rank = options.openRank(options.rankAddress);
     this.#members = new GroupMembers(options.clock);
+    this.#budget = new TrafficBudget(options.linkBitsPerSecond);
     this.#socket = options.network.openTransport({
       onMessage: (message, from) => this.#handleMessage(message, from),
       onTraffic: (direction, kind, bytes) =>
@@ -192,7 +206,7 @@
     if (isIntervalOver) {
       this.#lastCountsReadMs = nowMs;
       await this.#forwardCounts(status, planner);
-      if (planner === status.rank) this.#sendLoad(status);
+      if (planner === status.rank) this.#sendLoad(status, nowMs);
     }
     this.#plan(status, planner, isIntervalOver);
   }
@@ -247,6 +261,7 @@
     this.#planner = null;
     this.#isPlanning = false;
     this.#counts = null;
+    this.#sentStatus = null;
     this.#lastTargetsReadMs = -Infinity;
   }
 
@@ -254,7 +269,11 @@
     const isPlanning = planner === status.rank;
     const receivers = new Set<string>();
     const agent = this.#members.getAgent(planner);
-    if (agent !== null) receivers.add(agent);
+    if (agent !== null && this.#isStatusDue(status, agent, nowMs)) {
+      this.#lastStatusMs = nowMs;
+      this.#sentStatus = { status, to: agent };
+      receivers.add(agent);
+    }
     if (isPlanning && nowMs - this.#lastPlannerStatusMs >= PLANNER_STATUS_INTERVAL_MS) {
       this.#lastPlannerStatusMs = nowMs;
       for (const member of this.#members.listAgents()) receivers.add(member);
@@ -269,9 +288,20 @@
     this.#socket.send({ kind: 'status', status, isPlanning }, receivers);
   }
 
-  #sendLoad(status: RankStatus): void {
-    const ranks = [status, ...this.#members.listStatuses()];
-    this.#sendReport(status, ranks, this.#listSubscribers());
+  /** Returns whether the planner should be sent the status now. */
+  #isStatusDue(status: RankStatus, to: string, nowMs: number): boolean {
+    const sent = this.#sentStatus;
+    if (sent?.to !== to || hasChangedState(sent.status, status)) return true;
+    const intervalMs = Math.max(TICK_MS, this.#budget.getStatusIntervalMs(status.size));
+    return nowMs - this.#lastStatusMs >= intervalMs;
+  }
+
+  #sendLoad(status: RankStatus, nowMs: number): void {
+    const subscribers = this.#listSubscribers();
+    const intervalMs = this.#budget.getReportIntervalMs(status.size, subscribers.length);
+    if (nowMs - this.#lastReportMs < intervalMs) return;
+    this.#lastReportMs = nowMs;
+    this.#sendReport(status, [status, ...this.#members.listStatuses()], subscribers);
   }
 
   #listSubscribers(): string[] {
@@ -290,10 +320,9 @@
     receivers: readonly string[],
   ): void {
     if (receivers.length === 0) return;
-    const ranks = statuses.map(({ address, active, queued }) => ({ address, active, queued }));
     const isMapped = size === 1 || this.#planner?.hasSuitableMap() === true;
-    const report = { group, epoch, isOpen, passMs, isMapped, ranks };
-    this.#socket.send({ kind: 'load', report }, receivers);
+    const report = { group, epoch, isOpen, passMs, isMapped };
+    this.#socket.send({ kind: 'load', report, ranks: encodeLoads(statuses) }, receivers);
   }
 
   /** Sends a new subscriber the state of this rank at once; later loads come from the planner. */
@@ -317,6 +346,12 @@
     const increases = counts.map((count, index) => count - (previous[index] ?? 0));
     // A restarted rank counts from 0 again.
     if (increases.some((count) => count < 0)) return;
+    this.#countsIntervals += 1;
+    const period = this.#budget.getCountsPeriod(status.size, counts.length, TICK_MS);
+    // Ranks take turns, each with the counts of its latest interval only: the demand of earlier
+    // ones may have shifted, and those of other ranks have represented them.
+    if ((this.#countsIntervals + status.rank) % period !== 0) return;
+    if (increases.every((count) => count === 0)) return;
     if (planner === status.rank) this.#planner?.addCounts(increases);
     else {
       const agent = this.#members.getAgent(planner);
@@ -477,6 +512,18 @@
   }
 }
 
+/** Returns whether the planner waits for the difference between two statuses. */
+function hasChangedState(before: RankStatus, after: RankStatus): boolean {
+  return (
+    before.epoch !== after.epoch ||
+    before.isOpen !== after.isOpen ||
+    before.map !== after.map ||
+    before.prepared !== after.prepared ||
+    before.armed?.version !== after.armed?.version ||
+    before.held !== after.held
+  );
+}
+
 /** Returns whether the rank loads a map or is about to switch to one. */
 function isSwitching(status: RankStatus | null): boolean {
   if (status === null) return false;
--- a/packages/rankagent/src/process/RankAgentOptions.ts
+++ b/packages/rankagent/src/process/RankAgentOptions.ts
@@ -10,6 +10,8 @@
   /** Creates the log of a component; the prefix names it. */
   readonly createLog: (prefix: string) => Log;
   readonly network: PeerNetwork;
+  /** Bandwidth of the link of an agent, bits per second; the same for all agents of a group. */
+  readonly linkBitsPerSecond: number;
   /** Port at which agents reach each other; the same for all. */
   readonly peerPort: number;
   /** `IP:PORT` of the rank that this agent serves. */
--- a/packages/rankagent/test/RankAgent.test.ts
+++ b/packages/rankagent/test/RankAgent.test.ts
@@ -9,7 +9,7 @@
   type RankStatus,
 } from '@limpetbay/core';
 import { MetricRegistry, RealClock, type Log } from '@limpetbay/runtime';
-import { PeerSocket } from '@limpetbay/rpc';
+import { PeerSocket, decodeLoads } from '@limpetbay/rpc';
 import { SimGroup } from '@limpetbay/standins';
 import { RankAgent, SocketNetwork, type RankAgentOptions, type RankControl } from '../src/index.js';
 
@@ -182,6 +182,7 @@
       createLog: () => createTestLog(warnings),
       network: new SocketNetwork({ clock: new RealClock(), host: getHost(rank), port: PEER_PORT }),
       peerPort: PEER_PORT,
+      linkBitsPerSecond: 100_000_000,
       rankAddress: addresses[rank] ?? '',
       openRank: (address) => fixture.openRank(addresses.indexOf(address), address),
       listTargets: () => Promise.resolve(Ok(targets)),
@@ -245,8 +246,8 @@
       port: PEER_PORT,
       onMessage: (message) => {
         if (message.kind !== 'load') return;
-        const { ranks, isOpen } = message.report;
-        for (const { address } of ranks) states.set(address, isOpen);
+        const { isOpen } = message.report;
+        for (const { address } of decodeLoads(message.ranks)) states.set(address, isOpen);
       },
       onError: () => {},
     });
--- a/packages/rankagent/test/largeGroup.test.ts
+++ b/packages/rankagent/test/largeGroup.test.ts
@@ -70,7 +70,7 @@
 
   // Guards against entries that lose sight of a group because its reports became too rare.
   it('reports its load to each entry at least twice a second', () => {
-    const reportsPerEntry = deployment.reports.length / SHAPE.entries;
+    const reportsPerEntry = deployment.reportTimesMs.length / SHAPE.entries;
     expect(reportsPerEntry).toBeGreaterThan((2 * PERIOD_MS) / 1000);
   });
 });
--- a/packages/rankagent/test/support/SimDeployment.ts
+++ b/packages/rankagent/test/support/SimDeployment.ts
@@ -4,7 +4,6 @@
   type Clock,
   type DirectTarget,
   type EngineModel,
-  type GroupReport,
   type RankStatus,
 } from '@limpetbay/core';
 import { MetricRegistry, type Log } from '@limpetbay/runtime';
@@ -49,8 +48,8 @@
 
   readonly metrics = new MetricRegistry();
 
-  /** Load reports that the entries received. */
-  readonly reports: { readonly receivedMs: number; readonly report: GroupReport }[] = [];
+  /** Times at which the entries received load reports, milliseconds. */
+  readonly reportTimesMs: number[] = [];
 
   readonly #clock: Clock;
 
@@ -96,6 +95,7 @@
       createLog: () => NOOP_LOG,
       network: host,
       peerPort: PEER_PORT,
+      linkBitsPerSecond: this.#shape.agentBitsPerSecond,
       rankAddress: getEngineAddress(rank),
       openRank: (address) => this.#openRank(host, address),
       listTargets: () => Promise.resolve(Ok(targets as DirectTarget[])),
@@ -111,7 +111,7 @@
     const transport = host.openTransport({
       onMessage: (message) => {
         if (message.kind !== 'load') return;
-        this.reports.push({ receivedMs: this.#clock.getNow(), report: message.report });
+        this.reportTimesMs.push(this.#clock.getNow());
       },
       onTraffic: () => {},
       onError: () => {},
--- a/packages/rankagent/test/support/SimExpertGroup.ts
+++ b/packages/rankagent/test/support/SimExpertGroup.ts
@@ -82,8 +82,10 @@
   shiftDemand(): void {
     for (const shares of this.#popularity) {
       const moved = [...shares.keys()].filter(() => this.#random.next() < SHIFTED_FRACTION);
-      const values = moved.map((expert) => shares[expert] ?? 0);
-      shuffle(values, this.#random);
+      const values = shuffle(
+        moved.map((expert) => shares[expert] ?? 0),
+        this.#random,
+      );
       for (const [index, expert] of moved.entries()) shares[expert] = values[index] ?? 0;
     }
   }
@@ -157,15 +159,12 @@
       { length: this.#shape.experts },
       (_, place) => (place + 1) ** -POPULARITY_EXPONENT,
     );
-    shuffle(weights, this.#random);
     const sum = weights.reduce((total, weight) => total + weight, 0);
-    return weights.map((weight) => weight / sum);
+    return shuffle(weights, this.#random).map((weight) => weight / sum);
   }
 }
 
-function shuffle(values: number[], random: SeededRandom): void {
-  for (let index = values.length - 1; index > 0; index -= 1) {
-    const other = Math.floor(random.next() * (index + 1));
-    [values[index], values[other]] = [values[other] as number, values[index] as number];
-  }
+function shuffle(values: readonly number[], random: SeededRandom): number[] {
+  const keys = values.map((value) => ({ value, key: random.next() }));
+  return keys.sort((a, b) => a.key - b.key).map(({ value }) => value);
 }
--- a/packages/rpc/src/datagram/PeerMessage.ts
+++ b/packages/rpc/src/datagram/PeerMessage.ts
@@ -18,7 +18,7 @@
     rank: z.number().int().nonnegative(),
     /** Number of choices that one unit in `units` represents. */
     scale: z.number().positive(),
-    /** Base64 of unsigned 16-bit little-endian integers, one set after another. */
+    /** Base64 of one byte per count, one set after another. */
     units: z.string(),
   }),
   /** Order of a planner for the rank that the receiver manages; the answer repeats `id`. */
@@ -34,7 +34,12 @@
     answer: z.enum(['done', 'refused', 'lost']),
   }),
   /** Loads of the ranks of one group, sent by its planner. */
-  z.object({ kind: z.literal('load'), report: GroupReport }),
+  z.object({
+    kind: z.literal('load'),
+    report: GroupReport.omit({ ranks: true }),
+    /** Loads of the ranks, as `encodeLoads` encodes them. */
+    ranks: z.string(),
+  }),
   /** Requests load messages for the next few seconds. */
   z.object({ kind: z.literal('subscribe') }),
 ]);
--- /dev/null
+++ b/packages/rpc/src/datagram/decodeLoads.ts
@@ -0,0 +1,19 @@
+import type { RankLoad } from '@limpetbay/core';
+import { loadBytes } from './loadBytes.js';
+
+/** Decodes loads that `encodeLoads` encoded; an incomplete last one is ignored. */
+export function decodeLoads(text: string): RankLoad[] {
+  const bytes = Buffer.from(text, 'base64');
+  const loads: RankLoad[] = [];
+  for (let start = 0; start + loadBytes.total <= bytes.length; start += loadBytes.total) {
+    const portOffset = start + loadBytes.host;
+    const activeOffset = portOffset + loadBytes.port;
+    const host = bytes.subarray(start, portOffset).join('.');
+    loads.push({
+      address: `${host}:${bytes.readUInt16BE(portOffset)}`,
+      active: bytes.readUInt8(activeOffset),
+      queued: bytes.readUInt8(activeOffset + loadBytes.active),
+    });
+  }
+  return loads;
+}
