--- a/packages/core/src/barrierswitch/OrderAnswer.ts
+++ b/packages/core/src/barrierswitch/OrderAnswer.ts
@@ -1,3 +1,5 @@
+import { z } from 'zod';
+
 /**
  * Result of an order to a rank.
  *
@@ -5,4 +7,6 @@
  * - `refused`: not carried out.
  * - `lost`: unanswered; the order may still be carried out seconds later.
  */
-export type OrderAnswer = 'done' | 'refused' | 'lost';
+export const OrderAnswer = z.enum(['done', 'refused', 'lost']);
+
+export type OrderAnswer = z.infer<typeof OrderAnswer>;
--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -3,11 +3,15 @@
   BarrierSwitch,
   type Clock,
   type EngineModel,
+  createInitialMap,
+  diffMaps,
   type ExpertSets,
+  type MapOrder,
   type RankOrder,
   type RankStatus,
 } from '@limpetbay/core';
 import type { Log, MetricRegistry } from '@limpetbay/runtime';
+import { computeMapDigest } from '../process/computeMapDigest.js';
 import type { RankHandle } from './RankHandle.js';
 
 interface MapPlannerOptions {
@@ -37,6 +41,9 @@
 /** The plan after a shift of demand is due this much earlier, at the end of the next interval. */
 const SHIFT_PLAN_ADVANCE_MS = 10;
 
+/** A larger difference of maps is not smaller than the map and exceeds a datagram. */
+const MAX_DELTA_COPIES = 400;
+
 /** Plans the expert maps of the group of this agent's rank and runs the switches to them. */
 export class MapPlanner {
   readonly #options: MapPlannerOptions;
@@ -55,6 +62,9 @@
 
   #switchSets: ExpertSets = [];
 
+  /** Short forms of the orders to prepare the maps of the current switch, by version. */
+  readonly #mapOrders = new Map<number, MapOrder>();
+
   /** Whether the active map suits the demand; false while that is unknown. */
   #hasSuitableMap = false;
 
@@ -265,6 +275,10 @@
     const firstVersion = (Math.floor(highestVersion / (2 * size)) + 1) * 2 * size;
     const version = firstVersion + this.#options.ownRank;
     this.#lastVersion = version + size;
+    const rollbackSets = this.#map?.sets ?? [];
+    this.#mapOrders.clear();
+    this.#addMapOrder(version, sets, size);
+    this.#addMapOrder(version + size, rollbackSets, size);
     return {
       epoch: statuses[0]?.epoch ?? 0,
       size,
@@ -272,10 +286,20 @@
       version,
       sets,
       rollbackVersion: version + size,
-      rollbackSets: this.#map?.sets ?? [],
+      rollbackSets,
     };
   }
 
+  #addMapOrder(version: number, sets: ExpertSets, size: number): void {
+    if (this.#map === null || this.#model === null) return;
+    const baseVersion = this.#map.version;
+    const { sets: setCount, count } = this.#model;
+    const base = baseVersion === 0 ? createInitialMap(setCount, count, size) : this.#map.sets;
+    const delta = diffMaps(base, sets);
+    if (delta.added.length + delta.removed.length > MAX_DELTA_COPIES) return;
+    this.#mapOrders.set(version, { version, baseVersion, delta, digest: computeMapDigest(sets) });
+  }
+
   #advanceSwitch(current: BarrierSwitch): void {
     const own = this.#statuses.get(this.#options.ownRank)?.status;
     const elapsedMs = this.#options.clock.getNow() - this.#switchStartMs;
@@ -294,7 +318,9 @@
     const sentMs = this.#options.clock.getNow();
     const handle = this.#options.getRank(rank);
     const path = handle?.getPath() ?? 'none';
-    const answer = (await handle?.order(order, epoch)) ?? 'lost';
+    const mapOrder =
+      order.operation === 'prepare' ? (this.#mapOrders.get(order.version) ?? null) : null;
+    const answer = (await handle?.order(order, epoch, mapOrder)) ?? 'lost';
     const ms = Math.round(this.#options.clock.getNow() - sentMs);
     this.#options.metrics.increase(
       `limpetbay_orders_total{operation="${order.operation}",path="${path}",answer="${answer}"}`,
@@ -359,7 +385,9 @@
     const sets: number[][][] = [];
     for (const [rank, reply] of replies.entries()) {
       if (reply === null || reply.version !== first.map) return;
-      for (const [set, experts] of reply.sets.entries()) (sets[set] ??= [])[rank] = experts;
+      for (const [set, experts] of reply.sets.entries()) {
+        (sets[set] ??= [])[rank] = [...experts].sort((a, b) => a - b);
+      }
     }
     this.#map = { version: first.map, epoch: first.epoch, sets };
     // A group starts with map 0, which is built without knowledge of the demand.
--- a/packages/rankagent/src/planner/RankHandle.ts
+++ b/packages/rankagent/src/planner/RankHandle.ts
@@ -1,10 +1,11 @@
-import type { OrderAnswer, RankOrder } from '@limpetbay/core';
+import type { MapOrder, OrderAnswer, RankOrder } from '@limpetbay/core';
 
 /** A rank of the group, as the planner reads it and sends it orders. */
 export interface RankHandle {
   /** Returns how orders reach the rank now; `direct` means that its agent does not answer. */
   getPath(): 'local' | 'agent' | 'direct';
-  order(order: RankOrder, epoch: number): Promise<OrderAnswer>;
+  /** @param mapOrder short form of an order to prepare a map */
+  order(order: RankOrder, epoch: number, mapOrder: MapOrder | null): Promise<OrderAnswer>;
   /** Reads the status from the rank itself; used while its agent sends none. */
   pollStatus(): Promise<void>;
   /** Reads the rank's experts by set and the version of its map; null if that failed. */
--- a/packages/rankagent/src/planner/RemoteRank.ts
+++ b/packages/rankagent/src/planner/RemoteRank.ts
@@ -1,7 +1,17 @@
-import type { Clock, Failure, OrderAnswer, RankOrder, RankStatus, Result } from '@limpetbay/core';
+import type {
+  Clock,
+  Failure,
+  MapOrder,
+  OrderAnswer,
+  RankOrder,
+  RankStatus,
+  Result,
+} from '@limpetbay/core';
 import type { HeldReply } from '../ports/HeldReply.js';
 import type { RankControl } from '../ports/RankControl.js';
 import type { RemoteAgent } from '../ports/RemoteAgent.js';
+import type { CallQueue } from './CallQueue.js';
+import type { OrderClient } from './OrderClient.js';
 
 interface RemoteRankOptions {
   readonly clock: Clock;
@@ -10,9 +20,12 @@
   readonly agent: RemoteAgent;
   /** The rank itself, used while its agent does not answer. */
   readonly direct: RankControl;
+  readonly orders: OrderClient;
+  /** Orders that carry a whole map; shared by all ranks. */
+  readonly mapCalls: CallQueue;
   readonly onStatus: (status: RankStatus) => void;
-  /** Sends an order as a datagram. @returns `lost` if no answer arrived in time */
-  readonly sendOrder: (agent: string, order: RankOrder, epoch: number) => Promise<OrderAnswer>;
+  /** Returns when a message of the agent last arrived, monotonic milliseconds. */
+  readonly getLastHeardMs: () => number;
 }
 
 /** Agents answer in a few milliseconds, but wait for the rank, which may not answer. */
@@ -21,8 +34,8 @@
 /** Time for which orders go to the rank itself after its agent did not answer, milliseconds. */
 const AGENT_BYPASS_MS = 1000;
 
-/** Unanswered orders in a row after which the agent counts as unresponsive. */
-const MAX_UNANSWERED = 3;
+/** Unanswered orders in a row after which an agent is bypassed although its messages arrive. */
+const MAX_UNANSWERED = 4;
 
 /** A rank that another agent serves; it is called directly while that agent is unresponsive. */
 export class RemoteRank {
@@ -42,32 +55,28 @@
     return this.#options.clock.getNow() < this.#directUntilMs;
   }
 
-  async order(order: RankOrder, epoch: number): Promise<OrderAnswer> {
-    if (this.isBypassed()) return this.#options.direct.order(order, epoch);
-    // Only a map is too large for a datagram, which costs a fraction of an HTTP call.
-    return order.operation === 'prepare'
-      ? this.#sendCall(order, epoch)
-      : this.#sendDatagram(order, epoch);
-  }
-
-  async #sendDatagram(order: RankOrder, epoch: number): Promise<OrderAnswer> {
-    const { clock, agentAddress, sendOrder } = this.#options;
-    const answer = await sendOrder(agentAddress, order, epoch);
-    this.#unanswered = answer === 'lost' ? this.#unanswered + 1 : 0;
-    if (this.#unanswered >= MAX_UNANSWERED) this.#directUntilMs = clock.getNow() + AGENT_BYPASS_MS;
-    return answer;
-  }
-
-  async #sendCall(order: RankOrder, epoch: number): Promise<OrderAnswer> {
-    const { clock, agent, onStatus } = this.#options;
-    const reply = await agent.order(order, epoch, CALL_TIMEOUT_MS);
-    if (reply.err) {
-      this.#directUntilMs = clock.getNow() + AGENT_BYPASS_MS;
-      return 'lost';
+  /** @param mapOrder short form of an order to prepare a map, for agents that know its base */
+  async order(
+    order: RankOrder,
+    epoch: number,
+    mapOrder: MapOrder | null = null,
+  ): Promise<OrderAnswer> {
+    const { orders, agentAddress, mapCalls } = this.#options;
+    if (this.isBypassed()) return this.#sendDirect(order, epoch);
+    if (order.operation !== 'prepare') {
+      const answer = await this.#evaluate(() =>
+        orders.send(agentAddress, { kind: 'order', epoch, order }),
+      );
+      // Only orders to prepare a map have a base.
+      return answer === 'unknown_base' ? 'lost' : answer;
     }
-    const { answer, status } = reply.val;
-    if (status !== null) onStatus(status);
-    return answer;
+    if (mapOrder !== null) {
+      const answer = await this.#evaluate(() =>
+        orders.send(agentAddress, { kind: 'map_order', epoch, order: mapOrder }),
+      );
+      if (answer !== 'unknown_base') return answer;
+    }
+    return mapCalls.run(() => this.#evaluate(() => this.#call(order, epoch)));
   }
 
   async readHeld(): Promise<Result<HeldReply, Failure>> {
@@ -78,4 +87,37 @@
   close(): void {
     this.#options.agent.close();
   }
+
+  /** Bypasses the agent if an order stayed unanswered while the agent was silent. */
+  async #evaluate<Answer>(send: () => Promise<Answer | null>): Promise<Answer | 'lost'> {
+    const { clock, getLastHeardMs } = this.#options;
+    const sentMs = clock.getNow();
+    const answer = await send();
+    if (answer !== null) {
+      this.#unanswered = 0;
+      return answer;
+    }
+    this.#unanswered += 1;
+    // An agent that is heard answers late because of a full link, which more connections would fill.
+    const isSilent = getLastHeardMs() < sentMs;
+    if (isSilent || this.#unanswered >= MAX_UNANSWERED) {
+      this.#directUntilMs = clock.getNow() + AGENT_BYPASS_MS;
+    }
+    return 'lost';
+  }
+
+  #sendDirect(order: RankOrder, epoch: number): Promise<OrderAnswer> {
+    const { direct, mapCalls } = this.#options;
+    if (order.operation !== 'prepare') return direct.order(order, epoch);
+    return mapCalls.run(() => direct.order(order, epoch));
+  }
+
+  async #call(order: RankOrder, epoch: number): Promise<OrderAnswer | null> {
+    const { agent, onStatus } = this.#options;
+    const reply = await agent.order(order, epoch, CALL_TIMEOUT_MS);
+    if (reply.err) return null;
+    const { answer, status } = reply.val;
+    if (status !== null) onStatus(status);
+    return answer;
+  }
 }
--- a/packages/rankagent/src/process/GroupMembers.ts
+++ b/packages/rankagent/src/process/GroupMembers.ts
@@ -63,6 +63,14 @@
     return this.#members.get(rank)?.status.address ?? null;
   }
 
+  /** Returns when an agent last sent a status, monotonic milliseconds. */
+  getLastHeardMs(agent: string): number {
+    for (const member of this.#members.values()) {
+      if (member.agent === agent) return member.receivedMs;
+    }
+    return -Infinity;
+  }
+
   count(): number {
     return this.#members.size;
   }
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -1,6 +1,17 @@
-import { Ok, splitAddress, type EngineModel, type RankStatus } from '@limpetbay/core';
+import {
+  Ok,
+  applyMapDelta,
+  createInitialMap,
+  splitAddress,
+  type EngineModel,
+  type ExpertSets,
+  type OrderAnswer,
+  type RankOrder,
+  type RankStatus,
+} from '@limpetbay/core';
 import { decodeUnits, encodeLoads, encodeUnits, type PeerMessage } from '@limpetbay/rpc';
 import type { Log } from '@limpetbay/runtime';
+import { CallQueue } from '../planner/CallQueue.js';
 import { MapPlanner } from '../planner/MapPlanner.js';
 import { OrderClient } from '../planner/OrderClient.js';
 import type { RankHandle } from '../planner/RankHandle.js';
@@ -8,9 +19,11 @@
 import type { PeerTransport } from '../ports/PeerTransport.js';
 import type { RankControl } from '../ports/RankControl.js';
 import { GroupMembers } from './GroupMembers.js';
+import { MapCache } from './MapCache.js';
 import { PassTimeEstimator } from './PassTimeEstimator.js';
 import type { RankAgentOptions } from './RankAgentOptions.js';
 import { TrafficBudget } from './TrafficBudget.js';
+import { computeMapDigest } from './computeMapDigest.js';
 
 /** Interval at which the rank is read; a pass takes about half of it, milliseconds. */
 const TICK_MS = 100;
@@ -75,6 +88,11 @@
 
   readonly #orders: OrderClient;
 
+  readonly #mapCalls = new CallQueue();
+
+  /** Maps that this rank was ordered to prepare. */
+  readonly #maps = new MapCache();
+
   readonly #budget: TrafficBudget;
 
   readonly #passTimes = new PassTimeEstimator();
@@ -151,7 +169,7 @@
     await this.#socket.start();
     this.#stopServing = await this.#options.network.serve({
       order: async (order, epoch) => {
-        const answer = await this.#rank.order(order, epoch);
+        const answer = await this.#orderOwnRank(order, epoch);
         return Ok({ answer, status: await this.#readStatus() });
       },
       readHeld: () => this.#rank.readHeld(),
@@ -258,6 +276,7 @@
     this.#groupAndRank = place;
     this.#members.clear();
     this.#closeRemotes();
+    this.#maps.clear();
     this.#planner = null;
     this.#isPlanning = false;
     this.#counts = null;
@@ -392,7 +411,13 @@
   }
 
   #openRank(rank: number, ownRank: number): RankHandle | null {
-    if (rank === ownRank) return this.#wrapRank(this.#rank, this.#rank, () => 'local');
+    if (rank === ownRank) {
+      const own = {
+        order: (order: RankOrder, epoch: number) => this.#orderOwnRank(order, epoch),
+        readHeld: () => this.#rank.readHeld(),
+      };
+      return this.#wrapRank(own, this.#rank, () => 'local');
+    }
     const agent = this.#members.getAgent(rank);
     const address = this.#members.getRankAddress(rank);
     if (agent === null || address === null) return null;
@@ -405,8 +430,10 @@
       agentAddress: agent,
       agent: this.#options.network.openAgent(agent),
       direct,
+      orders: this.#orders,
+      mapCalls: this.#mapCalls,
       onStatus: (status) => this.#planner?.handleStatus(status),
-      sendOrder: (to, order, epoch) => this.#orders.send(to, order, epoch),
+      getLastHeardMs: () => this.#members.getLastHeardMs(agent),
     });
     const opened = { address, direct, remote };
     this.#remotes.set(agent, opened);
@@ -423,13 +450,13 @@
   }
 
   #wrapRank(
-    rank: Pick<RankControl, 'order' | 'readHeld'>,
+    rank: Pick<RankHandle, 'order'> & Pick<RankControl, 'readHeld'>,
     direct: RankControl,
     getPath: RankHandle['getPath'],
   ): RankHandle {
     return {
       getPath,
-      order: (order, epoch) => rank.order(order, epoch),
+      order: (order, epoch, mapOrder) => rank.order(order, epoch, mapOrder),
       readHeld: async () => {
         const held = await rank.readHeld();
         if (held.ok) return held.val;
@@ -480,14 +507,44 @@
     this.#socket.send({ kind: 'status', status: this.#status, isPlanning }, [agent]);
   }
 
+  async #orderOwnRank(order: RankOrder, epoch: number): Promise<OrderAnswer> {
+    const answer = await this.#rank.order(order, epoch);
+    if (order.operation === 'prepare' && answer === 'done') {
+      this.#maps.add(epoch, order.version, order.sets);
+    }
+    return answer;
+  }
+
   async #executeOrder(
     message: Extract<PeerMessage, { kind: 'order' }>,
     from: string,
   ): Promise<void> {
-    const answer = await this.#rank.order(message.order, message.epoch);
+    const answer = await this.#orderOwnRank(message.order, message.epoch);
     this.#socket.send({ kind: 'answer', id: message.id, answer }, [from]);
   }
 
+  async #executeMapOrder(
+    { id, epoch, order }: Extract<PeerMessage, { kind: 'map_order' }>,
+    from: string,
+  ): Promise<void> {
+    const { version, baseVersion, delta, digest } = order;
+    const base = this.#findMap(epoch, baseVersion);
+    const sets = base === null ? null : applyMapDelta(base, delta);
+    if (sets === null || computeMapDigest(sets) !== digest) {
+      this.#socket.send({ kind: 'answer', id, answer: 'unknown_base' }, [from]);
+      return;
+    }
+    const answer = await this.#orderOwnRank({ operation: 'prepare', version, sets }, epoch);
+    this.#socket.send({ kind: 'answer', id, answer }, [from]);
+  }
+
+  #findMap(epoch: number, version: number): ExpertSets | null {
+    if (version !== 0) return this.#maps.find(epoch, version);
+    const model = this.#expertModel ?? null;
+    if (model === null || this.#status === null) return null;
+    return createInitialMap(model.sets, model.count, this.#status.size);
+  }
+
   #handleMessage(message: PeerMessage, from: string): void {
     if (message.kind === 'subscribe') {
       this.#handleSubscription(from);
@@ -495,6 +552,7 @@
     }
     if (message.kind === 'answer') this.#orders.handleAnswer(message.id, message.answer);
     if (message.kind === 'order') void this.#executeOrder(message, from);
+    if (message.kind === 'map_order') void this.#executeMapOrder(message, from);
     if (this.#status === null) return;
     if (message.kind === 'status') {
       const { status } = message;
--- a/packages/rankagent/test/RankAgent.test.ts
+++ b/packages/rankagent/test/RankAgent.test.ts
@@ -222,6 +222,18 @@
     expect(fixture.group.mixedPasses).toBe(0);
   });
 
+  // Guards against a group that keeps its map because one agent cannot derive the next one.
+  it('sends the whole map to an agent that restarted and knows no earlier one', async () => {
+    const fixture = new RankFixture();
+    await startAgents(fixture, [0, 1, 2, 3]);
+    await waitUntil(() => fixture.countHolders(0, 5) >= 3);
+    agents.pop()?.stop();
+    await startAgent(fixture, 3);
+    fixture.hotExpert = 9;
+    expect(await waitUntil(() => fixture.countHolders(1, 9) >= 3)).toBe(true);
+    expect(fixture.group.mixedPasses).toBe(0);
+  });
+
   it('plans for a group that restarted with its ranks at other agents', async () => {
     const fixture = new RankFixture();
     await startAgents(fixture, [0, 1, 2, 3]);
--- a/packages/rpc/src/datagram/PeerMessage.ts
+++ b/packages/rpc/src/datagram/PeerMessage.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { GroupReport, RankOrder, RankStatus } from '@limpetbay/core';
+import { GroupReport, MapOrder, OrderAnswer, RankOrder, RankStatus } from '@limpetbay/core';
 
 /** A datagram between processes. Any may be lost; a later one supersedes the earlier ones. */
 export const PeerMessage = z.discriminatedUnion('kind', [
@@ -28,10 +28,18 @@
     epoch: z.number().int(),
     order: RankOrder,
   }),
+  /** Like `order`, to prepare a map that is described by its difference from an earlier one. */
+  z.object({
+    kind: z.literal('map_order'),
+    id: z.number().int(),
+    epoch: z.number().int(),
+    order: MapOrder,
+  }),
   z.object({
     kind: z.literal('answer'),
     id: z.number().int(),
-    answer: z.enum(['done', 'refused', 'lost']),
+    /** `unknown_base`: the receiver cannot derive the map and needs the whole one. */
+    answer: OrderAnswer.or(z.literal('unknown_base')),
   }),
   /** Loads of the ranks of one group, sent by its planner. */
   z.object({
