Assign cold targets to few entries, so that bursts stay within what they bear

Cause: each of 44 entries may send a burst of one request to a cold target, however small its share of the rate. Rendezvous hashing now assigns each target to at most half as many entries as it bears requests a second, and entries wait until no further one has registered for a second. The tests with 44 and 400 entries failed before; with 8 entries nothing changes.

ColdLimiter no longer takes a number of entries, so the test of eight entries builds its limiters differently; its bounds are the same.

--- a/packages/core/src/direct/EntryDirectory.ts
+++ b/packages/core/src/direct/EntryDirectory.ts
@@ -4,6 +4,9 @@
 /** How long a departed entry still counts for shares, milliseconds. */
 const DEPARTED_ENTRY_RETENTION_MS = 20_000;
 
+/** Entries of a deployment start within this time of each other, milliseconds. */
+const SETTLING_MS = 1000;
+
 /** Assumed while no entry is known; high, so that shares are too small rather than too large. */
 const DEFAULT_ENTRY_COUNT = 16;
 
@@ -16,11 +19,15 @@
   /** When each entry was removed, by name, monotonic milliseconds; Infinity for live ones. */
   readonly #removedAtMs = new Map<string, number>();
 
+  #lastAddedMs: number;
+
   constructor(clock: Clock) {
     this.#clock = clock;
+    this.#lastAddedMs = clock.getNow();
   }
 
   upsert(entry: EntryRecord): void {
+    if (!this.#removedAtMs.has(entry.name)) this.#lastAddedMs = this.#clock.getNow();
     this.#entries.set(entry.name, entry);
     this.#removedAtMs.set(entry.name, Infinity);
   }
@@ -42,10 +49,25 @@
 
   /** Counts the entries that share a common limit. */
   countSharingEntries(): number {
+    this.#expireDeparted();
+    return this.#removedAtMs.size === 0 ? DEFAULT_ENTRY_COUNT : this.#removedAtMs.size;
+  }
+
+  /** Lists the names of the entries that share a common limit. */
+  listSharingNames(): string[] {
+    this.#expireDeparted();
+    return [...this.#removedAtMs.keys()];
+  }
+
+  /** Returns whether entries are known and no further one has appeared recently. */
+  isSettled(): boolean {
+    return this.#removedAtMs.size > 0 && this.#clock.getNow() - this.#lastAddedMs >= SETTLING_MS;
+  }
+
+  #expireDeparted(): void {
     const nowMs = this.#clock.getNow();
     for (const [name, removedAtMs] of this.#removedAtMs) {
       if (nowMs - removedAtMs > DEPARTED_ENTRY_RETENTION_MS) this.#removedAtMs.delete(name);
     }
-    return this.#removedAtMs.size === 0 ? DEFAULT_ENTRY_COUNT : this.#removedAtMs.size;
   }
 }
--- a/packages/core/src/direct/TargetPicker.ts
+++ b/packages/core/src/direct/TargetPicker.ts
@@ -132,11 +132,7 @@
 
   #isWithinColdRate(id: string, service: DirectService): boolean {
     if (!this.#options.registry.isCold(id) || service.coldPerSecond <= 0) return true;
-    return this.#options.coldLimiter.hasCapacity(
-      id,
-      service.coldPerSecond,
-      this.#options.countEntries(),
-    );
+    return this.#options.coldLimiter.hasCapacity(id, service.coldPerSecond);
   }
 
   #canAdmit(target: DirectTarget, { service, gapMs, isLate }: PickRequest): boolean {
--- a/packages/core/test/direct/limits.test.ts
+++ b/packages/core/test/direct/limits.test.ts
@@ -13,24 +13,62 @@
 const MAX_WAITING = 100;
 
 describe('ColdLimiter', () => {
-  it('keeps the sum over eight entries below the rate that a cold target can handle', () => {
+  const SECONDS = 4;
+
+  /** Lets entries send to one cold target as often as they may. @returns the times, milliseconds */
+  function sendToColdTarget(entryCount: number, perSecond: number): number[] {
     const clock = new ManualClock();
-    const limiters = Array.from({ length: 8 }, () => new ColdLimiter(clock));
+    const names = Array.from({ length: entryCount }, (_, index) => `e${index}`);
+    const entries = { listSharingNames: () => names, isSettled: () => true };
+    const limiters = names.map((ownName) => new ColdLimiter({ clock, ownName, entries }));
     const sentMs: number[] = [];
-    for (let step = 0; step < 400; step += 1) {
+    for (let step = 0; step < SECONDS * 100; step += 1) {
       for (const limiter of limiters) {
-        if (!limiter.hasCapacity('x', 26, limiters.length)) continue;
+        if (!limiter.hasCapacity('x', perSecond)) continue;
         limiter.take('x');
         sentMs.push(clock.getNow());
       }
       clock.advance(10);
     }
+    return sentMs;
+  }
+
+  function countBusiestSecond(sentMs: readonly number[]): number {
+    let most = 0;
     for (const startMs of sentMs) {
       const inSecond = sentMs.filter((atMs) => atMs >= startMs && atMs < startMs + 1000).length;
-      expect(inSecond).toBeLessThanOrEqual(26 + limiters.length);
+      most = Math.max(most, inSecond);
     }
+    return most;
+  }
+
+  it('keeps the sum over eight entries below the rate that a cold target can handle', () => {
+    const sentMs = sendToColdTarget(8, 26);
+    expect(countBusiestSecond(sentMs)).toBeLessThanOrEqual(26 + 8);
     expect(sentMs.length).toBeGreaterThan(80);
   });
+
+  // Guards against the sum of many entries' bursts: 28 requests where a target bears 1.5 x 14 + 5.
+  it.each([44, 400])('keeps the bursts of %d entries within what a cold target bears', (count) => {
+    const sentMs = sendToColdTarget(count, 14);
+    expect(countBusiestSecond(sentMs)).toBeLessThanOrEqual(1.5 * 14 + 5);
+    expect(sentMs.length).toBeGreaterThan(0.8 * 14 * SECONDS);
+  });
+
+  it('sends nothing to a cold target before the entries that share its rate are known', () => {
+    const clock = new ManualClock();
+    const entries = new EntryDirectory(clock);
+    const limiter = new ColdLimiter({ clock, ownName: 'e0', entries });
+    expect(limiter.hasCapacity('x', 14)).toBe(false);
+    const record = { callerAddress: '1.1.1.1:1', peerAddress: '1.1.1.1:2', zone: 'a' };
+    entries.upsert({ ...record, name: 'e0' });
+    clock.advance(900);
+    entries.upsert({ ...record, name: 'e1' });
+    clock.advance(900);
+    expect(limiter.hasCapacity('x', 14)).toBe(false);
+    clock.advance(200);
+    expect(limiter.hasCapacity('x', 14)).toBe(true);
+  });
 });
 
 describe('EntryDirectory', () => {
--- a/packages/core/test/direct/support/RankGroupFixture.ts
+++ b/packages/core/test/direct/support/RankGroupFixture.ts
@@ -63,7 +63,11 @@
       clock: this.#clock,
       random: new SeededRandom(seed),
       registry,
-      coldLimiter: new ColdLimiter(this.#clock),
+      coldLimiter: new ColdLimiter({
+        clock: this.#clock,
+        ownName: 'e0',
+        entries: { listSharingNames: () => ['e0'], isSettled: () => true },
+      }),
       countEntries: () => entries,
     });
   }
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -100,7 +100,11 @@
       clock,
       random,
       registry: this.#registry,
-      coldLimiter: new ColdLimiter(clock),
+      coldLimiter: new ColdLimiter({
+        clock,
+        ownName: options.self.name,
+        entries: this.#entries,
+      }),
       countEntries: () => this.#entries.countSharingEntries(),
     });
     this.#view = new GatewayView({
