Pace the orders that carry maps and read a rank at once after its order

Copies are now encoded in 5 bytes instead of about 11, so an order fits into one packet, and orders beyond 16 KB leave at half of the link's bandwidth. An agent also reads its rank right after an order to prepare instead of up to 100 ms later.

--- a/packages/core/src/barrierswitch/MapDelta.ts
+++ b/packages/core/src/barrierswitch/MapDelta.ts
@@ -1,16 +1,8 @@
-import { z } from 'zod';
-
 /** One copy of an expert: layer set, rank and expert. */
-const Copy = z.tuple([
-  z.number().int().nonnegative(),
-  z.number().int().nonnegative(),
-  z.number().int().nonnegative(),
-]);
+type Copy = readonly [set: number, rank: number, expert: number];
 
 /** Difference between two expert maps. */
-export const MapDelta = z.object({
-  added: z.array(Copy),
-  removed: z.array(Copy),
-});
-
-export type MapDelta = z.infer<typeof MapDelta>;
+export interface MapDelta {
+  readonly added: readonly Copy[];
+  readonly removed: readonly Copy[];
+}
--- a/packages/core/src/barrierswitch/MapOrder.ts
+++ b/packages/core/src/barrierswitch/MapOrder.ts
@@ -1,13 +1,14 @@
 import { z } from 'zod';
-import { MapDelta } from './MapDelta.js';
 
 /** Order to prepare a map that is described by its difference from one that the rank had before. */
 export const MapOrder = z.object({
   version: z.number().int().positive(),
-  /** Version of the map from which `delta` differs; 0 is the map with which the group formed. */
+  /** Version of the map to which the difference applies; 0 is the one with which the group formed. */
   baseVersion: z.number().int().nonnegative(),
-  delta: MapDelta,
-  /** Digest of the whole map. */
+  /** Copies to add and to remove, each list as base64. */
+  added: z.string(),
+  removed: z.string(),
+  /** Digest of the whole new map. */
   digest: z.string(),
 });
 
--- a/packages/core/src/barrierswitch/diffMaps.ts
+++ b/packages/core/src/barrierswitch/diffMaps.ts
@@ -8,7 +8,7 @@
 
 /** Lists the copies of one map that the other one lacks. */
 function listMissing(map: ExpertSets, other: ExpertSets): MapDelta['added'] {
-  const missing: MapDelta['added'] = [];
+  const missing: MapDelta['added'][number][] = [];
   for (const [set, ranks] of map.entries()) {
     for (const [rank, experts] of ranks.entries()) {
       const present = new Set(other[set]?.[rank] ?? []);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -25,7 +25,7 @@
 export { BarrierSwitch } from './barrierswitch/BarrierSwitch.js';
 export type { ExpertSets } from './barrierswitch/ExpertSets.js';
 export { GroupPlanner } from './barrierswitch/GroupPlanner.js';
-export { MapDelta } from './barrierswitch/MapDelta.js';
+export type { MapDelta } from './barrierswitch/MapDelta.js';
 export { MapOrder } from './barrierswitch/MapOrder.js';
 export { OrderAnswer } from './barrierswitch/OrderAnswer.js';
 export { RankOrder } from './barrierswitch/RankOrder.js';
--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -12,6 +12,7 @@
 } from '@limpetbay/core';
 import type { Log, MetricRegistry } from '@limpetbay/runtime';
 import { computeMapDigest } from '../process/computeMapDigest.js';
+import { encodeCopies } from '../process/encodeCopies.js';
 import type { RankHandle } from './RankHandle.js';
 
 interface MapPlannerOptions {
@@ -42,7 +43,7 @@
 const SHIFT_PLAN_ADVANCE_MS = 10;
 
 /** A larger difference of maps is not smaller than the map and exceeds a datagram. */
-const MAX_DELTA_COPIES = 400;
+const MAX_DELTA_COPIES = 1000;
 
 /** Plans the expert maps of the group of this agent's rank and runs the switches to them. */
 export class MapPlanner {
@@ -295,9 +296,15 @@
     const baseVersion = this.#map.version;
     const { sets: setCount, count } = this.#model;
     const base = baseVersion === 0 ? createInitialMap(setCount, count, size) : this.#map.sets;
-    const delta = diffMaps(base, sets);
-    if (delta.added.length + delta.removed.length > MAX_DELTA_COPIES) return;
-    this.#mapOrders.set(version, { version, baseVersion, delta, digest: computeMapDigest(sets) });
+    const { added, removed } = diffMaps(base, sets);
+    if (added.length + removed.length > MAX_DELTA_COPIES) return;
+    this.#mapOrders.set(version, {
+      version,
+      baseVersion,
+      added: encodeCopies(added),
+      removed: encodeCopies(removed),
+      digest: computeMapDigest(sets),
+    });
   }
 
   #advanceSwitch(current: BarrierSwitch): void {
--- a/packages/rankagent/src/planner/OrderClient.ts
+++ b/packages/rankagent/src/planner/OrderClient.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@limpetbay/core';
 import type { PeerMessage } from '@limpetbay/rpc';
+import type { LinkPacer } from './LinkPacer.js';
 import { RoundTripEstimator } from './RoundTripEstimator.js';
 
 type OrderMessage = Extract<PeerMessage, { kind: 'order' | 'map_order' }>;
@@ -11,22 +12,30 @@
   | Omit<Extract<PeerMessage, { kind: 'order' }>, 'id'>
   | Omit<Extract<PeerMessage, { kind: 'map_order' }>, 'id'>;
 
-interface PendingOrder {
+interface NewOrder {
   readonly message: OrderMessage;
   readonly agent: string;
-  readonly sentMs: number;
   readonly resolve: (answer: PeerAnswer | null) => void;
+}
+
+interface PendingOrder extends NewOrder {
+  readonly sentMs: number;
   readonly transmissions: number;
   readonly timer: NodeJS.Timeout;
 }
 
+interface OrderClientOptions {
+  /** Also the source of the first id, so that answers to an earlier process match no order. */
+  readonly clock: Clock;
+  readonly pacer: LinkPacer;
+  readonly send: (message: PeerMessage, agent: string) => void;
+}
+
 const MAX_TRANSMISSIONS = 2;
 
 /** Sends orders to other agents as datagrams, repeats unanswered ones and matches answers by id. */
 export class OrderClient {
-  readonly #clock: Clock;
-
-  readonly #send: (message: PeerMessage, agent: string) => void;
+  readonly #options: OrderClientOptions;
 
   readonly #pending = new Map<number, PendingOrder>();
 
@@ -34,11 +43,9 @@
 
   #nextId: number;
 
-  /** @param clock also the source of the first id, so that late answers match no order */
-  constructor(clock: Clock, send: (message: PeerMessage, agent: string) => void) {
-    this.#clock = clock;
-    this.#send = send;
-    this.#nextId = clock.getWallTime().getTime();
+  constructor(options: OrderClientOptions) {
+    this.#options = options;
+    this.#nextId = options.clock.getWallTime().getTime();
   }
 
   /**
@@ -51,9 +58,8 @@
     const id = this.#nextId;
     this.#nextId += 1;
     const message: OrderMessage = { ...content, id };
-    const sentMs = this.#clock.getNow();
     return new Promise((resolve) => {
-      this.#transmit({ message, agent, sentMs, resolve }, 1);
+      this.#transmit({ message, agent, resolve }, 1);
     });
   }
 
@@ -63,18 +69,22 @@
     // The answer to a repeated order may belong to either transmission, and the answer `lost` took
     // as long as the rank did not answer its agent.
     if (pending.transmissions === 1 && answer !== 'lost') {
-      const roundTripMs = this.#clock.getNow() - pending.sentMs;
+      const roundTripMs = this.#options.clock.getNow() - pending.sentMs;
       this.#getRoundTrips(pending.agent).recordRoundTrip(roundTripMs);
     }
     this.#finish(pending, answer);
   }
 
-  #transmit(order: Omit<PendingOrder, 'transmissions' | 'timer'>, transmissions: number): void {
+  #transmit(order: NewOrder, transmissions: number): void {
+    const { clock, pacer, send } = this.#options;
     const { message, agent } = order;
+    const delayMs = pacer.reserve(JSON.stringify(message).length);
     const timeoutMs = this.#getRoundTrips(agent).getTimeoutMs() * 2 ** (transmissions - 1);
-    const timer = setTimeout(() => this.#handleTimeout(message.id), timeoutMs);
-    this.#pending.set(message.id, { ...order, transmissions, timer });
-    this.#send(message, agent);
+    const timer = setTimeout(() => this.#handleTimeout(message.id), delayMs + timeoutMs);
+    const sentMs = clock.getNow() + delayMs;
+    this.#pending.set(message.id, { ...order, sentMs, transmissions, timer });
+    if (delayMs === 0) send(message, agent);
+    else setTimeout(() => send(message, agent), delayMs);
   }
 
   #handleTimeout(id: number): void {
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -12,6 +12,7 @@
 import { decodeUnits, encodeLoads, encodeUnits, type PeerMessage } from '@limpetbay/rpc';
 import type { Log } from '@limpetbay/runtime';
 import { CallQueue } from '../planner/CallQueue.js';
+import { LinkPacer } from '../planner/LinkPacer.js';
 import { MapPlanner } from '../planner/MapPlanner.js';
 import { OrderClient } from '../planner/OrderClient.js';
 import type { RankHandle } from '../planner/RankHandle.js';
@@ -24,6 +25,7 @@
 import type { RankAgentOptions } from './RankAgentOptions.js';
 import { TrafficBudget } from './TrafficBudget.js';
 import { computeMapDigest } from './computeMapDigest.js';
+import { decodeCopies } from './decodeCopies.js';
 
 /** Interval at which the rank is read; a pass takes about half of it, milliseconds. */
 const TICK_MS = 100;
@@ -141,6 +143,9 @@
   /** Time at which the group was last seen to form or to close. */
   #groupChangedMs = -Infinity;
 
+  /** Begins the next tick at once. */
+  #endSleep: () => void = () => {};
+
   #isPlanning = false;
 
   #isStopped = false;
@@ -160,9 +165,11 @@
         ),
       onError: (cause) => this.#log.warn('datagram failed', { cause }),
     });
-    this.#orders = new OrderClient(options.clock, (message, agent) =>
-      this.#socket.send(message, [agent]),
-    );
+    this.#orders = new OrderClient({
+      clock: options.clock,
+      pacer: new LinkPacer(options.clock, options.linkBitsPerSecond),
+      send: (message, agent) => this.#socket.send(message, [agent]),
+    });
   }
 
   async start(): Promise<void> {
@@ -189,8 +196,12 @@
   async #run(): Promise<void> {
     while (!this.#isStopped) {
       await this.#tick();
-      await new Promise((resolve) => {
-        setTimeout(resolve, this.#chooseTickMs());
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(resolve, this.#chooseTickMs());
+        this.#endSleep = () => {
+          clearTimeout(timer);
+          resolve();
+        };
       });
     }
   }
@@ -511,6 +522,8 @@
     const answer = await this.#rank.order(order, epoch);
     if (order.operation === 'prepare' && answer === 'done') {
       this.#maps.add(epoch, order.version, order.sets);
+      // The planner waits for the status that tells that the map is loaded.
+      this.#endSleep();
     }
     return answer;
   }
@@ -527,7 +540,8 @@
     { id, epoch, order }: Extract<PeerMessage, { kind: 'map_order' }>,
     from: string,
   ): Promise<void> {
-    const { version, baseVersion, delta, digest } = order;
+    const { version, baseVersion, digest } = order;
+    const delta = { added: decodeCopies(order.added), removed: decodeCopies(order.removed) };
     const base = this.#findMap(epoch, baseVersion);
     const sets = base === null ? null : applyMapDelta(base, delta);
     if (sets === null || computeMapDigest(sets) !== digest) {
--- a/packages/rankagent/test/OrderClient.test.ts
+++ b/packages/rankagent/test/OrderClient.test.ts
@@ -1,10 +1,12 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { PeerMessage } from '@limpetbay/rpc';
-import { OrderClient } from '../src/index.js';
+import { LinkPacer, OrderClient } from '../src/index.js';
 import { SimTimers } from './support/SimTimers.js';
 
 const AGENT = '10.0.0.1:7340';
 
+const LINK_BITS_PER_SECOND = 5_600_000;
+
 const CONTENT = { kind: 'order', epoch: 1, order: { operation: 'go', step: 4 } } as const;
 
 describe('OrderClient', () => {
@@ -16,7 +18,11 @@
     sent.length = 0;
     timers = new SimTimers();
     timers.install();
-    orders = new OrderClient(timers, (message) => sent.push(message));
+    orders = new OrderClient({
+      clock: timers,
+      pacer: new LinkPacer(timers, LINK_BITS_PER_SECOND),
+      send: (message) => sent.push(message),
+    });
   });
 
   afterEach(() => timers.uninstall());
@@ -56,6 +62,21 @@
     expect(await other).toBeNull();
   });
 
+  // Guards against maps to many agents that overflow the link and are lost together.
+  it('sends large orders to many agents at no more than half of the link after a burst', async () => {
+    const order = { version: 1, baseVersion: 0, added: 'a'.repeat(900), removed: '', digest: '' };
+    const bytes = JSON.stringify(order).length;
+    for (let agent = 0; agent < 60; agent += 1) {
+      void orders.send(`10.0.1.${agent}:7340`, { kind: 'map_order', epoch: 1, order });
+    }
+    expect(sent.length * bytes).toBeLessThan(20_000);
+    const sentAtOnce = sent.length;
+    await timers.advance(50);
+    const bits = (sent.length - sentAtOnce) * bytes * 8;
+    expect(bits).toBeLessThan(0.5 * LINK_BITS_PER_SECOND * 0.05);
+    expect(bits).toBeGreaterThan(0.3 * LINK_BITS_PER_SECOND * 0.05);
+  });
+
   it('accepts the answer to either transmission', async () => {
     const answer = orders.send(AGENT, CONTENT);
     await timers.advance(100);
