--- a/packages/rankagent/test/support/SimExpertGroup.ts
+++ b/packages/rankagent/test/support/SimExpertGroup.ts
@@ -13,8 +13,8 @@
 /** Fraction of a pass that the experts take. */
 const EXPERT_SHARE = 0.85;
 
-/** Passes until a rank has loaded a prepared map. */
-const LOAD_PASSES = 2;
+/** Time to copy one expert to a rank, milliseconds. */
+const COPY_MS = 37;
 
 /** Expert choices that a rank counts in one pass, by set. */
 const CHOICES_PER_PASS = 4000;
@@ -64,7 +64,7 @@
     this.#clock = clock;
     this.#shape = shape;
     this.#random = new SeededRandom(seed);
-    this.group = new SimGroup(size, LOAD_PASSES);
+    this.group = new SimGroup(size, 0);
     this.experts = Array.from({ length: size }, (_, rank) =>
       Array.from({ length: sets }, () =>
         Array.from({ length: experts / size }, (__, slot) => slot * size + rank),
@@ -95,13 +95,18 @@
   }
 
   apply(rank: number, order: RankOrder): OrderAnswer {
-    if (order.operation === 'prepare') {
-      this.#prepared.set(
-        `${rank}/${order.version}`,
-        order.sets.map((ranks) => ranks[rank] ?? []),
-      );
+    if (order.operation !== 'prepare') return this.group.apply(rank, order);
+    const sets = order.sets.map((ranks) => ranks[rank] ?? []);
+    this.#prepared.set(`${rank}/${order.version}`, sets);
+    let copies = 0;
+    for (const [set, experts] of sets.entries()) {
+      const held = new Set(this.experts[rank]?.[set]);
+      for (const expert of experts) copies += held.has(expert) ? 0 : 1;
     }
-    return this.group.apply(rank, order);
+    // A rank notices a loaded map when a pass begins.
+    const passes = Math.ceil((copies * COPY_MS) / EVEN_PASS_MS);
+    const { ranks, nowTicks } = this.group;
+    return ranks[rank]?.prepare(order.version, nowTicks + passes) ?? 'refused';
   }
 
   #runPass(): void {
