Announce an agent to its own group only, once that is complete

The same class as the flows at the planner: each agent sent its status to all agents of the service every 2 s, so the datagrams grew with the square of the targets. The agents of other groups ignore it.

--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -54,10 +54,10 @@
 /** A subscription ends after this time without a renewal, milliseconds. */
 const SUBSCRIPTION_TIMEOUT_MS = 3000;
 
-/** Interval at which this agent sends its status to all agents of the service, milliseconds. */
+/** Interval at which this agent sends its status to all agents of the group, milliseconds. */
 const ANNOUNCEMENT_INTERVAL_MS = 2000;
 
-/** Interval until all members of the group are known, milliseconds. */
+/** Interval at which it goes to all agents of the service until the group is known, milliseconds. */
 const FIRST_ANNOUNCEMENT_INTERVAL_MS = 500;
 
 /** Interval at which the planning agent sends its status to the group, milliseconds. */
@@ -308,12 +308,15 @@
       this.#lastPlannerStatusMs = nowMs;
       for (const member of this.#members.listAgents()) receivers.add(member);
     }
-    const announcementIntervalMs = this.#isGroupComplete(status)
+    const isComplete = this.#isGroupComplete(status);
+    const announcementIntervalMs = isComplete
       ? ANNOUNCEMENT_INTERVAL_MS
       : FIRST_ANNOUNCEMENT_INTERVAL_MS;
     if (nowMs - this.#lastAnnouncementMs >= announcementIntervalMs) {
       this.#lastAnnouncementMs = nowMs;
-      for (const peer of this.#peers) receivers.add(peer);
+      // Once the members are known, the agents of other groups need not be told.
+      const peers = isComplete ? this.#members.listAgents() : this.#peers;
+      for (const peer of peers) receivers.add(peer);
     }
     this.#socket.send({ kind: 'status', status, isPlanning }, receivers);
   }
--- a/packages/rankagent/test/largeGroup.test.ts
+++ b/packages/rankagent/test/largeGroup.test.ts
@@ -7,6 +7,7 @@
   sets: 12,
   experts: 128,
   slotsPerRank: 5,
+  otherTargets: 32,
   entries: 37,
   agentBitsPerSecond: 5_600_000,
   entryBitsPerSecond: 28_000_000,
@@ -18,6 +19,8 @@
 
 const SHIFTS = 3;
 
+const ANNOUNCEMENTS_MS = 4000;
+
 const PERIOD_MS = SHIFT_INTERVAL_MS * (SHIFTS + 1);
 
 /** Slowest simulation that is accepted on a busy machine, milliseconds. */
@@ -68,6 +71,15 @@
     }
   });
 
+  // Guards against announcements that grow with the targets of a service.
+  it('announces itself only to its own group once that is complete', async () => {
+    const { network } = deployment;
+    const before = network.unknownReceivers;
+    await timers.advance(ANNOUNCEMENTS_MS);
+    expect(before).toBeGreaterThan(0);
+    expect(network.unknownReceivers).toBe(before);
+  });
+
   // Guards against entries that lose sight of a group because its reports became too rare.
   it('reports its load to each entry at least twice a second', () => {
     const reportsPerEntry = deployment.reportTimesMs.length / SHAPE.entries;
--- a/packages/rankagent/test/support/SimDeployment.ts
+++ b/packages/rankagent/test/support/SimDeployment.ts
@@ -17,6 +17,8 @@
   readonly sets: number;
   readonly experts: number;
   readonly slotsPerRank: number;
+  /** Targets of other groups of the service. */
+  readonly otherTargets: number;
   readonly entries: number;
   readonly agentBitsPerSecond: number;
   readonly entryBitsPerSecond: number;
@@ -84,9 +86,9 @@
   }
 
   async #startAgent(rank: number): Promise<void> {
-    const { ranks, sets, experts, slotsPerRank } = this.#shape;
+    const { ranks, sets, experts, slotsPerRank, otherTargets } = this.#shape;
     const host = this.agentHosts[rank] as SimHost;
-    const targets = Array.from({ length: ranks }, (_, index) => ({
+    const targets = Array.from({ length: ranks + otherTargets }, (_, index) => ({
       address: getEngineAddress(index),
     }));
     const agent = new RankAgent({
@@ -166,7 +168,7 @@
 }
 
 function getEngineAddress(rank: number): string {
-  return `10.0.0.${rank + 1}:${ENGINE_PORT}`;
+  return `10.0.${2 * Math.floor(rank / 200)}.${(rank % 200) + 1}:${ENGINE_PORT}`;
 }
 
 function createModel(sets: number, experts: number, slotsPerRank: number): EngineModel {
--- a/packages/rankagent/test/support/SimNetwork.ts
+++ b/packages/rankagent/test/support/SimNetwork.ts
@@ -20,6 +20,9 @@
 
   readonly #hosts = new Map<string, SimHost>();
 
+  /** Messages to hosts that the simulation lacks, such as agents of other groups. */
+  unknownReceivers = 0;
+
   constructor(clock: Clock) {
     this.#clock = clock;
   }
@@ -49,6 +52,7 @@
     const sentBytes = bytes + HEADER_BYTES;
     const leftMs = from.uplink.carry(this.#clock.getNow(), sentBytes, maxWaitMs);
     const host = this.#hosts.get(to);
+    if (host === undefined) this.unknownReceivers += 1;
     if (leftMs === null || host === undefined) return;
     setTimeout(
       () => {
