--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -4,15 +4,13 @@
   type Clock,
   type EngineModel,
   createInitialMap,
-  diffMaps,
   type ExpertSets,
   type MapOrder,
   type RankOrder,
   type RankStatus,
 } from '@limpetbay/core';
 import type { Log, MetricRegistry } from '@limpetbay/runtime';
-import { computeMapDigest } from '../process/computeMapDigest.js';
-import { encodeCopies } from '../process/encodeCopies.js';
+import { createMapOrder } from '../maps/createMapOrder.js';
 import type { RankHandle } from './RankHandle.js';
 
 interface MapPlannerOptions {
@@ -42,9 +40,6 @@
 /** The plan after a shift of demand is due this much earlier, at the end of the next interval. */
 const SHIFT_PLAN_ADVANCE_MS = 10;
 
-/** A larger difference of maps is not smaller than the map and exceeds a datagram. */
-const MAX_DELTA_COPIES = 1000;
-
 /** Plans the expert maps of the group of this agent's rank and runs the switches to them. */
 export class MapPlanner {
   readonly #options: MapPlannerOptions;
@@ -293,18 +288,13 @@
 
   #addMapOrder(version: number, sets: ExpertSets, size: number): void {
     if (this.#map === null || this.#model === null) return;
-    const baseVersion = this.#map.version;
     const { sets: setCount, count } = this.#model;
-    const base = baseVersion === 0 ? createInitialMap(setCount, count, size) : this.#map.sets;
-    const { added, removed } = diffMaps(base, sets);
-    if (added.length + removed.length > MAX_DELTA_COPIES) return;
-    this.#mapOrders.set(version, {
-      version,
-      baseVersion,
-      added: encodeCopies(added),
-      removed: encodeCopies(removed),
-      digest: computeMapDigest(sets),
-    });
+    const isInitial = this.#map.version === 0;
+    // Agents compute the initial map themselves; the engine may list its copies differently.
+    const baseSets = isInitial ? createInitialMap(setCount, count, size) : this.#map.sets;
+    const base = { version: this.#map.version, sets: baseSets };
+    const order = createMapOrder(base, { version, sets });
+    if (order !== null) this.#mapOrders.set(version, order);
   }
 
   #advanceSwitch(current: BarrierSwitch): void {
--- /dev/null
+++ b/packages/rankagent/src/process/OrderExecutor.ts
@@ -0,0 +1,66 @@
+import {
+  createInitialMap,
+  type EngineModel,
+  type ExpertSets,
+  type MapOrder,
+  type OrderAnswer,
+  type RankOrder,
+} from '@limpetbay/core';
+import { MapCache } from '../maps/MapCache.js';
+import { applyMapOrder } from '../maps/applyMapOrder.js';
+import type { RankControl } from '../ports/RankControl.js';
+
+interface OrderExecutorOptions {
+  readonly rank: RankControl;
+  /** Returns the number of ranks of the group; null while it is unknown. */
+  readonly getGroupSize: () => number | null;
+  /** Called after the rank began to load a map. */
+  readonly onLoading: () => void;
+}
+
+/** Passes orders to the rank of this agent and derives the maps that orders describe. */
+export class OrderExecutor {
+  readonly #options: OrderExecutorOptions;
+
+  /** Maps that the rank was ordered to prepare. */
+  readonly #maps = new MapCache();
+
+  #model: EngineModel['experts'] = null;
+
+  constructor(options: OrderExecutorOptions) {
+    this.#options = options;
+  }
+
+  setModel(model: EngineModel['experts']): void {
+    this.#model = model;
+  }
+
+  /** Forgets the maps of the previous group. */
+  clear(): void {
+    this.#maps.clear();
+  }
+
+  async execute(order: RankOrder, epoch: number): Promise<OrderAnswer> {
+    const answer = await this.#options.rank.order(order, epoch);
+    if (order.operation === 'prepare' && answer === 'done') {
+      this.#maps.add(epoch, order.version, order.sets);
+      this.#options.onLoading();
+    }
+    return answer;
+  }
+
+  /** @returns `unknown_base` if this process cannot derive the map and needs the whole one */
+  async executeMapOrder(order: MapOrder, epoch: number): Promise<OrderAnswer | 'unknown_base'> {
+    const base = this.#findMap(epoch, order.baseVersion);
+    const sets = base === null ? null : applyMapOrder(base, order);
+    if (sets === null) return 'unknown_base';
+    return this.execute({ operation: 'prepare', version: order.version, sets }, epoch);
+  }
+
+  #findMap(epoch: number, version: number): ExpertSets | null {
+    if (version !== 0) return this.#maps.find(epoch, version);
+    const size = this.#options.getGroupSize();
+    if (this.#model === null || size === null) return null;
+    return createInitialMap(this.#model.sets, this.#model.count, size);
+  }
+}
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -1,11 +1,7 @@
 import {
   Ok,
-  applyMapDelta,
-  createInitialMap,
   splitAddress,
   type EngineModel,
-  type ExpertSets,
-  type OrderAnswer,
   type RankOrder,
   type RankStatus,
 } from '@limpetbay/core';
@@ -20,12 +16,10 @@
 import type { PeerTransport } from '../ports/PeerTransport.js';
 import type { RankControl } from '../ports/RankControl.js';
 import { GroupMembers } from './GroupMembers.js';
-import { MapCache } from './MapCache.js';
+import { OrderExecutor } from './OrderExecutor.js';
 import { PassTimeEstimator } from './PassTimeEstimator.js';
 import type { RankAgentOptions } from './RankAgentOptions.js';
 import { TrafficBudget } from './TrafficBudget.js';
-import { computeMapDigest } from './computeMapDigest.js';
-import { decodeCopies } from './decodeCopies.js';
 
 /** Interval at which the rank is read; a pass takes about half of it, milliseconds. */
 const TICK_MS = 100;
@@ -92,8 +86,7 @@
 
   readonly #mapCalls = new CallQueue();
 
-  /** Maps that this rank was ordered to prepare. */
-  readonly #maps = new MapCache();
+  readonly #executor: OrderExecutor;
 
   readonly #budget: TrafficBudget;
 
@@ -154,6 +147,12 @@
     this.#options = options;
     this.#log = options.createLog('agent');
     this.#rank = options.openRank(options.rankAddress);
+    this.#executor = new OrderExecutor({
+      rank: this.#rank,
+      getGroupSize: () => this.#status?.size ?? null,
+      // The planner waits for the status that tells that the map is loaded.
+      onLoading: () => this.#endSleep(),
+    });
     this.#members = new GroupMembers(options.clock);
     this.#budget = new TrafficBudget(options.linkBitsPerSecond);
     this.#socket = options.network.openTransport({
@@ -176,7 +175,7 @@
     await this.#socket.start();
     this.#stopServing = await this.#options.network.serve({
       order: async (order, epoch) => {
-        const answer = await this.#orderOwnRank(order, epoch);
+        const answer = await this.#executor.execute(order, epoch);
         return Ok({ answer, status: await this.#readStatus() });
       },
       readHeld: () => this.#rank.readHeld(),
@@ -287,7 +286,7 @@
     this.#groupAndRank = place;
     this.#members.clear();
     this.#closeRemotes();
-    this.#maps.clear();
+    this.#executor.clear();
     this.#planner = null;
     this.#isPlanning = false;
     this.#counts = null;
@@ -427,7 +426,7 @@
   #openRank(rank: number, ownRank: number): RankHandle | null {
     if (rank === ownRank) {
       const own = {
-        order: (order: RankOrder, epoch: number) => this.#orderOwnRank(order, epoch),
+        order: (order: RankOrder, epoch: number) => this.#executor.execute(order, epoch),
         readHeld: () => this.#rank.readHeld(),
       };
       return this.#wrapRank(own, this.#rank, () => 'local');
@@ -512,6 +511,7 @@
     if (model.val === null) return;
     this.#nextModelReadMs = nextMs;
     this.#expertModel = model.val.experts;
+    this.#executor.setModel(model.val.experts);
     this.#planner?.setModel(model.val.experts);
   }
 
@@ -521,45 +521,20 @@
     this.#socket.send({ kind: 'status', status: this.#status, isPlanning }, [agent]);
   }
 
-  async #orderOwnRank(order: RankOrder, epoch: number): Promise<OrderAnswer> {
-    const answer = await this.#rank.order(order, epoch);
-    if (order.operation === 'prepare' && answer === 'done') {
-      this.#maps.add(epoch, order.version, order.sets);
-      // The planner waits for the status that tells that the map is loaded.
-      this.#endSleep();
-    }
-    return answer;
-  }
-
   async #executeOrder(
     message: Extract<PeerMessage, { kind: 'order' }>,
     from: string,
   ): Promise<void> {
-    const answer = await this.#orderOwnRank(message.order, message.epoch);
+    const answer = await this.#executor.execute(message.order, message.epoch);
     this.#socket.send({ kind: 'answer', id: message.id, answer }, [from]);
   }
 
   async #executeMapOrder(
-    { id, epoch, order }: Extract<PeerMessage, { kind: 'map_order' }>,
+    message: Extract<PeerMessage, { kind: 'map_order' }>,
     from: string,
   ): Promise<void> {
-    const { version, baseVersion, digest } = order;
-    const delta = { added: decodeCopies(order.added), removed: decodeCopies(order.removed) };
-    const base = this.#findMap(epoch, baseVersion);
-    const sets = base === null ? null : applyMapDelta(base, delta);
-    if (sets === null || computeMapDigest(sets) !== digest) {
-      this.#socket.send({ kind: 'answer', id, answer: 'unknown_base' }, [from]);
-      return;
-    }
-    const answer = await this.#orderOwnRank({ operation: 'prepare', version, sets }, epoch);
-    this.#socket.send({ kind: 'answer', id, answer }, [from]);
-  }
-
-  #findMap(epoch: number, version: number): ExpertSets | null {
-    if (version !== 0) return this.#maps.find(epoch, version);
-    const model = this.#expertModel ?? null;
-    if (model === null || this.#status === null) return null;
-    return createInitialMap(model.sets, model.count, this.#status.size);
+    const answer = await this.#executor.executeMapOrder(message.order, message.epoch);
+    this.#socket.send({ kind: 'answer', id: message.id, answer }, [from]);
   }
 
   #handleMessage(message: PeerMessage, from: string): void {
