--- a/packages/core/src/barrierswitch/GroupPlanner.ts
+++ b/packages/core/src/barrierswitch/GroupPlanner.ts
@@ -14,15 +14,11 @@
 
 type ExpertModel = NonNullable<EngineModel['experts']>;
 
-/** Time for which a rank may load copies in one change; later changes load the rest. */
-const MAX_LOAD_MS = 150;
+/** Least reduction of skew that justifies the copies and the longer passes during a change. */
+const MIN_SKEW_GAIN = 0.3;
 
-/** Bounds of the copies that a rank loads in one change. */
-const MIN_COPIES_PER_RANK = 2;
-const MAX_COPIES_PER_RANK = 8;
-
-/** Least reduction of skew that justifies a millisecond in which all ranks load copies. */
-const MIN_SKEW_GAIN_PER_LOAD_MS = 0.001;
+/** Most copies that a rank loads in one change; later changes load the rest. */
+const MAX_COPIES_PER_RANK = 2;
 
 /** Least number of counted expert choices on which a map may be based. */
 const MIN_EXPERT_CHOICES = 20_000;
@@ -35,8 +31,6 @@
 
   readonly #demand: DemandEstimator;
 
-  readonly #maxCopies: number;
-
   /** Expert choices counted in the current interval, by set and expert. */
   #counts: Float64Array;
 
@@ -47,7 +41,6 @@
   constructor(clock: Clock, model: ExpertModel) {
     this.#clock = clock;
     this.#model = model;
-    this.#maxCopies = computeMaxCopies(model);
     this.#demand = new DemandEstimator(model.sets, model.count);
     this.#counts = new Float64Array(model.sets * model.count);
     this.#intervalStartMs = clock.getNow();
@@ -82,14 +75,8 @@
     const plan = planReplicas(current, loads, {
       slotsPerRank: this.#model.slotsPerRank,
       newPerRankAndSet: this.#model.spareSlots,
-      newPerRank: this.#maxCopies,
+      newPerRank: MAX_COPIES_PER_RANK,
     });
-    const minGain = MIN_SKEW_GAIN_PER_LOAD_MS * this.#maxCopies * this.#model.copyMs;
-    return plan.skewNow - plan.skewNext < minGain ? null : plan;
+    return plan.skewNow - plan.skewNext < MIN_SKEW_GAIN ? null : plan;
   }
 }
-
-function computeMaxCopies({ copyMs }: ExpertModel): number {
-  const copies = Math.floor(MAX_LOAD_MS / copyMs);
-  return Math.min(MAX_COPIES_PER_RANK, Math.max(MIN_COPIES_PER_RANK, copies));
-}
