--- a/packages/rankagent/test/support/SimExpertGroup.ts
+++ b/packages/rankagent/test/support/SimExpertGroup.ts
@@ -13,6 +13,9 @@
 /** Fraction of a pass that the experts take. */
 const EXPERT_SHARE = 0.85;
 
+/** Time of a pass while a rank loads experts, relative to other passes. */
+const LOADING_FACTOR = 1.15;
+
 /** Time to copy one expert to a rank, milliseconds. */
 const COPY_MS = 37;
 
@@ -126,7 +129,8 @@
     this.skewSum += skew;
     this.passes += 1;
     const passMs = EVEN_PASS_MS * (1 - EXPERT_SHARE + EXPERT_SHARE * skew);
-    setTimeout(() => this.#runPass(), passMs);
+    const isLoading = this.group.ranks.some(({ loading }) => loading !== null);
+    setTimeout(() => this.#runPass(), isLoading ? LOADING_FACTOR * passMs : passMs);
   }
 
   #countChoices(): void {
