Split the state of an entry from its sockets

EntryCore holds what an entry knows and decides, Gateway its server and its datagram socket. No change of behaviour.

--- /dev/null
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -0,0 +1,247 @@
+import type { DirectAnswer } from '@limpetbay/callers';
+import {
+  AdmissionQueue,
+  ColdLimiter,
+  EntryDirectory,
+  RetryBudget,
+  TargetPicker,
+  TargetRegistry,
+  splitAddress,
+  type RequestHead,
+  type RouteTable,
+} from '@limpetbay/core';
+import { decodeLoads, type PeerMessage } from '@limpetbay/rpc';
+import { EntryLease } from '../feed/EntryLease.js';
+import { GatewayView } from '../feed/GatewayView.js';
+import { StoreMirror } from '../feed/StoreMirror.js';
+import type { TargetPool } from '../ports/TargetPool.js';
+import type { RequestContext } from '../request/RequestContext.js';
+import { RequestRun } from '../request/RequestRun.js';
+import type { EntryCoreOptions } from './EntryCoreOptions.js';
+
+/** Interval of periodic tasks: expiry, subscriptions, registration and idle connections. */
+const TICK_INTERVAL_MS = 250;
+
+/** Interval at which queued requests are tried again or expired. */
+const QUEUE_INTERVAL_MS = 50;
+
+/** Renewal interval of subscriptions to load reports; they expire after three intervals. */
+const SUBSCRIBE_INTERVAL_MS = 1000;
+
+/** Connections to targets are closed after this idle time. */
+const MAX_POOL_IDLE_MS = 4000;
+
+/** Share of the retry limits that the budgets use; the rest covers budgets refilled by restarts. */
+const RETRY_BUDGET_SHARE = 0.5;
+
+/** State and decisions of an entry. It opens no sockets: a `Gateway` connects it to callers. */
+export class EntryCore {
+  readonly #options: EntryCoreOptions;
+
+  readonly #registry: TargetRegistry;
+
+  readonly #entries: EntryDirectory;
+
+  readonly #view: GatewayView;
+
+  readonly #requestContext: RequestContext;
+
+  readonly #mirror: StoreMirror;
+
+  readonly #lease: EntryLease;
+
+  readonly #budgets = new Map<string, RetryBudget>();
+
+  readonly #pools = new Map<string, TargetPool>();
+
+  #cancelTick: (() => void) | null = null;
+
+  #cancelQueueTick: (() => void) | null = null;
+
+  #isRegistered = false;
+
+  #isStopping = false;
+
+  /** When the last request must be answered, monotonic milliseconds; null until `beginStop`. */
+  #drainDeadlineMs: number | null = null;
+
+  #lastSubscribeMs = -Infinity;
+
+  constructor(options: EntryCoreOptions) {
+    this.#options = options;
+    const { clock, random, timers, store, codec, layout, metrics, createLog } = options;
+    this.#registry = new TargetRegistry(clock);
+    this.#entries = new EntryDirectory(clock);
+    const picker = new TargetPicker({
+      clock,
+      random,
+      registry: this.#registry,
+      coldLimiter: new ColdLimiter({
+        clock,
+        ownName: options.self.name,
+        entries: this.#entries,
+      }),
+      countEntries: () => this.#entries.countSharingEntries(),
+    });
+    this.#view = new GatewayView({
+      clock,
+      log: createLog('view'),
+      layout,
+      registry: this.#registry,
+      entries: this.#entries,
+      picker,
+      onConfig: options.onConfig,
+    });
+    this.#requestContext = {
+      clock,
+      random,
+      timers,
+      codec,
+      metrics,
+      registry: this.#registry,
+      picker,
+      queue: new AdmissionQueue(clock),
+      log: createLog('request'),
+      countEntries: () => this.#entries.countSharingEntries(),
+      getTable: () => this.#view.getTable(),
+      getDrainDeadlineMs: () => this.#drainDeadlineMs,
+      getBudget: (service) => this.#getBudget(service),
+      getPool: (address) => this.#getPool(address),
+    };
+    const log = createLog('store');
+    this.#mirror = new StoreMirror({
+      store,
+      prefix: '',
+      listener: this.#view,
+      timers,
+      random,
+      log,
+    });
+    this.#lease = new EntryLease({
+      store,
+      timers,
+      log,
+      key: `${layout.entryPrefix}${options.self.name}`,
+      record: options.self,
+    });
+  }
+
+  start(): void {
+    this.#mirror.start();
+    this.#tick();
+    this.#advanceQueue();
+  }
+
+  /** Returns whether this entry can serve callers. */
+  isReady(): boolean {
+    return this.#view.isComplete() && !this.#isStopping;
+  }
+
+  getTable(): RouteTable | null {
+    return this.#view.getTable();
+  }
+
+  /** Lists the addresses of entries for callers; includes this entry if it is ready. */
+  listAddresses(): string[] {
+    const addresses = new Set<string>();
+    for (const entry of this.#entries.listEntries()) {
+      if (entry.name !== this.#options.self.name) addresses.add(entry.callerAddress);
+    }
+    if (this.isReady()) addresses.add(this.#options.self.callerAddress);
+    return [...addresses];
+  }
+
+  /** Processes a request. @returns a function to call if the caller disconnects */
+  acceptRequest(head: RequestHead, body: Buffer, answer: DirectAnswer): () => void {
+    const run = new RequestRun(this.#requestContext, head, body, answer);
+    run.start();
+    return () => run.cancel();
+  }
+
+  /** Handles a message of another process of the system. */
+  handlePeerMessage(message: PeerMessage): void {
+    if (message.kind !== 'load') return;
+    this.#requestContext.picker.handleReport({
+      ...message.report,
+      ranks: decodeLoads(message.ranks),
+    });
+    this.#requestContext.queue.advance();
+  }
+
+  /**
+   * Withdraws the registration; requests are still served.
+   *
+   * @param drainDeadlineMs when the last request must be answered, monotonic milliseconds
+   */
+  beginStop(drainDeadlineMs: number): void {
+    this.#isStopping = true;
+    this.#drainDeadlineMs = drainDeadlineMs;
+    void this.#lease.stop();
+  }
+
+  /** Ends all activity and closes the connections to targets. */
+  close(): void {
+    this.#mirror.stop();
+    this.#cancelTick?.();
+    this.#cancelQueueTick?.();
+    for (const pool of this.#pools.values()) pool.close();
+  }
+
+  /** Load reports arrive ten times a second; in between, waits expire and slots become free. */
+  #advanceQueue(): void {
+    if (this.#requestContext.queue.count() > 0) this.#requestContext.queue.advance();
+    this.#cancelQueueTick = this.#options.timers.schedule(QUEUE_INTERVAL_MS, () =>
+      this.#advanceQueue(),
+    );
+  }
+
+  #tick(): void {
+    this.#registry.expire();
+    this.#subscribe(this.#options.clock.getNow());
+    if (!this.#isRegistered && this.isReady()) {
+      this.#isRegistered = true;
+      this.#lease.start();
+    }
+    for (const [address, pool] of this.#pools) {
+      pool.closeIdle(MAX_POOL_IDLE_MS);
+      if (pool.count() === 0) this.#pools.delete(address);
+    }
+    this.#cancelTick = this.#options.timers.schedule(TICK_INTERVAL_MS, () => this.#tick());
+  }
+
+  /** Subscribes to the load reports of the agents of model ranks. */
+  #subscribe(nowMs: number): void {
+    const isDue = nowMs - this.#lastSubscribeMs >= SUBSCRIBE_INTERVAL_MS;
+    if (isDue) this.#lastSubscribeMs = nowMs;
+    const agents = new Set<string>();
+    const { port } = splitAddress(this.#options.self.peerAddress);
+    for (const target of this.#registry.listAll()) {
+      const engine = this.#view.getTable()?.findService(target.service)?.engine ?? null;
+      if (engine === null) continue;
+      // An agent that started after the last renewal has no subscription of this entry.
+      if (!isDue && !this.#requestContext.picker.isMissingReport(target)) continue;
+      agents.add(`${splitAddress(target.address).host}:${port}`);
+    }
+    this.#options.network.sendToPeers({ kind: 'subscribe' }, agents);
+  }
+
+  #getBudget(service: string): RetryBudget {
+    let budget = this.#budgets.get(service);
+    if (budget === undefined) {
+      const { retryRatio, retryBurst } = this.#options.limits;
+      const share = (retryBurst * RETRY_BUDGET_SHARE) / this.#entries.countSharingEntries();
+      budget = new RetryBudget(retryRatio * RETRY_BUDGET_SHARE, Math.max(1, share));
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  #getPool(address: string): TargetPool {
+    let pool = this.#pools.get(address);
+    if (pool === undefined) {
+      pool = this.#options.network.openPool(address);
+      this.#pools.set(address, pool);
+    }
+    return pool;
+  }
+}
--- a/packages/gateway/src/request/RequestContext.ts
+++ b/packages/gateway/src/request/RequestContext.ts
@@ -8,7 +8,8 @@
   TargetRegistry,
 } from '@limpetbay/core';
 import type { Log, MetricRegistry } from '@limpetbay/runtime';
-import type { DirectPool } from '@limpetbay/targets';
+
+import type { TargetPool } from '../ports/TargetPool.js';
 import type { Timers } from '../ports/Timers.js';
 import type { WireCodec } from '../ports/WireCodec.js';
 
@@ -32,5 +33,5 @@
   /** Returns the retry budget of a service. */
   readonly getBudget: (service: string) => RetryBudget;
   /** Returns the connection pool of a target address. */
-  readonly getPool: (address: string) => DirectPool;
+  readonly getPool: (address: string) => TargetPool;
 }
