Log how far broken attempts got, the parts of their prompts and whether the target ended

The hypotheses on crashing prompts differ in these: a request that ends its target has had no event of its answer, its target no longer accepts connections, and one part is in all such requests. A reset of one connection looks the same to the request itself, so an entry opens one connection to the target to tell the two apart. Nothing is decided by it yet.

--- a/packages/core/src/direct/RequestHead.ts
+++ b/packages/core/src/direct/RequestHead.ts
@@ -16,6 +16,8 @@
   /** Tokens of the prompt, and most tokens of the answer; 0 where not stated. */
   readonly promptTokens: number;
   readonly answerTokens: number;
+  /** Ids of the parts of the prompt that other requests may share; callers choose them. */
+  readonly promptParts: readonly string[];
   /** Headers to forward, as alternating names and values. */
   readonly forwarded: readonly string[];
 }
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -15,6 +15,7 @@
 import { GatewayView } from '../feed/GatewayView.js';
 import { StoreMirror } from '../feed/StoreMirror.js';
 import type { TargetPool } from '../ports/TargetPool.js';
+import { TargetEndCheck } from '../prompts/TargetEndCheck.js';
 import type { RequestContext } from '../request/RequestContext.js';
 import { RequestRun } from '../request/RequestRun.js';
 import type { EntryCoreOptions } from './EntryCoreOptions.js';
@@ -101,6 +102,11 @@
       registry: this.#registry,
       picker,
       queue: new AdmissionQueue(clock),
+      endCheck: new TargetEndCheck({
+        clock,
+        network: options.network,
+        log: createLog('prompts'),
+      }),
       log: createLog('request'),
       countEntries: () => this.#entries.countSharingEntries(),
       getTable: () => this.#view.getTable(),
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -2,7 +2,7 @@
 import { splitAddress, type RequestHead } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
 import type { Log } from '@limpetbay/runtime';
-import { DirectPool } from '@limpetbay/targets';
+import { DirectPool, checkListener } from '@limpetbay/targets';
 import { EntryCore } from './EntryCore.js';
 import type { GatewayOptions } from './GatewayOptions.js';
 
@@ -43,6 +43,7 @@
       ...options,
       network: {
         openPool: (address) => new DirectPool(address, clock),
+        checkListener,
         sendToPeers: (message, addresses) => this.#socket.send(message, addresses),
       },
       onConfig: ({ config }) =>
--- a/packages/gateway/src/request/AttemptResult.ts
+++ b/packages/gateway/src/request/AttemptResult.ts
@@ -1,5 +1,6 @@
 import type { AttemptOutcome } from '@limpetbay/core';
 import type { AnswerHead } from '../ports/AnswerHead.js';
+import type { AttemptProgress } from './AttemptProgress.js';
 
 /** Result of an attempt: a complete answer for the caller, or the cause of the failure. */
 export type AttemptResult =
@@ -8,6 +9,9 @@
       readonly kind: 'failed';
       readonly outcome: AttemptOutcome;
       readonly message: string;
+      readonly progress: AttemptProgress;
+      /** Whether the connection broke before the end of the answer. */
+      readonly isCut: boolean;
       /** Error answer of the target that may be forwarded to the caller; null without one. */
       readonly answer: { readonly head: AnswerHead; readonly body: Buffer } | null;
     };
--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -6,6 +6,7 @@
 } from '@limpetbay/core';
 import type { AnswerHead } from '../ports/AnswerHead.js';
 import type { AttemptListener } from './AttemptListener.js';
+import type { AttemptProgress } from './AttemptProgress.js';
 import type { RequestContext } from './RequestContext.js';
 
 interface AttemptRunOptions {
@@ -22,6 +23,13 @@
   readonly listener: AttemptListener;
 }
 
+interface FailureDetails {
+  /** Error answer of the target that may be forwarded to the caller. */
+  readonly answer?: { readonly head: AnswerHead; readonly body: Buffer } | null;
+  /** Whether the connection broke before the end of the answer. */
+  readonly isCut?: boolean;
+}
+
 /**
  * Longest idle time of a connection that is reused for a request that may not be repeated. The
  * target may close a connection that was idle for longer while the request is in transit; then it
@@ -83,7 +91,7 @@
         onData: (data) => this.#handleData(data),
         onEnd: () => this.#handleEnd(),
         onFailure: (message, neverSent) =>
-          this.#fail(neverSent ? 'unreachable' : 'broken', message),
+          this.#fail(neverSent ? 'unreachable' : 'broken', message, { isCut: !neverSent }),
       },
     );
   }
@@ -130,7 +138,9 @@
     } else if (isSuccess(head.status) && !head.isSigned) {
       this.#fail('broken', 'the answer is not signed');
     } else if (head.status >= FIRST_FAILURE_STATUS) {
-      this.#fail('failed', `the target answered with status ${head.status}`, { head, body });
+      this.#fail('failed', `the target answered with status ${head.status}`, {
+        answer: { head, body },
+      });
     } else {
       if (!this.#hasFirstByte) this.#recordFirstByte();
       this.#end();
@@ -167,13 +177,25 @@
   #fail(
     outcome: AttemptOutcome,
     message: string,
-    answer: { head: AnswerHead; body: Buffer } | null = null,
+    { answer = null, isCut = false }: FailureDetails = {},
   ): void {
     if (this.#hasEnded) return;
     const { context, target, listener } = this.#options;
     context.picker.getStats(target.id).recordFailure(context.clock.getNow());
     this.#end();
-    listener.onResult({ kind: 'failed', outcome, message, answer });
+    listener.onResult({
+      kind: 'failed',
+      outcome,
+      message,
+      progress: this.#getProgress(),
+      isCut,
+      answer,
+    });
+  }
+
+  #getProgress(): AttemptProgress {
+    if (this.#hasFirstByte || this.#chunks.length > 0) return 'body';
+    return this.#head === null ? 'none' : 'head';
   }
 
   #end(): void {
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -294,9 +294,14 @@
       target: target.id,
       outcome,
       cause: result.message,
+      progress: result.progress,
+      parts: this.#head.promptParts,
       ms: this.#getElapsedMs(),
       next,
     });
+    if (result.isCut && result.progress !== 'body' && this.#head.promptParts.length > 0) {
+      void this.#context.endCheck.hasEnded(target);
+    }
     if (next === 'retry') this.#startOrQueue();
     else this.#answerFailure(result, next);
   }
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -2,6 +2,8 @@
 export { DirectConnection } from './direct/DirectConnection.js';
 export type { DirectListener } from './direct/DirectListener.js';
 export { DirectPool } from './direct/DirectPool.js';
+export type { ListenerState } from './direct/ListenerState.js';
+export { checkListener } from './direct/checkListener.js';
 export { requestJson } from './direct/requestJson.js';
 export { EngineClient } from './engine/EngineClient.js';
 export { EngineLoad } from './engine/EngineLoad.js';
