--- /dev/null
+++ b/packages/gateway/test/support/SimEntry.ts
@@ -0,0 +1,127 @@
+import { DirectAnswer } from '@limpetbay/callers';
+import type { Clock, RandomSource, RequestHead, Store } from '@limpetbay/core';
+import type { PeerMessage } from '@limpetbay/rpc';
+import { MetricRegistry, type Log } from '@limpetbay/runtime';
+import { RealTimers, type EntryNetwork } from '../../src/index.js';
+import { EntryCore } from '../../src/process/EntryCore.js';
+import { simCodec } from './simCodec.js';
+import { simLayout } from './simLayout.js';
+import { SimStoreLink } from './SimStoreLink.js';
+
+interface SimEntryOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly store: Store;
+  readonly name: string;
+  readonly peerAddress: string;
+  readonly network: EntryNetwork;
+}
+
+/** What a caller received. */
+interface SimOutcome {
+  readonly status: number;
+  readonly retryAfterMs: number | null;
+  readonly isComplete: boolean;
+  /** From the request to the first byte of the answer, milliseconds. */
+  readonly firstByteMs: number;
+}
+
+const NOOP_LOG: Log = { report: () => {}, warn: () => {}, alert: () => {} };
+
+const MS_PER_SECOND = 1000;
+
+const LIMITS = { retryRatio: 0.2, retryBurst: 92, graceMs: 8000, addressTtlMs: 5000 };
+
+/** One entry process of a simulated fleet. */
+export class SimEntry {
+  readonly name: string;
+
+  readonly peerAddress: string;
+
+  readonly startedMs: number;
+
+  readonly link: SimStoreLink;
+
+  readonly #clock: Clock;
+
+  readonly #core: EntryCore;
+
+  readonly #cancels = new Set<() => void>();
+
+  #isRunning = true;
+
+  constructor(options: SimEntryOptions) {
+    const { clock, random, store, name, peerAddress, network } = options;
+    this.name = name;
+    this.peerAddress = peerAddress;
+    this.startedMs = clock.getNow();
+    this.link = new SimStoreLink(store);
+    this.#clock = clock;
+    this.#core = new EntryCore({
+      clock,
+      random,
+      timers: new RealTimers(),
+      store: this.link,
+      codec: simCodec,
+      layout: simLayout,
+      self: { name, callerAddress: `${name}:80`, peerAddress, zone: 'a' },
+      limits: LIMITS,
+      metrics: new MetricRegistry(),
+      createLog: () => NOOP_LOG,
+      network,
+      onConfig: () => {},
+    });
+    this.#core.start();
+  }
+
+  isReady(): boolean {
+    return this.#isRunning && this.#core.isReady();
+  }
+
+  /** Ends the process without a farewell; its callers get no answers. */
+  kill(): void {
+    this.#isRunning = false;
+    this.link.setCut(true);
+    for (const cancel of this.#cancels) cancel();
+    this.#core.close();
+  }
+
+  handlePeerMessage(message: PeerMessage): void {
+    if (this.#isRunning) this.#core.handlePeerMessage(message);
+  }
+
+  /** Sends a request as a caller would. */
+  call(head: RequestHead): Promise<SimOutcome> {
+    const startMs = this.#clock.getNow();
+    return new Promise((resolve) => {
+      let status = 0;
+      let retryAfterMs: number | null = null;
+      let firstByteMs = Infinity;
+      const finish = (isComplete: boolean): void => {
+        this.#cancels.delete(cancel);
+        resolve({ status, retryAfterMs, isComplete, firstByteMs });
+      };
+      const response = {
+        headersSent: false,
+        writeHead: (code: number, headers: readonly string[]) => {
+          status = code;
+          firstByteMs = this.#clock.getNow() - startMs;
+          response.headersSent = true;
+          const index = headers.indexOf('Retry-After');
+          if (index >= 0) retryAfterMs = Number(headers[index + 1]) * MS_PER_SECOND;
+        },
+        write: () => true,
+        end: () => finish(true),
+        destroy: () => finish(false),
+      };
+      let cancel = (): void => {};
+      const answer = new DirectAnswer(response as never, () => false);
+      const cancelRun = this.#core.acceptRequest(head, Buffer.alloc(0), answer);
+      cancel = () => {
+        cancelRun();
+        finish(false);
+      };
+      this.#cancels.add(cancel);
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/support/SimFleet.ts
@@ -0,0 +1,261 @@
+import {
+  SeededRandom,
+  type Clock,
+  type DirectConfig,
+  type DirectRoute,
+  type DirectTarget,
+  type RequestHead,
+} from '@limpetbay/core';
+import type { PeerMessage } from '@limpetbay/rpc';
+import { MemoryStore } from '@limpetbay/standins';
+import type { EntryNetwork } from '../../src/index.js';
+import { SimEntry } from './SimEntry.js';
+import { simLayout } from './simLayout.js';
+import { SimTarget } from './SimTarget.js';
+
+interface FleetShape {
+  readonly entries: number;
+  readonly targets: number;
+  readonly seed: number;
+}
+
+type Arrival = Parameters<ConstructorParameters<typeof SimTarget>[0]['onArrival']>[0];
+
+interface SimRequest {
+  readonly id: string;
+  readonly parts: readonly string[];
+  readonly sentMs: number;
+  readonly outcome: Awaited<ReturnType<SimEntry['call']>>;
+}
+
+interface TargetEnd {
+  readonly atMs: number;
+  readonly target: string;
+  /** The prompt part that caused it; null where there was another cause. */
+  readonly part: string | null;
+}
+
+const STORE_TICK_MS = 4;
+
+const STORE_LATENCY_MS: [number, number] = [4, 8];
+
+/** A target that ended starts again after this time, under a new id. */
+const RESTART_MS = 3000;
+
+/** The registration of a target that ended remains for this time. */
+const REGISTRATION_MS = 3600;
+
+const PEER_DELAY_MS = 1;
+
+/** Share of the datagrams between entries that are lost. */
+const PEER_LOSS = 0.02;
+
+const ROUTE: DirectRoute = {
+  name: 'r',
+  host: 'h',
+  prefix: '/a/',
+  kind: 'stream',
+  maxAttempts: 2,
+  timeoutMs: 8000,
+  objectiveMs: 500,
+  gapMs: 120,
+  patienceMs: 2000,
+  priority: 1,
+  isPublic: true,
+  isResumable: true,
+  services: [{ service: 's', weight: 1 }],
+};
+
+const CONFIG: DirectConfig = {
+  version: 1,
+  routes: [ROUTE],
+  services: [{ name: 's', maxConnections: 300, coldPerSecond: 0, engine: null }],
+  workspaces: null,
+  idleTimeoutMs: 10_000,
+  headTimeoutMs: 5000,
+  maxBodyBytes: 100_000,
+};
+
+/**
+ * Entries that share a store and the targets of one service, without a network and under one clock,
+ * which must be the time of the timers. Targets end when they begin an answer on a crashing part.
+ */
+export class SimFleet {
+  readonly store: MemoryStore;
+
+  readonly random: SeededRandom;
+
+  readonly crashingParts = new Set<string>();
+
+  readonly entries: SimEntry[] = [];
+
+  readonly arrivals: Arrival[] = [];
+
+  readonly ends: TargetEnd[] = [];
+
+  readonly requests: SimRequest[] = [];
+
+  /** Datagrams between entries. */
+  peerMessages = 0;
+
+  readonly #clock: Clock;
+
+  readonly #shape: FleetShape;
+
+  readonly #targets = new Map<string, SimTarget>();
+
+  readonly #cutEntries = new Set<string>();
+
+  #lastId = 0;
+
+  #isStopped = false;
+
+  constructor(clock: Clock, shape: FleetShape) {
+    this.#clock = clock;
+    this.#shape = shape;
+    this.random = new SeededRandom(shape.seed);
+    this.store = new MemoryStore(clock, this.random);
+  }
+
+  async start(): Promise<void> {
+    this.#tickStore();
+    await this.#put(simLayout.configKey, CONFIG);
+    for (let index = 0; index < this.#shape.targets; index += 1) await this.#startTarget(index);
+    for (let index = 0; index < this.#shape.entries; index += 1) this.startEntry(index);
+    this.store.setFaults({ latencyMs: STORE_LATENCY_MS });
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    for (const entry of this.entries) entry.kill();
+  }
+
+  /** Starts the process of an entry, also again after `kill`. It knows nothing of its earlier run. */
+  startEntry(index: number): void {
+    const name = `entry-${index}`;
+    this.entries[index] = new SimEntry({
+      clock: this.#clock,
+      random: this.random,
+      store: this.store,
+      name,
+      peerAddress: `${name}:7340`,
+      network: this.#createNetwork(name),
+    });
+  }
+
+  /** Cuts an entry off from the store and from the other entries, or ends the cut. */
+  setCut(index: number, isCut: boolean): void {
+    const entry = this.entries[index] as SimEntry;
+    entry.link.setCut(isCut);
+    if (isCut) this.#cutEntries.add(entry.peerAddress);
+    else this.#cutEntries.delete(entry.peerAddress);
+  }
+
+  /** Ends running targets for a reason that no request causes. */
+  endTargets(count: number): void {
+    const running = [...this.#targets.values()].filter((target) => !target.hasEnded());
+    for (const target of running.slice(0, count)) target.end();
+  }
+
+  /** Sends a request with the given shared parts to a random entry that is ready. */
+  async send(parts: readonly string[]): Promise<void> {
+    const ready = this.entries.filter((entry) => entry.isReady());
+    const entry = ready[Math.floor(this.random.next() * ready.length)];
+    if (entry === undefined) return;
+    this.#lastId += 1;
+    const head: RequestHead = {
+      id: `request-${this.#lastId}`,
+      method: 'POST',
+      url: '/a/x',
+      path: '/a/x',
+      host: ROUTE.host,
+      apiKey: null,
+      timeoutMs: ROUTE.timeoutMs,
+      lastEventId: null,
+      promptTokens: 700,
+      answerTokens: 100,
+      promptParts: parts,
+      forwarded: [],
+    };
+    const sentMs = this.#clock.getNow();
+    const outcome = await entry.call(head);
+    this.requests.push({ id: head.id, parts, sentMs, outcome });
+  }
+
+  #createNetwork(entry: string): EntryNetwork {
+    const peerAddress = `${entry}:7340`;
+    return {
+      openPool: (address) => ({
+        send: (call, listener) => {
+          const target = this.#targets.get(address) as SimTarget;
+          return target.send(entry, call, listener);
+        },
+        closeIdle: () => {},
+        count: () => 1,
+        close: () => {},
+      }),
+      checkListener: async (address) => {
+        await new Promise((resolve) => {
+          setTimeout(resolve, 2 * PEER_DELAY_MS);
+        });
+        return this.#targets.get(address)?.hasEnded() === true ? 'refused' : 'listening';
+      },
+      sendToPeers: (message, addresses) => {
+        for (const address of addresses) this.#sendToPeer(message, peerAddress, address);
+      },
+    };
+  }
+
+  #sendToPeer(message: PeerMessage, from: string, to: string): void {
+    this.peerMessages += 1;
+    if (this.random.next() < PEER_LOSS) return;
+    setTimeout(() => {
+      if (this.#cutEntries.has(from) || this.#cutEntries.has(to)) return;
+      const receiver = this.entries.find(({ peerAddress }) => peerAddress === to);
+      receiver?.handlePeerMessage(message);
+    }, PEER_DELAY_MS);
+  }
+
+  async #startTarget(index: number, run = 0): Promise<void> {
+    const id = `target-${index}.${run}`;
+    const address = `10.0.0.${index}:80`;
+    const target = new SimTarget({
+      clock: this.#clock,
+      id,
+      address,
+      crashingParts: this.crashingParts,
+      onArrival: (arrival) => this.arrivals.push(arrival),
+      onEnd: (_target, part) => {
+        this.ends.push({ atMs: this.#clock.getNow(), target: id, part });
+        setTimeout(() => void this.#startTarget(index, run + 1), RESTART_MS);
+        setTimeout(() => void this.#remove(`${simLayout.targetPrefix}${id}`), REGISTRATION_MS);
+      },
+    });
+    this.#targets.set(address, target);
+    const record: DirectTarget = {
+      id,
+      service: 's',
+      address,
+      zone: 'a',
+      capacity: 12,
+      isDraining: false,
+      coldLeftMs: 0,
+      bornMs: run + 1,
+    };
+    await this.#put(`${simLayout.targetPrefix}${id}`, record);
+  }
+
+  async #put(key: string, value: object): Promise<void> {
+    await this.store.commit({ conditions: [], writes: [{ key, value: JSON.stringify(value) }] });
+  }
+
+  async #remove(key: string): Promise<void> {
+    await this.store.commit({ conditions: [], writes: [{ key, value: null }] });
+  }
+
+  #tickStore(): void {
+    if (this.#isStopped) return;
+    this.store.tick();
+    setTimeout(() => this.#tickStore(), STORE_TICK_MS);
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/support/SimStoreLink.ts
@@ -0,0 +1,117 @@
+import {
+  fail,
+  type CommitResult,
+  type Failure,
+  type Result,
+  type Revision,
+  type Store,
+  type StoreRecord,
+  type StoreTransaction,
+  type StoreWatchListener,
+} from '@limpetbay/core';
+
+type StoreChange = Parameters<StoreWatchListener['onChange']>[0];
+
+interface LinkedWatch {
+  readonly listener: StoreWatchListener;
+  readonly stop: () => void;
+  readonly changes: StoreChange[];
+}
+
+/** Changes are delivered together at this interval, as the watch requests of an entry do. */
+const WATCH_INTERVAL_MS = 400;
+
+/** Calls over a cut link fail after this time. */
+const CALL_TIMEOUT_MS = 1000;
+
+/** The path of one entry to the store; it can be cut. */
+export class SimStoreLink implements Store {
+  /** Number of writing calls. */
+  writes = 0;
+
+  readonly #store: Store;
+
+  readonly #watches = new Set<LinkedWatch>();
+
+  #isCut = false;
+
+  constructor(store: Store) {
+    this.#store = store;
+  }
+
+  setCut(isCut: boolean): void {
+    this.#isCut = isCut;
+    if (!isCut) return;
+    for (const { stop, listener } of [...this.#watches]) {
+      stop();
+      listener.onEnd('failed');
+    }
+    this.#watches.clear();
+  }
+
+  read(key: string): Promise<Result<{ record: StoreRecord | null; revision: Revision }, Failure>> {
+    return this.#isCut ? this.#failLate() : this.#store.read(key);
+  }
+
+  readPrefix(
+    prefix: string,
+  ): Promise<Result<{ records: StoreRecord[]; revision: Revision }, Failure>> {
+    return this.#isCut ? this.#failLate() : this.#store.readPrefix(prefix);
+  }
+
+  commit(transaction: StoreTransaction): Promise<Result<CommitResult, Failure>> {
+    this.writes += 1;
+    return this.#isCut ? this.#failLate() : this.#store.commit(transaction);
+  }
+
+  watch(prefix: string, fromRevision: Revision, listener: StoreWatchListener): () => void {
+    if (this.#isCut) {
+      setTimeout(() => listener.onEnd('failed'), CALL_TIMEOUT_MS);
+      return () => {};
+    }
+    const changes: StoreChange[] = [];
+    const watch = { listener, changes, stop: () => {} };
+    this.#watches.add(watch);
+    watch.stop = this.#store.watch(prefix, fromRevision, {
+      onChange: (change) => {
+        if (changes.length === 0) setTimeout(() => this.#deliver(watch), WATCH_INTERVAL_MS);
+        changes.push(change);
+      },
+      onProgress: () => {},
+      onEnd: (reason) => {
+        this.#watches.delete(watch);
+        listener.onEnd(reason);
+      },
+    });
+    return () => {
+      watch.stop();
+      this.#watches.delete(watch);
+    };
+  }
+
+  grantLease(ttlMs: number): Promise<Result<{ lease: string; ttlMs: number }, Failure>> {
+    return this.#isCut ? this.#failLate() : this.#store.grantLease(ttlMs);
+  }
+
+  renewLease(lease: string): Promise<Result<{ ttlMs: number }, Failure>> {
+    return this.#isCut ? this.#failLate() : this.#store.renewLease(lease);
+  }
+
+  revokeLease(lease: string): Promise<Result<void, Failure>> {
+    return this.#isCut ? this.#failLate() : this.#store.revokeLease(lease);
+  }
+
+  #deliver(watch: LinkedWatch): void {
+    if (!this.#watches.has(watch)) return;
+    for (const change of watch.changes.splice(0)) watch.listener.onChange(change);
+  }
+
+  #failLate<T>(): Promise<Result<T, Failure>> {
+    return new Promise((resolve) => {
+      setTimeout(
+        () => resolve(fail('store_unavailable', 'the link to the store is cut')),
+        CALL_TIMEOUT_MS,
+      );
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/support/SimTarget.ts
@@ -0,0 +1,148 @@
+import type { Clock } from '@limpetbay/core';
+import type { DirectCall, DirectListener } from '@limpetbay/targets';
+
+interface SimArrival {
+  readonly atMs: number;
+  /** When the entry sent the request, milliseconds. */
+  readonly sentMs: number;
+  readonly entry: string;
+  readonly target: string;
+  readonly requestId: string;
+  readonly parts: readonly string[];
+  /** Whether an event of the answer was sent. */
+  hasBegun: boolean;
+}
+
+interface SimTargetOptions {
+  readonly clock: Clock;
+  readonly id: string;
+  readonly address: string;
+  /** Prompt parts on which the target ends when it begins an answer. */
+  readonly crashingParts: ReadonlySet<string>;
+  readonly onArrival: (arrival: SimArrival) => void;
+  readonly onEnd: (target: SimTarget, part: string | null) => void;
+}
+
+interface RunningCall {
+  readonly listener: DirectListener;
+}
+
+/** One way between an entry and a target. */
+const DELAY_MS = 1;
+
+/** From the arrival to the head of the answer, and from there to the first event. */
+const HEAD_DELAY_MS = 40;
+const FIRST_EVENT_DELAY_MS = 50;
+
+const EVENTS = 8;
+
+const EVENT_GAP_MS = 50;
+
+/** A target that streams answers, and ends when it begins one on a crashing part. */
+export class SimTarget {
+  readonly id: string;
+
+  readonly address: string;
+
+  readonly #options: SimTargetOptions;
+
+  readonly #calls = new Set<RunningCall>();
+
+  /** Calls whose entry still listens. */
+  readonly #open = new Set<RunningCall>();
+
+  #hasEnded = false;
+
+  constructor(options: SimTargetOptions) {
+    this.id = options.id;
+    this.address = options.address;
+    this.#options = options;
+  }
+
+  hasEnded(): boolean {
+    return this.#hasEnded;
+  }
+
+  /** Receives a call of an entry. @returns a function that cancels it */
+  send(entry: string, call: DirectCall, listener: DirectListener): () => void {
+    const running: RunningCall = { listener };
+    this.#open.add(running);
+    const sentMs = this.#options.clock.getNow();
+    setTimeout(() => this.#accept(entry, sentMs, call, running), DELAY_MS);
+    return () => {
+      this.#open.delete(running);
+      this.#calls.delete(running);
+    };
+  }
+
+  /** Ends the target, which resets its connections. @param part that caused it, if one did */
+  end(part: string | null = null): void {
+    if (this.#hasEnded) return;
+    this.#hasEnded = true;
+    this.#options.onEnd(this, part);
+    for (const running of [...this.#calls]) {
+      this.#deliver(running, () => {
+        this.#open.delete(running);
+        running.listener.onFailure('aborted', false);
+      });
+    }
+    this.#calls.clear();
+  }
+
+  #accept(entry: string, sentMs: number, call: DirectCall, running: RunningCall): void {
+    if (!this.#open.has(running)) return;
+    if (this.#hasEnded) {
+      this.#deliver(running, () => running.listener.onFailure('connect ECONNREFUSED', true));
+      return;
+    }
+    this.#calls.add(running);
+    const { clock, onArrival, crashingParts } = this.#options;
+    const [, requestId = '', , partText = ''] = call.headers;
+    const parts = partText.split(',');
+    const arrival: SimArrival = {
+      atMs: clock.getNow(),
+      sentMs,
+      entry,
+      target: this.id,
+      requestId,
+      parts,
+      hasBegun: false,
+    };
+    onArrival(arrival);
+    setTimeout(() => {
+      if (!this.#calls.has(running)) return;
+      this.#deliver(running, () => running.listener.onHead(200, { id: requestId }));
+      setTimeout(() => {
+        if (!this.#calls.has(running)) return;
+        const crashingPart = parts.find((part) => crashingParts.has(part));
+        if (crashingPart !== undefined) this.end(crashingPart);
+        else {
+          arrival.hasBegun = true;
+          this.#sendEvent(running, 1);
+        }
+      }, FIRST_EVENT_DELAY_MS);
+    }, HEAD_DELAY_MS);
+  }
+
+  #sendEvent(running: RunningCall, number: number): void {
+    if (!this.#calls.has(running)) return;
+    this.#deliver(running, () =>
+      running.listener.onData(Buffer.from(`id: ${number}\ndata: x\n\n`)),
+    );
+    if (number < EVENTS) {
+      setTimeout(() => this.#sendEvent(running, number + 1), EVENT_GAP_MS);
+      return;
+    }
+    this.#calls.delete(running);
+    this.#deliver(running, () => {
+      this.#open.delete(running);
+      running.listener.onEnd();
+    });
+  }
+
+  #deliver(running: RunningCall, action: () => void): void {
+    setTimeout(() => {
+      if (this.#open.has(running)) action();
+    }, DELAY_MS);
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/support/simCodec.ts
@@ -0,0 +1,22 @@
+import type { AnswerHead, WireCodec } from '../../src/index.js';
+
+/** Names of the headers between simulated entries and targets. */
+const ID_HEADER = 'id';
+const PARTS_HEADER = 'parts';
+
+/** Codec of simulated targets, without the names of a deployment. */
+export const simCodec: WireCodec = {
+  readRequest: () => {
+    throw new Error('simulated callers send decoded requests');
+  },
+  listTargetHeaders: ({ id, promptParts }) => [ID_HEADER, id, PARTS_HEADER, promptParts.join(',')],
+  readAnswer: (status, headers): AnswerHead => ({
+    status,
+    requestId: String(headers[ID_HEADER] ?? ''),
+    isSigned: true,
+    isNotRun: status === 503,
+    isMisdirected: false,
+    forwarded: [],
+  }),
+  listOwnHeaders: () => [],
+};
--- a/packages/rankagent/test/OrderClient.test.ts
+++ b/packages/rankagent/test/OrderClient.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { PeerMessage } from '@limpetbay/rpc';
+import { SimTimers } from '@limpetbay/standins';
 import { LinkPacer, OrderClient } from '../src/index.js';
-import { SimTimers } from './support/SimTimers.js';
 
 const AGENT = '10.0.0.1:7340';
 
@@ -17,7 +17,7 @@
   beforeEach(() => {
     sent.length = 0;
     timers = new SimTimers();
-    timers.install();
+    timers.begin();
     orders = new OrderClient({
       clock: timers,
       pacer: new LinkPacer(timers, LINK_BITS_PER_SECOND),
@@ -25,7 +25,7 @@
     });
   });
 
-  afterEach(() => timers.uninstall());
+  afterEach(() => timers.end());
 
   function answerLast(): void {
     const last = sent[sent.length - 1];
--- a/packages/rankagent/test/RemoteRank.test.ts
+++ b/packages/rankagent/test/RemoteRank.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { Ok, fail, type RankOrder, type Result, type Failure } from '@limpetbay/core';
 import type { PeerMessage } from '@limpetbay/rpc';
+import { SimTimers } from '@limpetbay/standins';
 import {
   CallQueue,
   LinkPacer,
@@ -9,7 +10,6 @@
   type OrderReply,
   type RankControl,
 } from '../src/index.js';
-import { SimTimers } from './support/SimTimers.js';
 
 const AGENT = '10.0.0.1:7340';
 
@@ -30,7 +30,7 @@
     direct.length = 0;
     lastHeardMs = -1;
     timers = new SimTimers();
-    timers.install();
+    timers.begin();
     mapCalls = new CallQueue();
     orders = new OrderClient({
       clock: timers,
@@ -39,7 +39,7 @@
     });
   });
 
-  afterEach(() => timers.uninstall());
+  afterEach(() => timers.end());
 
   function createRank(
     call: () => Promise<Result<OrderReply, Failure>> = () =>
--- a/packages/rankagent/test/largeGroup.test.ts
+++ b/packages/rankagent/test/largeGroup.test.ts
@@ -1,6 +1,6 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { SimTimers } from '@limpetbay/standins';
 import { SimDeployment } from './support/SimDeployment.js';
-import { SimTimers } from './support/SimTimers.js';
 
 const SHAPE = {
   ranks: 32,
@@ -34,7 +34,7 @@
   const shiftTimesMs: number[] = [];
 
   beforeAll(async () => {
-    timers.install();
+    timers.begin();
     await deployment.start();
     for (let shift = 0; shift < SHIFTS; shift += 1) {
       await timers.advance(SHIFT_INTERVAL_MS);
@@ -46,7 +46,7 @@
 
   afterAll(() => {
     deployment.stop();
-    timers.uninstall();
+    timers.end();
   });
 
   // Guards against maps that arrive when the next shift of demand is already due.
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -14,3 +14,4 @@
 export type { MemoryStoreCounts } from './store/MemoryStoreCounts.js';
 export type { MemoryStoreFaults } from './store/MemoryStoreFaults.js';
 export { StoreServer } from './store/StoreServer.js';
+export { SimTimers } from './time/SimTimers.js';
--- a/packages/rankagent/test/support/SimTimers.ts
+++ b/packages/standins/src/time/SimTimers.ts
@@ -1,4 +1,3 @@
-import { vi } from 'vitest';
 import type { Clock } from '@limpetbay/core';
 
 interface SimTimer {
@@ -21,13 +20,22 @@
 
   readonly #cancelled = new Set<number>();
 
-  install(): void {
-    vi.stubGlobal('setTimeout', (run: () => void, delayMs = 0) => this.#schedule(run, delayMs));
-    vi.stubGlobal('clearTimeout', (order: number) => this.#cancelled.add(order));
+  #original: Pick<typeof globalThis, 'setTimeout' | 'clearTimeout'> | null = null;
+
+  begin(): void {
+    const { setTimeout, clearTimeout } = globalThis;
+    this.#original = { setTimeout, clearTimeout };
+    Object.assign(globalThis, {
+      setTimeout: (run: () => void, delayMs = 0) => this.#schedule(run, delayMs),
+      clearTimeout: (order: number) => this.#cancelled.add(order),
+    });
   }
 
-  uninstall(): void {
-    vi.unstubAllGlobals();
+  /** Restores the timers of the process; simulated ones that are pending never run. */
+  end(): void {
+    if (this.#original !== null) Object.assign(globalThis, this.#original);
+    this.#original = null;
+    this.#heap.length = 0;
   }
 
   getNow(): number {
