Block prompt parts that end targets, at all entries

Cause: an attempt that broke off was repeated at another target, whatever had ended the first one, and no entry knew what requests had done elsewhere. The class: a request is judged by its attempts alone; what its attempts do to the targets is neither recorded nor shared.

Change: a circuit breaker for prompt parts. An end is blamed on the shared parts of the requests that waited for their answers; a connection to the target tells an end from a reset. Any answer that begins clears its parts. After two ends one request with the part is sent at a time, granted by a compare-and-swap in the store; after three ends none for 30 s, doubled with each further one. Ends go to the other entries as datagrams and into one record a part in the store, for entries that start later or missed them. A request that probably ended its target is not repeated.

Ruled out: limiting repeats alone (new requests come at every entry); blocking by key, route or first part (sound requests share them); datagrams alone (a restart of all entries forgets) and the store alone (an outage of it hides ends from the others).

--- /dev/null
+++ b/packages/core/src/prompts/SuspectedPart.ts
@@ -0,0 +1,20 @@
+import type { Revision } from '../ids/Revision.js';
+import type { TargetEnd } from './TargetEnd.js';
+
+/** What an entry knows about a prompt part that may have ended targets. */
+export interface SuspectedPart {
+  readonly part: string;
+  /** Ends by target; several entries may report the same one. */
+  readonly ends: Map<string, TargetEnd>;
+  /** When this entry learned of the last end, monotonic milliseconds. */
+  lastEndMs: number;
+  /** Ends that speak against this part rather than against another part of the same requests. */
+  count: number;
+  /** Entry whose request is on trial; null without a trial. */
+  trial: string | null;
+  trialSinceMs: number;
+  /** Revision of the stored record; 0 without one. */
+  revision: Revision | 0;
+  /** Whether the stored record lacks something known here. */
+  isUnsaved: boolean;
+}
--- a/packages/gateway/src/feed/GatewayView.ts
+++ b/packages/gateway/src/feed/GatewayView.ts
@@ -9,6 +9,7 @@
   type TargetRegistry,
 } from '@limpetbay/core';
 import type { Log } from '@limpetbay/runtime';
+import type { SharedPromptBreaker } from '../prompts/SharedPromptBreaker.js';
 import type { MirrorListener } from './MirrorListener.js';
 import type { RecordLayout } from './RecordLayout.js';
 
@@ -19,6 +20,7 @@
   readonly registry: TargetRegistry;
   readonly entries: EntryDirectory;
   readonly picker: TargetPicker;
+  readonly prompts: SharedPromptBreaker;
   readonly onConfig: (table: RouteTable) => void;
 }
 
@@ -49,6 +51,7 @@
     const { layout, registry, entries } = this.#options;
     const targets: DirectTarget[] = [];
     const entryRecords: EntryRecord[] = [];
+    const promptRecords: StoreRecord[] = [];
     this.#evacuatedZones.clear();
     for (const record of records) {
       if (record.key.startsWith(layout.targetPrefix)) {
@@ -57,10 +60,12 @@
       } else if (record.key.startsWith(layout.entryPrefix)) {
         const entry = this.#decodeEntry(record);
         if (entry !== null) entryRecords.push(entry);
-      } else this.onRecord(record);
+      } else if (record.key.startsWith(layout.promptPrefix)) promptRecords.push(record);
+      else this.onRecord(record);
     }
     registry.replaceAll(targets);
     entries.replaceAll(entryRecords);
+    this.#options.prompts.handleSnapshot(promptRecords);
     this.#hasTargets = true;
     this.#options.picker.setEvacuated(this.#evacuatedZones);
     this.#options.log.report('store records loaded', {
@@ -86,6 +91,8 @@
     } else if (record.key.startsWith(layout.entryPrefix)) {
       const entry = this.#decodeEntry(record);
       if (entry !== null) entries.upsert(entry);
+    } else if (record.key.startsWith(layout.promptPrefix)) {
+      this.#options.prompts.handleRecord(record);
     }
   }
 
@@ -103,7 +110,7 @@
       const name = key.slice(layout.entryPrefix.length);
       log.report('entry registration removed', { entry: name });
       entries.remove(name);
-    }
+    } else if (key.startsWith(layout.promptPrefix)) this.#options.prompts.handleRemoval(key);
   }
 
   onStoreAvailabilityChange(isUnavailable: boolean): void {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,7 @@
 export type { GatewayLimits } from './process/GatewayLimits.js';
 export type { GatewayOptions } from './process/GatewayOptions.js';
 export { RealTimers } from './process/RealTimers.js';
+export { SharedPromptBreaker } from './prompts/SharedPromptBreaker.js';
 export { TargetEndCheck } from './prompts/TargetEndCheck.js';
 export type { AttemptListener } from './request/AttemptListener.js';
 export type { AttemptProgress } from './request/AttemptProgress.js';
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -15,6 +15,7 @@
 import { GatewayView } from '../feed/GatewayView.js';
 import { StoreMirror } from '../feed/StoreMirror.js';
 import type { TargetPool } from '../ports/TargetPool.js';
+import { SharedPromptBreaker } from '../prompts/SharedPromptBreaker.js';
 import { TargetEndCheck } from '../prompts/TargetEndCheck.js';
 import type { RequestContext } from '../request/RequestContext.js';
 import { RequestRun } from '../request/RequestRun.js';
@@ -47,6 +48,8 @@
 
   readonly #requestContext: RequestContext;
 
+  readonly #prompts: SharedPromptBreaker;
+
   readonly #mirror: StoreMirror;
 
   readonly #lease: EntryLease;
@@ -84,6 +87,17 @@
       }),
       countEntries: () => this.#entries.countSharingEntries(),
     });
+    this.#prompts = new SharedPromptBreaker({
+      clock,
+      random,
+      timers,
+      store,
+      prefix: layout.promptPrefix,
+      ownName: options.self.name,
+      log: createLog('prompts'),
+      metrics,
+      sendToEntries: (message) => options.network.sendToPeers(message, this.#listPeers()),
+    });
     this.#view = new GatewayView({
       clock,
       log: createLog('view'),
@@ -91,6 +105,7 @@
       registry: this.#registry,
       entries: this.#entries,
       picker,
+      prompts: this.#prompts,
       onConfig: options.onConfig,
     });
     this.#requestContext = {
@@ -102,6 +117,7 @@
       registry: this.#registry,
       picker,
       queue: new AdmissionQueue(clock),
+      prompts: this.#prompts,
       endCheck: new TargetEndCheck({
         clock,
         network: options.network,
@@ -166,6 +182,7 @@
 
   /** Handles a message of another process of the system. */
   handlePeerMessage(message: PeerMessage): void {
+    this.#prompts.handlePeerMessage(message);
     if (message.kind !== 'load') return;
     this.#requestContext.picker.handleReport({
       ...message.report,
@@ -188,6 +205,7 @@
   /** Ends all activity and closes the connections to targets. */
   close(): void {
     this.#mirror.stop();
+    this.#prompts.close();
     this.#cancelTick?.();
     this.#cancelQueueTick?.();
     for (const pool of this.#pools.values()) pool.close();
@@ -203,6 +221,7 @@
 
   #tick(): void {
     this.#registry.expire();
+    this.#prompts.expire();
     this.#subscribe(this.#options.clock.getNow());
     if (!this.#isRegistered && this.isReady()) {
       this.#isRegistered = true;
@@ -215,6 +234,15 @@
     this.#cancelTick = this.#options.timers.schedule(TICK_INTERVAL_MS, () => this.#tick());
   }
 
+  /** Lists the addresses of the other entries for datagrams. */
+  #listPeers(): string[] {
+    const addresses: string[] = [];
+    for (const { name, peerAddress } of this.#entries.listEntries()) {
+      if (name !== this.#options.self.name) addresses.push(peerAddress);
+    }
+    return addresses;
+  }
+
   /** Subscribes to the load reports of the agents of model ranks. */
   #subscribe(nowMs: number): void {
     const isDue = nowMs - this.#lastSubscribeMs >= SUBSCRIBE_INTERVAL_MS;
--- a/packages/gateway/src/request/RequestContext.ts
+++ b/packages/gateway/src/request/RequestContext.ts
@@ -12,6 +12,7 @@
 import type { TargetPool } from '../ports/TargetPool.js';
 import type { Timers } from '../ports/Timers.js';
 import type { WireCodec } from '../ports/WireCodec.js';
+import type { SharedPromptBreaker } from '../prompts/SharedPromptBreaker.js';
 import type { TargetEndCheck } from '../prompts/TargetEndCheck.js';
 
 /** Components and state of an entry that its requests share. */
@@ -23,6 +24,7 @@
   readonly registry: TargetRegistry;
   readonly picker: TargetPicker;
   readonly queue: AdmissionQueue;
+  readonly prompts: SharedPromptBreaker;
   readonly endCheck: TargetEndCheck;
   readonly metrics: MetricRegistry;
   readonly log: Log;
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -29,6 +29,18 @@
   readonly deadlineMs: number;
 }
 
+interface BlockedPart {
+  readonly part: string;
+  /** Targets that ended on requests with the part; 0 while another request is on trial. */
+  readonly ends: number;
+  readonly retryAfterMs: number;
+}
+
+/** Batches of events after which a target is certain not to end on the request. */
+const BATCHES_OF_SOUND_ANSWER = 2;
+
+type FailedAttempt = Extract<AttemptResult, { kind: 'failed' }>;
+
 /** Retry-After of failures that are probably over after a short wait. */
 const RETRY_AFTER_MS = 200;
 
@@ -63,6 +75,12 @@
   /** When the request arrived or the caller was last sent events. */
   #progressMs: number;
 
+  /** Suspected prompt parts for which the current attempt is the only one allowed. */
+  #trialParts: readonly string[] = [];
+
+  /** Batches of events that the current attempt has received. */
+  #batches = 0;
+
   #sentAttempts = 0;
 
   #unreachableAttempts = 0;
@@ -109,6 +127,7 @@
     this.#end();
     if (this.#admission.route.kind === 'unsafe') return;
     this.#attempt?.cancel();
+    this.#endTrial();
   }
 
   #admit(): Admission | null {
@@ -202,6 +221,11 @@
 
   /** Starts an attempt if a target admits the request. @returns null if started, or the reason */
   #tryStart(admission: Admission): UnavailableReason | null {
+    const decision = this.#context.prompts.check(this.#head.promptParts);
+    if (decision.kind === 'blocked') {
+      this.#refuseBlocked(decision);
+      return null;
+    }
     const pick = this.#context.picker.pick({
       service: admission.service,
       excluded: this.#excludedTargets,
@@ -211,10 +235,45 @@
         computeStartSlackMs(admission.route, this.#getElapsedMs()) === 0,
     });
     if (pick.target === null) return pick.reason;
-    this.#startAttempt(admission, pick.target, pick.reason);
+    if (decision.kind === 'trial') void this.#startTrial(admission, pick.target, decision.parts);
+    else this.#startAttempt(admission, pick.target, pick.reason);
     return null;
   }
 
+  /** Sends the request if no other request with the suspected parts is on trial. */
+  async #startTrial(
+    admission: Admission,
+    target: DirectTarget,
+    parts: readonly string[],
+  ): Promise<void> {
+    const { prompts } = this.#context;
+    const isGranted = await prompts.acquireTrial(parts);
+    if (isGranted && !this.#hasEnded) {
+      this.#trialParts = parts;
+      this.#startAttempt(admission, target, 'trial of suspected prompt parts');
+      return;
+    }
+    if (isGranted) prompts.endTrial(parts);
+    if (this.#hasEnded) return;
+    const [part = ''] = parts;
+    this.#refuseBlocked({ part, ends: 0, retryAfterMs: RETRY_AFTER_MS });
+  }
+
+  #endTrial(): void {
+    if (this.#trialParts.length === 0) return;
+    this.#context.prompts.endTrial(this.#trialParts);
+    this.#trialParts = [];
+  }
+
+  #refuseBlocked({ part, ends, retryAfterMs }: BlockedPart): void {
+    const message =
+      ends > 0
+        ? `${ends} targets ended on requests with prompt part ${part}`
+        : `another request with prompt part ${part} is on trial`;
+    if (this.#mayHaveRun) this.#refuse('outcome_unknown', message);
+    else this.#refuse('prompt_blocked', message, retryAfterMs);
+  }
+
   #refuseWithoutTarget(admission: Admission, reason: UnavailableReason): void {
     if (this.#mayHaveRun) {
       this.#refuse('outcome_unknown', `no target for another attempt: ${reason}`);
@@ -255,6 +314,7 @@
       leftMs: timeoutMs,
       reason,
     });
+    this.#batches = 0;
     this.#attempt = new AttemptRun({
       context: this.#context,
       route: admission.route,
@@ -264,6 +324,11 @@
       listener: {
         onEvents: (head, bytes, lastId) => {
           if (this.#hasEnded) return;
+          this.#batches += 1;
+          if (this.#batches === BATCHES_OF_SOUND_ANSWER) {
+            this.#recordBegun();
+            this.#endTrial();
+          }
           if (!this.#answer.isStarted()) this.#answer.start(head.status, head.forwarded);
           if (lastId !== null) this.#lastEventId = lastId;
           this.#answer.write(bytes);
@@ -277,17 +342,50 @@
 
   #handleResult(target: DirectTarget, result: AttemptResult): void {
     this.#attempt = null;
-    if (this.#hasEnded) return;
     if (result.kind === 'done') {
-      this.#finish(result);
-      return;
+      const { route } = this.#admission as Admission;
+      if (route.kind !== 'stream' || this.#batches > 0) this.#recordBegun();
+      this.#endTrial();
+      if (!this.#hasEnded) this.#finish(result);
+    } else if (result.isCut && this.#isSuspect()) void this.#handleCut(target, result);
+    else {
+      this.#endTrial();
+      this.#handleFailure(target, result, true);
     }
+  }
+
+  /** Returns whether the request may be the cause if the target ends now. */
+  #isSuspect(): boolean {
+    return this.#head.promptParts.length > 0 && this.#batches < BATCHES_OF_SOUND_ANSWER;
+  }
+
+  /** Handles an attempt that broke off, perhaps because the request ended its target. */
+  async #handleCut(target: DirectTarget, result: FailedAttempt): Promise<void> {
+    const hadHead = result.progress !== 'none';
+    const isOnTrial = this.#trialParts.length > 0;
+    // Many requests wait in the queue of a target when it ends; they go on at once.
+    const mustWait = hadHead || isOnTrial;
+    if (!mustWait) this.#handleFailure(target, result, true);
+    const hasEnded = await this.#context.endCheck.hasEnded(target);
+    if (hasEnded) this.#context.prompts.recordEnd(target, this.#head.promptParts, hadHead);
+    if (!mustWait) return;
+    this.#endTrial();
+    this.#handleFailure(target, result, !hasEnded);
+  }
+
+  #recordBegun(): void {
+    this.#context.prompts.recordBegun(this.#head.promptParts);
+  }
+
+  /** @param mayRetry false for a request that probably ended its target */
+  #handleFailure(target: DirectTarget, result: FailedAttempt, mayRetry: boolean): void {
+    if (this.#hasEnded) return;
     const { outcome } = result;
     if (outcome === 'unreachable') {
       this.#sentAttempts -= 1;
       this.#unreachableAttempts += 1;
     } else if (outcome !== 'rejected') this.#mayHaveRun = true;
-    const next = this.#decideNext(outcome);
+    const next = mayRetry ? this.#decideNext(outcome) : 'give_up';
     this.#context.metrics.increase(`limpetbay_attempt_failures_total{outcome="${outcome}"}`);
     this.#context.log.warn('attempt failed', {
       id: this.#head.id,
@@ -299,9 +397,6 @@
       ms: this.#getElapsedMs(),
       next,
     });
-    if (result.isCut && result.progress !== 'body' && this.#head.promptParts.length > 0) {
-      void this.#context.endCheck.hasEnded(target);
-    }
     if (next === 'retry') this.#startOrQueue();
     else this.#answerFailure(result, next);
   }
@@ -318,7 +413,7 @@
     return this.#context.getBudget(service.name).take() ? 'retry' : 'no_budget';
   }
 
-  #answerFailure(result: Exclude<AttemptResult, { kind: 'done' }>, next: string): void {
+  #answerFailure(result: FailedAttempt, next: string): void {
     const { outcome, message } = result;
     if (this.#answer.isStarted()) {
       this.#abort(message);
@@ -348,7 +443,9 @@
     if (this.#answer.isStarted()) this.#abort('the deadline has passed');
     else if (isRunning || this.#mayHaveRun) this.#refuse('timed_out', 'no answer by the deadline');
     else this.#refuse('no_target', 'no target by the deadline', RETRY_AFTER_MS);
-    if (this.#admission?.route.kind !== 'unsafe') this.#attempt?.cancel();
+    if (this.#admission?.route.kind === 'unsafe') return;
+    this.#attempt?.cancel();
+    this.#endTrial();
   }
 
   #abort(reason: string): void {
--- a/packages/rpc/src/datagram/PeerMessage.ts
+++ b/packages/rpc/src/datagram/PeerMessage.ts
@@ -1,5 +1,12 @@
 import { z } from 'zod';
-import { GroupReport, MapOrder, OrderAnswer, RankOrder, RankStatus } from '@limpetbay/core';
+import {
+  GroupReport,
+  MapOrder,
+  OrderAnswer,
+  RankOrder,
+  RankStatus,
+  TargetEnd,
+} from '@limpetbay/core';
 
 /** A datagram between processes. Any may be lost; a later one supersedes the earlier ones. */
 export const PeerMessage = z.discriminatedUnion('kind', [
@@ -50,6 +57,10 @@
   }),
   /** Requests load messages for the next few seconds. */
   z.object({ kind: z.literal('subscribe') }),
+  /** A target ended while requests with these prompt parts waited for their answers. */
+  z.object({ kind: z.literal('prompt_end'), end: TargetEnd, parts: z.array(z.string()) }),
+  /** Answers on these prompt parts began, so that they end no targets. */
+  z.object({ kind: z.literal('prompt_sound'), parts: z.array(z.string()) }),
 ]);
 
 export type PeerMessage = z.infer<typeof PeerMessage>;
