Treat a stream that ends inside an event as broken, and bound answers

What callers saw: a stream with neither length nor chunks whose target broke off inside an event ended as complete, with the part of the event. A target that sent bytes without end filled the memory of the entry until the time limit.

Cause: AttemptRun passed the bytes after the last whole event on when the connection ended in order, and collected bodies and incomplete events without a bound.

Change: an event stream that ends inside an event, or before its first one, is a broken attempt: it is continued at another target where the route allows, else the answer is cut. Bodies are collected up to 8 MiB, an event up to 256 KiB. A resumed stream may end without a further event.

RouteTable.test.ts checks the pending bytes by their count instead of by taking them.

--- a/packages/core/src/direct/EventSplitter.ts
+++ b/packages/core/src/direct/EventSplitter.ts
@@ -36,11 +36,9 @@
     return { bytes: bytes.subarray(0, end), lastId, count };
   }
 
-  /** Returns and clears the bytes after the last complete event. */
-  takeRemainder(): Buffer {
-    const remainder = this.#remainder;
-    this.#remainder = Buffer.alloc(0);
-    return remainder;
+  /** Returns the number of bytes after the last complete event. */
+  countPendingBytes(): number {
+    return this.#remainder.length;
   }
 }
 
--- a/packages/core/test/direct/RouteTable.test.ts
+++ b/packages/core/test/direct/RouteTable.test.ts
@@ -62,6 +62,6 @@
     const second = splitter.push(Buffer.from('ta: b\n\n'));
     expect(second.bytes.toString()).toBe('id: 2\ndata: b\n\n');
     expect(second.lastId).toBe('2');
-    expect(splitter.takeRemainder()).toHaveLength(0);
+    expect(splitter.countPendingBytes()).toBe(0);
   });
 });
--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -14,6 +14,8 @@
   readonly route: DirectRoute;
   readonly target: DirectTarget;
   readonly requestId: string;
+  /** Whether the caller has received earlier events of the stream. */
+  readonly isResumed: boolean;
   readonly call: {
     readonly method: string;
     readonly url: string;
@@ -46,6 +48,12 @@
 /** Shortest progress timeout of a stream, after which another target continues it. */
 const MIN_STREAM_PROGRESS_TIMEOUT_MS = 1400;
 
+/** Largest body that is collected before it is forwarded. */
+const MAX_BODY_BYTES = 8_388_608;
+
+/** Largest event of a stream; an incomplete one is kept until its end arrives. */
+const MAX_EVENT_BYTES = 262_144;
+
 /** Lowest status that counts as a failure of the target. */
 const FIRST_FAILURE_STATUS = 500;
 
@@ -63,6 +71,8 @@
 
   #chunks: Buffer[] = [];
 
+  #bodyBytes = 0;
+
   #hasFirstByte = false;
 
   #hasEnded = false;
@@ -115,10 +125,16 @@
   #handleData(data: Buffer): void {
     if (this.#hasEnded) return;
     if (this.#head === null || !this.#isEventStream(this.#head)) {
-      this.#chunks.push(data);
+      this.#bodyBytes += data.length;
+      if (this.#bodyBytes <= MAX_BODY_BYTES) this.#chunks.push(data);
+      else this.#abandon(`the body is longer than ${MAX_BODY_BYTES} bytes`);
       return;
     }
     const events = this.#splitter.push(data);
+    if (this.#splitter.countPendingBytes() > MAX_EVENT_BYTES) {
+      this.#abandon(`an event is longer than ${MAX_EVENT_BYTES} bytes`);
+      return;
+    }
     if (events.count === 0) return;
     if (!this.#hasFirstByte) this.#recordFirstByte();
     this.#restartProgressTimeout();
@@ -128,9 +144,10 @@
   #handleEnd(): void {
     if (this.#hasEnded) return;
     const head = this.#head as AnswerHead;
-    const rest = this.#splitter.takeRemainder();
-    const body = Buffer.concat([...this.#chunks, rest]);
-    if (head.isMisdirected) {
+    const body = Buffer.concat(this.#chunks);
+    if (this.#isEventStream(head) && this.#isStreamCut()) {
+      this.#fail('broken', 'the stream ended before or inside an event', { isCut: true });
+    } else if (head.isMisdirected) {
       this.#options.context.registry.remove(this.#options.target.id);
       this.#fail('rejected', 'another target now has the address');
     } else if (head.isNotRun) {
@@ -152,6 +169,18 @@
     return this.#options.route.kind === 'stream' && isSuccess(head.status) && head.isSigned;
   }
 
+  /** Returns whether a stream that has ended lacks a part. A resumed one may have nothing to add. */
+  #isStreamCut(): boolean {
+    const isEmpty = !this.#hasFirstByte && !this.#options.isResumed;
+    return isEmpty || this.#splitter.countPendingBytes() > 0;
+  }
+
+  /** Gives up an answer that would take too much memory. */
+  #abandon(message: string): void {
+    this.#cancelCall?.();
+    this.#fail('broken', message);
+  }
+
   #recordFirstByte(): void {
     this.#hasFirstByte = true;
     const { context } = this.#options;
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -320,6 +320,7 @@
       route: admission.route,
       target,
       requestId: this.#head.id,
+      isResumed: this.#lastEventId !== null || this.#head.lastEventId !== null,
       call: { method: this.#head.method, url: this.#head.url, headers, body: this.#body },
       listener: {
         onEvents: (head, bytes, lastId) => {
