--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,7 @@
 export type { MirrorListener } from './feed/MirrorListener.js';
 export type { RecordLayout } from './feed/RecordLayout.js';
 export { StoreMirror } from './feed/StoreMirror.js';
+export { SharedTargetLimits } from './limits/SharedTargetLimits.js';
 export type { AnswerHead } from './ports/AnswerHead.js';
 export type { AttemptHead } from './ports/AttemptHead.js';
 export type { EntryNetwork } from './ports/EntryNetwork.js';
--- a/packages/gateway/src/ports/AnswerHead.ts
+++ b/packages/gateway/src/ports/AnswerHead.ts
@@ -9,6 +9,11 @@
   readonly isNotRun: boolean;
   /** Whether another target now uses this address. */
   readonly isMisdirected: boolean;
+  /**
+   * Requests a second that the target takes from all entries together; null where it names no
+   * limit, `invalid` where it names one that cannot be read.
+   */
+  readonly rateLimit: number | null | 'invalid';
   /** Headers to forward to the caller, as alternating names and values. */
   readonly forwarded: readonly string[];
 }
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -15,6 +15,7 @@
 import { GatewayView } from '../feed/GatewayView.js';
 import { StoreMirror } from '../feed/StoreMirror.js';
 import type { TargetPool } from '../ports/TargetPool.js';
+import { SharedTargetLimits } from '../limits/SharedTargetLimits.js';
 import { SharedPromptBreaker } from '../prompts/SharedPromptBreaker.js';
 import { TargetEndCheck } from '../prompts/TargetEndCheck.js';
 import type { RequestContext } from '../request/RequestContext.js';
@@ -117,6 +118,7 @@
       registry: this.#registry,
       picker,
       queue: new AdmissionQueue(clock),
+      limits: new SharedTargetLimits({ log: createLog('limits') }),
       prompts: this.#prompts,
       endCheck: new TargetEndCheck({
         clock,
--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -116,8 +116,11 @@
   #handleHead(head: AnswerHead): void {
     if (this.#hasEnded) return;
     this.#head = head;
-    if (head.isNotRun || head.isMisdirected) return;
-    if (head.requestId === this.#options.requestId) return;
+    if (head.isMisdirected) return;
+    const isOwn = head.requestId === this.#options.requestId;
+    const { context, target } = this.#options;
+    if (isOwn) context.limits.handleAnswer(target, head.rateLimit);
+    if (isOwn || head.isNotRun) return;
     this.#cancelCall?.();
     this.#fail('broken', 'the answer carries the id of another request');
   }
--- a/packages/gateway/src/request/RequestContext.ts
+++ b/packages/gateway/src/request/RequestContext.ts
@@ -10,6 +10,7 @@
 import type { Log, MetricRegistry } from '@limpetbay/runtime';
 
 import type { TargetPool } from '../ports/TargetPool.js';
+import type { SharedTargetLimits } from '../limits/SharedTargetLimits.js';
 import type { Timers } from '../ports/Timers.js';
 import type { WireCodec } from '../ports/WireCodec.js';
 import type { SharedPromptBreaker } from '../prompts/SharedPromptBreaker.js';
@@ -24,6 +25,7 @@
   readonly registry: TargetRegistry;
   readonly picker: TargetPicker;
   readonly queue: AdmissionQueue;
+  readonly limits: SharedTargetLimits;
   readonly prompts: SharedPromptBreaker;
   readonly endCheck: TargetEndCheck;
   readonly metrics: MetricRegistry;
--- a/packages/gateway/test/support/simCodec.ts
+++ b/packages/gateway/test/support/simCodec.ts
@@ -3,6 +3,7 @@
 /** Names of the headers between simulated entries and targets. */
 const ID_HEADER = 'id';
 const PARTS_HEADER = 'parts';
+const LIMIT_HEADER = 'limit';
 
 /** Codec of simulated targets, without the names of a deployment. */
 export const simCodec: WireCodec = {
@@ -15,6 +16,7 @@
     requestId: String(headers[ID_HEADER] ?? ''),
     isSigned: true,
     isNotRun: status === 503,
+    rateLimit: headers[LIMIT_HEADER] === undefined ? null : Number(headers[LIMIT_HEADER]),
     isMisdirected: false,
     forwarded: [],
   }),
