--- a/packages/gateway/test/support/SimFleet.ts
+++ b/packages/gateway/test/support/SimFleet.ts
@@ -66,9 +66,20 @@
   services: [{ service: 's', weight: 1 }],
 };
 
+const SINGLE_ROUTE: DirectRoute = {
+  ...ROUTE,
+  name: 'single',
+  prefix: '/b/',
+  kind: 'safe',
+  timeoutMs: 1500,
+  objectiveMs: 120,
+  gapMs: null,
+  isResumable: false,
+};
+
 const CONFIG: DirectConfig = {
   version: 1,
-  routes: [ROUTE],
+  routes: [ROUTE, SINGLE_ROUTE],
   services: [{ name: 's', maxConnections: 300, coldPerSecond: 0, engine: null }],
   workspaces: null,
   idleTimeoutMs: 10_000,
@@ -157,8 +168,18 @@
     for (const target of running.slice(0, count)) target.end();
   }
 
-  /** Sends a request with the given shared parts to a random entry that is ready. */
-  async send(parts: readonly string[]): Promise<void> {
+  /** Sets the limit that the first `count` targets name. @param perSecond null to lift it */
+  setLimit(count: number, perSecond: number | null): void {
+    for (const target of [...this.#targets.values()].slice(0, count)) target.limit = perSecond;
+  }
+
+  /**
+   * Sends a request to a random entry that is ready.
+   *
+   * @param parts shared parts of its prompt
+   */
+  async send(parts: readonly string[], kind: 'stream' | 'single' = 'stream'): Promise<void> {
+    const { prefix, timeoutMs } = kind === 'stream' ? ROUTE : SINGLE_ROUTE;
     const ready = this.entries.filter((entry) => entry.isReady());
     const entry = ready[Math.floor(this.random.next() * ready.length)];
     if (entry === undefined) return;
@@ -166,11 +187,11 @@
     const head: RequestHead = {
       id: `request-${this.#lastId}`,
       method: 'POST',
-      url: '/a/x',
-      path: '/a/x',
+      url: `${prefix}x`,
+      path: `${prefix}x`,
       host: ROUTE.host,
       apiKey: null,
-      timeoutMs: ROUTE.timeoutMs,
+      timeoutMs,
       lastEventId: null,
       promptTokens: 700,
       answerTokens: 100,
--- a/packages/gateway/test/support/SimTarget.ts
+++ b/packages/gateway/test/support/SimTarget.ts
@@ -38,12 +38,18 @@
 
 const EVENT_GAP_MS = 50;
 
+/** Paths whose answers are streams; others are one body. */
+const STREAM_PREFIX = '/a/';
+
 /** A target that streams answers, and ends when it begins one on a crashing part. */
 export class SimTarget {
   readonly id: string;
 
   readonly address: string;
 
+  /** Limit that the target names in its answers, requests a second; null without one. */
+  limit: number | null = null;
+
   readonly #options: SimTargetOptions;
 
   readonly #calls = new Set<RunningCall>();
@@ -111,11 +117,13 @@
     onArrival(arrival);
     setTimeout(() => {
       if (!this.#calls.has(running)) return;
-      this.#deliver(running, () => running.listener.onHead(200, { id: requestId }));
+      const limit = this.limit === null ? {} : { limit: String(this.limit) };
+      this.#deliver(running, () => running.listener.onHead(200, { id: requestId, ...limit }));
       setTimeout(() => {
         if (!this.#calls.has(running)) return;
         const crashingPart = parts.find((part) => crashingParts.has(part));
         if (crashingPart !== undefined) this.end(crashingPart);
+        else if (!call.url.startsWith(STREAM_PREFIX)) this.#finish(running);
         else {
           arrival.hasBegun = true;
           this.#sendEvent(running, 1);
@@ -133,6 +141,10 @@
       setTimeout(() => this.#sendEvent(running, number + 1), EVENT_GAP_MS);
       return;
     }
+    this.#finish(running);
+  }
+
+  #finish(running: RunningCall): void {
     this.#calls.delete(running);
     this.#deliver(running, () => {
       this.#open.delete(running);
