--- a/packages/core/src/direct/chooseStartWait.ts
+++ b/packages/core/src/direct/chooseStartWait.ts
@@ -27,8 +27,8 @@
   const startSlackMs = computeStartSlackMs(route, isRepeat ? 0 : sinceProgressMs);
   if (route.kind !== 'stream') return { startSlackMs, maxWaitMs: 0 };
   if (reason === 'overloaded' || reason === 'target_limited') {
- return { startSlackMs, maxWaitMs: startSlackMs };
-}
+    return { startSlackMs, maxWaitMs: startSlackMs };
+  }
   if (reason === 'no_target') return { startSlackMs, maxWaitMs: 0 };
   // Leaves time for the first event, because the caller times out if it arrives too late.
   const remainingMs = route.patienceMs - route.objectiveMs - sinceProgressMs;
