Track what the attempts of a request do to targets in a class of its own

Two faults found while reading: a caller whose time was over while the target of its request was checked got 503, which promises that nothing ran (the new test got 503 instead of 504 before); and an error answer of a target counted as begun, so that a caller could have cleared a blocked part with a request that targets reject (PromptTracker.test.ts; by reading, not run on the code before). A limited target that was not asked no longer makes Retry-After 20 ms.

A finding of namedLimits.test.ts with 410 entries: one refusal took 122 ms, because two datagrams to the keeper of a rate and two to its deputy were lost. An answer is awaited for 20 instead of 30 ms, and no further target is asked after 40 ms.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -16,6 +16,7 @@
 export type { GatewayLimits } from './process/GatewayLimits.js';
 export type { GatewayOptions } from './process/GatewayOptions.js';
 export { RealTimers } from './process/RealTimers.js';
+export { PromptTracker } from './prompts/PromptTracker.js';
 export { SharedPromptBreaker } from './prompts/SharedPromptBreaker.js';
 export { TargetEndCheck } from './prompts/TargetEndCheck.js';
 export { SharedRates } from './rates/SharedRates.js';
--- a/packages/gateway/src/limits/SharedTargetLimits.ts
+++ b/packages/gateway/src/limits/SharedTargetLimits.ts
@@ -52,6 +52,9 @@
 
 const SAVE_RETRY_MS = 300;
 
+/** Retry time where no target has told one. */
+const DEFAULT_RETRY_MS = 300;
+
 /** Least time after which a target is asked for again. */
 const MIN_RETRY_MS = 20;
 
@@ -90,17 +93,15 @@
     return limit === undefined || this.#options.clock.getNow() >= limit.exhaustedUntilMs;
   }
 
-  /** Returns how long until one of the targets may take a request, milliseconds. */
+  /** Returns when one of the targets may take a request, milliseconds from now. */
   getRetryAfterMs(targets: readonly DirectTarget[]): number {
     const nowMs = this.#options.clock.getNow();
     let retryAfterMs = Infinity;
     for (const target of targets) {
-      const limit = this.#limits.get(getRun(target));
-      if (limit !== undefined) {
-        retryAfterMs = Math.min(retryAfterMs, limit.exhaustedUntilMs - nowMs);
-      }
+      const untilMs = this.#limits.get(getRun(target))?.exhaustedUntilMs ?? 0;
+      if (untilMs > nowMs) retryAfterMs = Math.min(retryAfterMs, untilMs - nowMs);
     }
-    return Number.isFinite(retryAfterMs) ? Math.max(MIN_RETRY_MS, retryAfterMs) : MIN_RETRY_MS;
+    return Number.isFinite(retryAfterMs) ? Math.max(MIN_RETRY_MS, retryAfterMs) : DEFAULT_RETRY_MS;
   }
 
   /** Asks for one request to a limited target. @returns whether it may be sent */
--- a/packages/gateway/src/prompts/SharedPromptBreaker.ts
+++ b/packages/gateway/src/prompts/SharedPromptBreaker.ts
@@ -133,6 +133,7 @@
       conditions.push({ key: this.#buildKey(part), revision: suspected.revision });
       writes.push({ key: this.#buildKey(part), value: JSON.stringify(record) });
     }
+    if (writes.length === 0) return true;
     const result = await store.commit({ conditions, writes });
     if (result.err) {
       log.warn('trial not possible: the store failed', { parts, cause: result.val.message });
--- a/packages/gateway/src/rates/SharedRates.ts
+++ b/packages/gateway/src/rates/SharedRates.ts
@@ -36,7 +36,7 @@
 const ASKS_PER_KEEPER = 2;
 
 /** Between zones an answer takes about 2 ms; the rest is for a busy keeper. */
-const ANSWER_TIMEOUT_MS = 30;
+const ANSWER_TIMEOUT_MS = 20;
 
 /** An entry that did not answer is not asked for this time. */
 const UNRESPONSIVE_MS = 2000;
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -15,6 +15,7 @@
   type UnavailableReason,
 } from '@limpetbay/core';
 import type { DirectAnswer } from '@limpetbay/callers';
+import { PromptTracker } from '../prompts/PromptTracker.js';
 import { AttemptRun } from './AttemptRun.js';
 import type { AttemptResult } from './AttemptResult.js';
 import type { RequestContext } from './RequestContext.js';
@@ -36,14 +37,14 @@
   readonly retryAfterMs: number;
 }
 
-/** Batches of events after which a target is certain not to end on the request. */
-const BATCHES_OF_SOUND_ANSWER = 2;
-
 type FailedAttempt = Extract<AttemptResult, { kind: 'failed' }>;
 
 /** Limited targets that are asked for one request; more would delay its refusal. */
 const MAX_DENIED_GRANTS = 2;
 
+/** Time after which no further limited target is asked; lost datagrams may use it up. */
+const MAX_ASKING_MS = 40;
+
 /** Retry-After of failures that are probably over after a short wait. */
 const RETRY_AFTER_MS = 200;
 
@@ -67,6 +68,8 @@
 
   readonly #startMs: number;
 
+  readonly #prompt: PromptTracker;
+
   readonly #excludedTargets = new Set<string>();
 
   #admission: Admission | null = null;
@@ -78,14 +81,11 @@
   /** When the request arrived or the caller was last sent events. */
   #progressMs: number;
 
-  /** Suspected prompt parts for which the current attempt is the only one allowed. */
-  #trialParts: readonly string[] = [];
-
   /** Limited targets that took no request of this run since it last waited. */
   #deniedGrants = 0;
 
-  /** Batches of events that the current attempt has received. */
-  #batches = 0;
+  /** When the first of these was asked, monotonic milliseconds; null before. */
+  #askingSinceMs: number | null = null;
 
   #sentAttempts = 0;
 
@@ -104,6 +104,8 @@
     this.#head = head;
     this.#body = body;
     this.#answer = answer;
+    const { prompts, endCheck } = context;
+    this.#prompt = new PromptTracker({ prompts, endCheck, parts: head.promptParts });
     this.#startMs = context.clock.getNow();
     this.#progressMs = this.#startMs;
   }
@@ -133,7 +135,7 @@
     this.#end();
     if (this.#admission.route.kind === 'unsafe') return;
     this.#attempt?.cancel();
-    this.#endTrial();
+    this.#prompt.endTrial();
   }
 
   #admit(): Admission | null {
@@ -197,6 +199,7 @@
       maxWaitMs: Math.round(waitLimits.maxWaitMs),
     });
     this.#deniedGrants = 0;
+    this.#askingSinceMs = null;
     let lastReason: UnavailableReason = reason;
     const queuedRequest = {
       service: service.name,
@@ -228,7 +231,7 @@
 
   /** Starts an attempt if a target admits the request. @returns null if started, or the reason */
   #tryStart(admission: Admission): UnavailableReason | null {
-    const decision = this.#context.prompts.check(this.#head.promptParts);
+    const decision = this.#prompt.check();
     if (decision.kind === 'blocked') {
       this.#refuseBlocked(decision);
       return null;
@@ -237,7 +240,7 @@
       service: admission.service,
       excluded: this.#excludedTargets,
       gapMs: admission.route.gapMs,
-      mayUseLimited: this.#deniedGrants < MAX_DENIED_GRANTS,
+      mayUseLimited: this.#mayAskLimited(),
       isLate:
         this.#sentAttempts === 0 &&
         computeStartSlackMs(admission.route, this.#getElapsedMs()) === 0,
@@ -251,14 +254,21 @@
     return null;
   }
 
+  /** Returns whether a target with a limit may be asked, without delaying a refusal for long. */
+  #mayAskLimited(): boolean {
+    if (this.#askingSinceMs === null) return true;
+    const askingMs = this.#context.clock.getNow() - this.#askingSinceMs;
+    return this.#deniedGrants < MAX_DENIED_GRANTS && askingMs < MAX_ASKING_MS;
+  }
+
   /** Sends the request if the limit of the target allows it; else it goes to another target. */
   async #startWithinLimit(
     admission: Admission,
     target: DirectTarget,
     reason: string,
   ): Promise<void> {
-    const { limits, prompts } = this.#context;
-    const isGranted = await limits.acquire(target);
+    this.#askingSinceMs ??= this.#context.clock.getNow();
+    const isGranted = await this.#context.limits.acquire(target);
     if (this.#hasEnded) return;
     if (!isGranted) {
       this.#deniedGrants += 1;
@@ -266,7 +276,8 @@
       return;
     }
     this.#deniedGrants = 0;
-    const decision = prompts.check(this.#head.promptParts);
+    this.#askingSinceMs = null;
+    const decision = this.#prompt.check();
     if (decision.kind === 'blocked') this.#refuseBlocked(decision);
     else if (decision.kind === 'trial') void this.#startTrial(admission, target, decision.parts);
     else this.#startAttempt(admission, target, reason);
@@ -278,23 +289,14 @@
     target: DirectTarget,
     parts: readonly string[],
   ): Promise<void> {
-    const { prompts } = this.#context;
-    const isGranted = await prompts.acquireTrial(parts);
-    if (isGranted && !this.#hasEnded) {
-      this.#trialParts = parts;
+    const isGranted = await this.#prompt.acquireTrial(parts);
+    if (this.#hasEnded) this.#prompt.endTrial();
+    else if (isGranted) {
       this.#startAttempt(admission, target, 'trial of suspected prompt parts');
-      return;
+    } else {
+      const [part = ''] = parts;
+      this.#refuseBlocked({ part, ends: 0, retryAfterMs: RETRY_AFTER_MS });
     }
-    if (isGranted) prompts.endTrial(parts);
-    if (this.#hasEnded) return;
-    const [part = ''] = parts;
-    this.#refuseBlocked({ part, ends: 0, retryAfterMs: RETRY_AFTER_MS });
-  }
-
-  #endTrial(): void {
-    if (this.#trialParts.length === 0) return;
-    this.#context.prompts.endTrial(this.#trialParts);
-    this.#trialParts = [];
   }
 
   #refuseBlocked({ part, ends, retryAfterMs }: BlockedPart): void {
@@ -313,9 +315,11 @@
     }
     const message = `no target can start the request: ${reason}`;
     if (reason === 'target_limited') {
-      const { limits, registry } = this.#context;
+      const { limits, registry, random } = this.#context;
       const targets = registry.listTargets(admission.service.name);
-      this.#refuse('overloaded', message, limits.getRetryAfterMs(targets));
+      // The random spread keeps callers that were refused together from retrying together.
+      const waitMs = limits.getRetryAfterMs(targets) * (1 + random.next() / 2);
+      this.#refuse('overloaded', message, waitMs);
       return;
     }
     const isUnavailable = reason === 'no_target' || reason === 'not_formed';
@@ -349,7 +353,7 @@
       leftMs: timeoutMs,
       reason,
     });
-    this.#batches = 0;
+    this.#prompt.startAttempt();
     this.#attempt = new AttemptRun({
       context: this.#context,
       route: admission.route,
@@ -360,11 +364,7 @@
       listener: {
         onEvents: (head, bytes, lastId) => {
           if (this.#hasEnded) return;
-          this.#batches += 1;
-          if (this.#batches === BATCHES_OF_SOUND_ANSWER) {
-            this.#recordBegun();
-            this.#endTrial();
-          }
+          this.#prompt.handleEvents();
           if (!this.#answer.isStarted()) this.#answer.start(head.status, head.forwarded);
           if (lastId !== null) this.#lastEventId = lastId;
           this.#answer.write(bytes);
@@ -378,41 +378,28 @@
 
   #handleResult(target: DirectTarget, result: AttemptResult): void {
     this.#attempt = null;
+    const { route } = this.#admission as Admission;
     if (result.kind === 'done') {
-      const { route } = this.#admission as Admission;
-      if (route.kind !== 'stream' || this.#batches > 0) this.#recordBegun();
-      this.#endTrial();
+      this.#prompt.handleDone(route, result.head.status);
       if (!this.#hasEnded) this.#finish(result);
-    } else if (result.isCut && this.#isSuspect()) void this.#handleCut(target, result);
+    } else if (this.#prompt.isSuspect(result)) void this.#handleSuspectCut(target, result);
     else {
-      this.#endTrial();
+      this.#prompt.endTrial();
       this.#handleFailure(target, result, true);
     }
   }
 
-  /** Returns whether the request may be the cause if the target ends now. */
-  #isSuspect(): boolean {
-    return this.#head.promptParts.length > 0 && this.#batches < BATCHES_OF_SOUND_ANSWER;
-  }
-
   /** Handles an attempt that broke off, perhaps because the request ended its target. */
-  async #handleCut(target: DirectTarget, result: FailedAttempt): Promise<void> {
-    const hadHead = result.progress !== 'none';
-    const isOnTrial = this.#trialParts.length > 0;
-    // Many requests wait in the queue of a target when it ends; they go on at once.
-    const mustWait = hadHead || isOnTrial;
+  async #handleSuspectCut(target: DirectTarget, result: FailedAttempt): Promise<void> {
+    this.#mayHaveRun = true;
+    const mustWait = this.#prompt.shouldAwaitEndCheck(result);
     if (!mustWait) this.#handleFailure(target, result, true);
-    const hasEnded = await this.#context.endCheck.hasEnded(target);
-    if (hasEnded) this.#context.prompts.recordEnd(target, this.#head.promptParts, hadHead);
+    const hasEnded = await this.#prompt.checkEnd(target, result);
     if (!mustWait) return;
-    this.#endTrial();
+    this.#prompt.endTrial();
     this.#handleFailure(target, result, !hasEnded);
   }
 
-  #recordBegun(): void {
-    this.#context.prompts.recordBegun(this.#head.promptParts);
-  }
-
   /** @param mayRetry false for a request that probably ended its target */
   #handleFailure(target: DirectTarget, result: FailedAttempt, mayRetry: boolean): void {
     if (this.#hasEnded) return;
@@ -481,7 +468,7 @@
     else this.#refuse('no_target', 'no target by the deadline', RETRY_AFTER_MS);
     if (this.#admission?.route.kind === 'unsafe') return;
     this.#attempt?.cancel();
-    this.#endTrial();
+    this.#prompt.endTrial();
   }
 
   #abort(reason: string): void {
--- /dev/null
+++ b/packages/gateway/test/PromptTracker.test.ts
@@ -0,0 +1,52 @@
+import { describe, expect, it } from 'vitest';
+import { DirectRoute } from '@limpetbay/core';
+import { PromptTracker } from '../src/index.js';
+
+const ROUTE: DirectRoute = DirectRoute.parse({
+  name: 'r',
+  host: 'h',
+  prefix: '/a/',
+  kind: 'safe',
+  maxAttempts: 2,
+  timeoutMs: 1000,
+  objectiveMs: 100,
+  gapMs: null,
+  patienceMs: 1000,
+  priority: 1,
+  isPublic: true,
+  isResumable: false,
+  services: [{ service: 's', weight: 1 }],
+});
+
+describe('PromptTracker', () => {
+  function createTracker(): { tracker: PromptTracker; begun: (readonly string[])[] } {
+    const begun: (readonly string[])[] = [];
+    const prompts = { recordBegun: (parts: readonly string[]) => begun.push(parts) };
+    const tracker = new PromptTracker({
+      prompts: prompts as never,
+      endCheck: {} as never,
+      parts: ['x'],
+    });
+    return { tracker, begun };
+  }
+
+  it('reports that an answer began at its second batch of events', () => {
+    const { tracker, begun } = createTracker();
+    tracker.startAttempt();
+    tracker.handleEvents();
+    expect(begun).toEqual([]);
+    tracker.handleEvents();
+    expect(begun).toEqual([['x']]);
+  });
+
+  // Guards against callers that clear a blocked part with requests that targets reject.
+  it('does not take an error answer or an empty stream for an answer that began', () => {
+    const { tracker, begun } = createTracker();
+    tracker.handleDone(ROUTE, 400);
+    tracker.handleDone({ ...ROUTE, kind: 'stream' }, 200);
+    tracker.handleDone({ ...ROUTE, kind: 'stream' }, 404);
+    expect(begun).toEqual([]);
+    tracker.handleDone(ROUTE, 200);
+    expect(begun).toEqual([['x']]);
+  });
+});
--- a/packages/gateway/test/crashingPrompts.test.ts
+++ b/packages/gateway/test/crashingPrompts.test.ts
@@ -156,6 +156,22 @@
     SIMULATION_TIMEOUT_MS,
   );
 
+  // Guards against a promise that a request did not run, made while its target is checked.
+  it(
+    'are not answered as not run when their time is over during the check of the target',
+    async () => {
+      await createFleet(8);
+      fleet.crashingParts.add(CRASHING_PART);
+      fleet.checkDelayMs = 300;
+      await timers.advance(2000);
+      void fleet.send([CRASHING_PART], 'stream', 200);
+      await timers.advance(1000);
+      expect(fleet.ends).toHaveLength(1);
+      expect(fleet.requests.map(({ outcome }) => outcome.status)).toEqual([504]);
+    },
+    SIMULATION_TIMEOUT_MS,
+  );
+
   // Guards against sound requests that are blocked with the part, because they share another one.
   it(
     'do not take sound requests along that share all their other parts',
--- a/packages/gateway/test/support/SimFleet.ts
+++ b/packages/gateway/test/support/SimFleet.ts
@@ -106,6 +106,9 @@
 
   readonly requests: SimRequest[] = [];
 
+  /** How long a check takes whether a target still listens, milliseconds. */
+  checkDelayMs = 2 * PEER_DELAY_MS;
+
   /** Datagrams between entries. */
   peerMessages = 0;
 
@@ -182,9 +185,16 @@
    * Sends a request to a random entry that is ready.
    *
    * @param parts shared parts of its prompt
+   * @param callerTimeoutMs how long the caller waits; Infinity for the time limit of the route
    */
-  async send(parts: readonly string[], kind: 'stream' | 'single' = 'stream'): Promise<void> {
-    const { prefix, timeoutMs } = kind === 'stream' ? ROUTE : SINGLE_ROUTE;
+  async send(
+    parts: readonly string[],
+    kind: 'stream' | 'single' = 'stream',
+    callerTimeoutMs = Infinity,
+  ): Promise<void> {
+    const route = kind === 'stream' ? ROUTE : SINGLE_ROUTE;
+    const { prefix } = route;
+    const timeoutMs = Math.min(route.timeoutMs, callerTimeoutMs);
     const ready = this.entries.filter((entry) => entry.isReady());
     const entry = ready[Math.floor(this.random.next() * ready.length)];
     if (entry === undefined) return;
@@ -222,7 +232,7 @@
       }),
       checkListener: async (address) => {
         await new Promise((resolve) => {
-          setTimeout(resolve, 2 * PEER_DELAY_MS);
+          setTimeout(resolve, this.checkDelayMs);
         });
         return this.#targets.get(address)?.hasEnded() === true ? 'refused' : 'listening';
       },
