Draw the parts that an end makes suspect, so that a caller cannot hide one

An end was blamed on the first 16 parts of a request. A caller that sends 16 new ones before the part that ends targets would never have been blocked. Parts that are suspected already come first now, others are drawn. Found by reading; SharedPromptBreaker.test.ts failed before: 60 ends with 100 other parts in each request, and no block.

--- a/packages/gateway/src/limits/SharedTargetLimits.ts
+++ b/packages/gateway/src/limits/SharedTargetLimits.ts
@@ -123,6 +123,7 @@
    * @param sentMs when the request was sent, monotonic milliseconds
    */
   handleAnswer(target: DirectTarget, perSecond: number | null | 'invalid', sentMs: number): void {
+    if (perSecond === null && this.#limits.size === 0) return;
     const run = getRun(target);
     const known = this.#limits.get(run);
     if (perSecond === (known?.perSecond ?? null)) return;
--- a/packages/gateway/src/prompts/SharedPromptBreaker.ts
+++ b/packages/gateway/src/prompts/SharedPromptBreaker.ts
@@ -28,7 +28,7 @@
   readonly sendToEntries: (message: PeerMessage) => void;
 }
 
-/** Parts of one request that an end makes suspect; the others come up at the next end. */
+/** Parts of one request that an end makes suspect; callers choose how many there are. */
 const MAX_PARTS_PER_END = 16;
 
 /** Delay after a failed call of the store. */
@@ -90,8 +90,7 @@
    */
   recordEnd(target: DirectTarget, parts: readonly string[], hadHead: boolean): void {
     const { clock, log, metrics, sendToEntries } = this.#options;
-    const candidates = parts.filter((part) => !this.#breaker.isSound(part));
-    const reported = candidates.slice(0, MAX_PARTS_PER_END);
+    const reported = this.#sampleParts(parts);
     metrics.increase('limpetbay_prompt_target_ends_total');
     log.warn('target ended while a request waited for its answer', {
       target: target.id,
@@ -101,10 +100,9 @@
     // An id may be used again after a restart.
     const run = `${target.id}@${target.bornMs}`;
     const end: TargetEnd = { target: run, hadHead, at: clock.getWallTime().toISOString() };
-    if (reported.length === 0) return;
     this.#addEnd(end, reported);
     for (const part of reported) void this.#save(part);
-    sendToEntries({ kind: 'prompt_end', end, parts: reported });
+    if (reported.length > 0) sendToEntries({ kind: 'prompt_end', end, parts: reported });
   }
 
   /**
@@ -217,6 +215,25 @@
     for (const cancel of this.#clears.values()) cancel();
   }
 
+  /**
+   * Chooses the parts that an end makes suspect. Those that are suspected already come first; the
+   * others are drawn, so that a caller cannot hide a part behind many new ones.
+   */
+  #sampleParts(parts: readonly string[]): string[] {
+    const chosen: string[] = [];
+    const others: string[] = [];
+    for (const part of parts) {
+      if (this.#breaker.isSound(part)) continue;
+      const isSuspected = this.#breaker.get(part) !== undefined;
+      (isSuspected ? chosen : others).push(part);
+    }
+    while (chosen.length < MAX_PARTS_PER_END && others.length > 0) {
+      const index = Math.floor(this.#options.random.next() * others.length);
+      chosen.push(...others.splice(index, 1));
+    }
+    return chosen.slice(0, MAX_PARTS_PER_END);
+  }
+
   #addEnd(end: TargetEnd, parts: readonly string[]): void {
     for (const part of parts) {
       if (this.#breaker.isSound(part)) this.#scheduleClear(part);
