Remove the record of a forgotten prompt part once, and save with backoff

All entries forget a part at about the same time, and each removed its record: 43 store writes for one record with 44 entries. A removal that another entry has made now cancels the own one, and the delays are spread over 20 s. While the store is away, entries that have ends to save try again with backoff instead of every 300 ms. The test failed before with 43 writes, 5 are allowed.

--- a/packages/gateway/src/prompts/SharedPromptBreaker.ts
+++ b/packages/gateway/src/prompts/SharedPromptBreaker.ts
@@ -1,4 +1,5 @@
 import {
+  Backoff,
   PromptBreaker,
   PromptRecord,
   type Clock,
@@ -31,14 +32,14 @@
 /** Parts of one request that an end makes suspect; callers choose how many there are. */
 const MAX_PARTS_PER_END = 16;
 
-/** Delay after a failed call of the store. */
-const SAVE_RETRY_MS = 300;
+/** Bounds of the delay after a failed call; during an outage all entries may have ends to save. */
+const SAVE_RETRY_MS = { baseMs: 300, capMs: 2000 } as const;
 
 /** Bounds of the random delay before an entry saves what another one reported. */
 const DEFERRED_SAVE_DELAY_MS = { shortest: 1000, longest: 2000 } as const;
 
 /** Bounds of the random delay before an entry removes an expired record. */
-const REMOVAL_DELAY_MS = { shortest: 0, longest: 5000 } as const;
+const REMOVAL_DELAY_MS = { shortest: 0, longest: 20_000 } as const;
 
 /** Bounds of the random delay after which an entry clears a part that another one suspects. */
 const CLEAR_DELAY_MS = { shortest: 20, longest: 250 } as const;
@@ -65,6 +66,9 @@
   /** Scheduled clears of sound parts that others suspect; functions that cancel them. */
   readonly #clears = new Map<string, () => void>();
 
+  /** Scheduled removals of records of parts that are forgotten; functions that cancel them. */
+  readonly #removals = new Map<string, () => void>();
+
   #isClosed = false;
 
   constructor(options: SharedPromptBreakerOptions) {
@@ -196,6 +200,7 @@
   handleRemoval(key: string): void {
     const part = this.#parseKey(key);
     this.#cancelClear(part);
+    this.#cancelRemoval(part);
     this.#breaker.removeRecord(part);
     if (this.#breaker.get(part) !== undefined) this.#scheduleSave(part);
   }
@@ -205,7 +210,6 @@
     for (const part of this.#breaker.listExpired()) {
       this.#breaker.clear(part);
       this.#options.log.report('prompt part no longer suspected', { part });
-      // All entries forget it at about the same time; the first one removes the record.
       this.#scheduleRemoval(part);
     }
   }
@@ -213,6 +217,7 @@
   close(): void {
     this.#isClosed = true;
     for (const cancel of this.#clears.values()) cancel();
+    for (const cancel of this.#removals.values()) cancel();
   }
 
   /**
@@ -289,10 +294,19 @@
     });
   }
 
+  /** Removes the record of a part that is forgotten, unless another entry does so first. */
   #scheduleRemoval(part: string): void {
-    this.#schedule(REMOVAL_DELAY_MS, () => {
+    if (this.#removals.has(part)) return;
+    const cancel = this.#schedule(REMOVAL_DELAY_MS, () => {
+      this.#removals.delete(part);
       if (this.#breaker.get(part) === undefined) void this.#removeRecord(part);
     });
+    this.#removals.set(part, cancel);
+  }
+
+  #cancelRemoval(part: string): void {
+    this.#removals.get(part)?.();
+    this.#removals.delete(part);
   }
 
   #schedule(delay: { shortest: number; longest: number }, run: () => void): () => void {
@@ -307,13 +321,15 @@
   async #save(part: string): Promise<void> {
     if (this.#saving.has(part)) return;
     this.#saving.add(part);
+    const { random } = this.#options;
+    const backoff = new Backoff({ random, ...SAVE_RETRY_MS });
     // What the caller records in the same turn goes into the same write.
     await Promise.resolve();
     while (!this.#isClosed && this.#breaker.get(part)?.isUnsaved === true) {
       const hasAnswered = await this.#writeRecord(part);
       if (!hasAnswered) {
         await new Promise<void>((resolve) => {
-          this.#options.timers.schedule(SAVE_RETRY_MS, resolve);
+          this.#options.timers.schedule(backoff.next(), resolve);
         });
       }
     }
--- a/packages/gateway/test/crashingPrompts.test.ts
+++ b/packages/gateway/test/crashingPrompts.test.ts
@@ -28,6 +28,12 @@
 /** How long requests with the crashing part arrive, milliseconds. */
 const SERIES_MS = 24_000;
 
+/** Time after which nothing is suspected any more, milliseconds. */
+const FORGET_MS = 140_000;
+
+/** Store calls that may remove the same record. */
+const MAX_REMOVALS = 5;
+
 const SIMULATION_TIMEOUT_MS = 120_000;
 
 // Incident on canerota: callers repeat requests that differ but share one prompt part, on which
@@ -277,6 +283,31 @@
     SIMULATION_TIMEOUT_MS,
   );
 
+  // Guards against 44 entries that all remove the same records, at the same time.
+  it(
+    'are forgotten with few store calls a while after they stop',
+    async () => {
+      await createFleet(44);
+      await startSeries();
+      await timers.advance(SERIES_MS / 2);
+      traffic.isOn = false;
+      const countPromptRecords = (): number => fleet.store.listRecords('prompts/').length;
+      expect(countPromptRecords()).toBeGreaterThan(0);
+      const records = countPromptRecords();
+      const countWrites = (): number => {
+        let writes = 0;
+        for (const { link } of fleet.entries) writes += link.writes;
+        return writes;
+      };
+      await timers.advance(FORGET_MS / 2);
+      const writesBefore = countWrites();
+      await timers.advance(FORGET_MS / 2);
+      expect(countPromptRecords()).toBe(0);
+      expect(countWrites() - writesBefore).toBeLessThanOrEqual(MAX_REMOVALS * records);
+    },
+    SIMULATION_TIMEOUT_MS,
+  );
+
   // Guards against costs that grow with the square of the entries.
   it(
     'cost each of 410 entries as many store calls as each of eight',
