Name runs of targets and success statuses in one place

Also spreads the removal of limits of targets that are gone over 20 s, as for prompt parts, so that few of the entries write the same removal.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -97,6 +97,7 @@
 export { TargetRegistry } from './direct/TargetRegistry.js';
 export { TargetStats } from './direct/TargetStats.js';
 export type { UnavailableReason } from './direct/UnavailableReason.js';
+export { buildRunName } from './direct/buildRunName.js';
 export { chooseRetryAfter } from './direct/chooseRetryAfter.js';
 export { chooseService } from './direct/chooseService.js';
 export { chooseStartWait } from './direct/chooseStartWait.js';
--- a/packages/gateway/src/limits/SharedTargetLimits.ts
+++ b/packages/gateway/src/limits/SharedTargetLimits.ts
@@ -1,11 +1,12 @@
 import { z } from 'zod';
-import type {
-  Clock,
-  DirectTarget,
-  RandomSource,
-  Store,
-  StoreRecord,
-  TargetRegistry,
+import {
+  buildRunName,
+  type Clock,
+  type DirectTarget,
+  type RandomSource,
+  type Store,
+  type StoreRecord,
+  type TargetRegistry,
 } from '@limpetbay/core';
 import type { PeerMessage } from '@limpetbay/rpc';
 import type { Log } from '@limpetbay/runtime';
@@ -48,7 +49,7 @@
 const GONE_RETENTION_MS = 10_000;
 
 /** Upper bound of the random delay before a record of a target that is gone is removed. */
-const MAX_REMOVAL_DELAY_MS = 5000;
+const MAX_REMOVAL_DELAY_MS = 20_000;
 
 const SAVE_RETRY_MS = 300;
 
@@ -83,13 +84,13 @@
   }
 
   isLimited(target: DirectTarget): boolean {
-    return this.#limits.size > 0 && this.#limits.has(getRun(target));
+    return this.#limits.size > 0 && this.#limits.has(buildRunName(target));
   }
 
   /** Returns whether it is worthwhile to ask for a request to the target now. */
   hasCapacity(target: DirectTarget): boolean {
     if (this.#limits.size === 0) return true;
-    const limit = this.#limits.get(getRun(target));
+    const limit = this.#limits.get(buildRunName(target));
     return limit === undefined || this.#options.clock.getNow() >= limit.exhaustedUntilMs;
   }
 
@@ -98,7 +99,7 @@
     const nowMs = this.#options.clock.getNow();
     let retryAfterMs = Infinity;
     for (const target of targets) {
-      const untilMs = this.#limits.get(getRun(target))?.exhaustedUntilMs ?? 0;
+      const untilMs = this.#limits.get(buildRunName(target))?.exhaustedUntilMs ?? 0;
       if (untilMs > nowMs) retryAfterMs = Math.min(retryAfterMs, untilMs - nowMs);
     }
     return Number.isFinite(retryAfterMs) ? Math.max(MIN_RETRY_MS, retryAfterMs) : DEFAULT_RETRY_MS;
@@ -106,7 +107,7 @@
 
   /** Asks for one request to a limited target. @returns whether it may be sent */
   async acquire(target: DirectTarget): Promise<boolean> {
-    const run = getRun(target);
+    const run = buildRunName(target);
     const limit = this.#limits.get(run);
     if (limit === undefined) return true;
     const { clock, rates } = this.#options;
@@ -124,7 +125,7 @@
    */
   handleAnswer(target: DirectTarget, perSecond: number | null | 'invalid', sentMs: number): void {
     if (perSecond === null && this.#limits.size === 0) return;
-    const run = getRun(target);
+    const run = buildRunName(target);
     const known = this.#limits.get(run);
     if (perSecond === (known?.perSecond ?? null)) return;
     if (perSecond === 'invalid') {
@@ -179,7 +180,7 @@
     const nowMs = this.#options.clock.getNow();
     for (const [run, { targetId, learnedMs }] of this.#limits) {
       const target = this.#options.registry.get(targetId);
-      if (target !== undefined && getRun(target) === run) continue;
+      if (target !== undefined && buildRunName(target) === run) continue;
       if (nowMs - learnedMs < GONE_RETENTION_MS) continue;
       this.#limits.delete(run);
       this.#announcedMs.delete(run);
@@ -292,11 +293,6 @@
   }
 }
 
-/** Returns the name of one run of a target; its id may be used again after a restart. */
-function getRun({ id, bornMs }: DirectTarget): string {
-  return `${id}@${bornMs}`;
-}
-
 function parseLimit(value: string): z.infer<typeof StoredLimit> | null {
   try {
     return StoredLimit.parse(JSON.parse(value));
--- a/packages/gateway/src/prompts/PromptTracker.ts
+++ b/packages/gateway/src/prompts/PromptTracker.ts
@@ -1,5 +1,6 @@
 import type { DirectRoute, DirectTarget, PromptDecision } from '@limpetbay/core';
 import type { AttemptResult } from '../request/AttemptResult.js';
+import { isSuccessStatus } from '../request/isSuccessStatus.js';
 import type { SharedPromptBreaker } from './SharedPromptBreaker.js';
 import type { TargetEndCheck } from './TargetEndCheck.js';
 
@@ -15,8 +16,6 @@
 /** Batches of events after which a target is certain not to end on the request. */
 const BATCHES_OF_SOUND_ANSWER = 2;
 
-const SUCCESS_STATUSES = { first: 200, last: 299 } as const;
-
 /** Reports what the attempts of one request do to their targets to the circuit breaker. */
 export class PromptTracker {
   readonly #options: PromptTrackerOptions;
@@ -60,8 +59,7 @@
 
   /** Handles a complete answer. Only a success shows that the target worked on the prompt. */
   handleDone(route: DirectRoute, status: number): void {
-    const isSuccess = status >= SUCCESS_STATUSES.first && status <= SUCCESS_STATUSES.last;
-    const hasBegun = route.kind === 'stream' ? this.#batches > 0 : isSuccess;
+    const hasBegun = route.kind === 'stream' ? this.#batches > 0 : isSuccessStatus(status);
     if (hasBegun) this.#recordBegun();
     else this.endTrial();
   }
--- a/packages/gateway/src/prompts/SharedPromptBreaker.ts
+++ b/packages/gateway/src/prompts/SharedPromptBreaker.ts
@@ -2,6 +2,7 @@
   Backoff,
   PromptBreaker,
   PromptRecord,
+  buildRunName,
   type Clock,
   type DirectTarget,
   type PromptDecision,
@@ -101,9 +102,8 @@
       parts: reported,
       hadHead,
     });
-    // An id may be used again after a restart.
-    const run = `${target.id}@${target.bornMs}`;
-    const end: TargetEnd = { target: run, hadHead, at: clock.getWallTime().toISOString() };
+    const at = clock.getWallTime().toISOString();
+    const end: TargetEnd = { target: buildRunName(target), hadHead, at };
     this.#addEnd(end, reported);
     for (const part of reported) void this.#save(part);
     if (reported.length > 0) sendToEntries({ kind: 'prompt_end', end, parts: reported });
--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -7,6 +7,7 @@
 import type { AnswerHead } from '../ports/AnswerHead.js';
 import type { AttemptListener } from './AttemptListener.js';
 import type { AttemptProgress } from './AttemptProgress.js';
+import { isSuccessStatus } from './isSuccessStatus.js';
 import type { RequestContext } from './RequestContext.js';
 
 interface AttemptRunOptions {
@@ -57,8 +58,6 @@
 /** Lowest status that counts as a failure of the target. */
 const FIRST_FAILURE_STATUS = 500;
 
-const SUCCESS_STATUSES = { first: 200, last: 299 } as const;
-
 /** One attempt: sends a request to one target and evaluates the answer. */
 export class AttemptRun {
   readonly #options: AttemptRunOptions;
@@ -155,7 +154,7 @@
       this.#fail('rejected', 'another target now has the address');
     } else if (head.isNotRun) {
       this.#fail('rejected', `the target rejected the request with status ${head.status}`);
-    } else if (isSuccess(head.status) && !head.isSigned) {
+    } else if (isSuccessStatus(head.status) && !head.isSigned) {
       this.#fail('broken', 'the answer is not signed');
     } else if (head.status >= FIRST_FAILURE_STATUS) {
       this.#fail('failed', `the target answered with status ${head.status}`, {
@@ -169,7 +168,7 @@
   }
 
   #isEventStream(head: AnswerHead): boolean {
-    return this.#options.route.kind === 'stream' && isSuccess(head.status) && head.isSigned;
+    return this.#options.route.kind === 'stream' && isSuccessStatus(head.status) && head.isSigned;
   }
 
   /** Returns whether a stream that has ended lacks a part. A resumed one may have nothing to add. */
@@ -236,7 +235,3 @@
     this.#options.context.picker.getStats(this.#options.target.id).recordEnd();
   }
 }
-
-function isSuccess(status: number): boolean {
-  return status >= SUCCESS_STATUSES.first && status <= SUCCESS_STATUSES.last;
-}
