Announce a limit that changes often with one timer

A target that names another limit with each answer would have filled the memory of an entry with timers. One timer a target announces the last change now.

--- a/packages/gateway/src/limits/SharedTargetLimits.ts
+++ b/packages/gateway/src/limits/SharedTargetLimits.ts
@@ -77,6 +77,9 @@
   /** When changes were last announced, by run, monotonic milliseconds. */
   readonly #announcedMs = new Map<string, number>();
 
+  /** Runs whose last change is announced when the interval is over. */
+  readonly #delayedAnnouncements = new Set<string>();
+
   #isClosed = false;
 
   constructor(options: SharedTargetLimitsOptions) {
@@ -220,8 +223,11 @@
     const nowMs = clock.getNow();
     const dueMs = (this.#announcedMs.get(run) ?? -Infinity) + ANNOUNCE_INTERVAL_MS;
     if (limit !== undefined && nowMs < dueMs) {
+      if (this.#delayedAnnouncements.has(run)) return;
+      this.#delayedAnnouncements.add(run);
       timers.schedule(dueMs - nowMs, () => {
-        if (!this.#isClosed && this.#limits.get(run) === limit) this.#announce(run);
+        this.#delayedAnnouncements.delete(run);
+        if (!this.#isClosed && this.#limits.has(run)) this.#announce(run);
       });
       return;
     }
