--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -82,6 +82,8 @@
     const { clock, random, timers, store, codec, layout, metrics, createLog } = options;
     this.#registry = new TargetRegistry(clock);
     this.#entries = new EntryDirectory(clock);
+    const limitsLog = createLog('limits');
+    const promptsLog = createLog('prompts');
     const sendToEntries = (message: PeerMessage): void =>
       options.network.sendToPeers(message, this.#listPeers());
     this.#rates = new SharedRates({
@@ -89,7 +91,7 @@
       timers,
       ownName: options.self.name,
       entries: this.#entries,
-      log: createLog('limits'),
+      log: limitsLog,
       metrics,
       sendToEntry: (message, address) => options.network.sendToPeers(message, [address]),
     });
@@ -101,7 +103,7 @@
       prefix: layout.limitPrefix,
       registry: this.#registry,
       rates: this.#rates,
-      log: createLog('limits'),
+      log: limitsLog,
       sendToEntries,
     });
     const picker = new TargetPicker({
@@ -123,7 +125,7 @@
       store,
       prefix: layout.promptPrefix,
       ownName: options.self.name,
-      log: createLog('prompts'),
+      log: promptsLog,
       metrics,
       sendToEntries,
     });
@@ -152,7 +154,7 @@
       endCheck: new TargetEndCheck({
         clock,
         network: options.network,
-        log: createLog('prompts'),
+        log: promptsLog,
       }),
       log: createLog('request'),
       countEntries: () => this.#entries.countSharingEntries(),
