Log how an answer was framed, whose id it carries and which target gave it

'attempt failed' now has status, answerId, isSigned, isNotRun, framing, isFirst, bytes, events and hasBegun; 'request answered' has target, attempt and framing. No decision changes.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,6 +20,7 @@
 export { SharedPromptBreaker } from './prompts/SharedPromptBreaker.js';
 export { TargetEndCheck } from './prompts/TargetEndCheck.js';
 export { SharedRates } from './rates/SharedRates.js';
+export type { AnswerTrace } from './request/AnswerTrace.js';
 export type { AttemptListener } from './request/AttemptListener.js';
 export type { AttemptProgress } from './request/AttemptProgress.js';
 export type { AttemptResult } from './request/AttemptResult.js';
--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -4,7 +4,9 @@
   type DirectRoute,
   type DirectTarget,
 } from '@limpetbay/core';
+import type { AnswerTransport } from '@limpetbay/targets';
 import type { AnswerHead } from '../ports/AnswerHead.js';
+import type { AnswerTrace } from './AnswerTrace.js';
 import type { AttemptListener } from './AttemptListener.js';
 import type { AttemptProgress } from './AttemptProgress.js';
 import { isSuccessStatus } from './isSuccessStatus.js';
@@ -68,6 +70,10 @@
 
   #head: AnswerHead | null = null;
 
+  #transport: AnswerTransport | null = null;
+
+  #events = 0;
+
   #chunks: Buffer[] = [];
 
   #bodyBytes = 0;
@@ -96,7 +102,10 @@
         maxIdleMs: route.kind === 'unsafe' ? MAX_UNSAFE_IDLE_MS : MAX_IDLE_MS,
       },
       {
-        onHead: (status, headers) => this.#handleHead(context.codec.readAnswer(status, headers)),
+        onHead: (status, headers, transport) => {
+          this.#transport = transport;
+          this.#handleHead(context.codec.readAnswer(status, headers));
+        },
         onData: (data) => this.#handleData(data),
         onEnd: () => this.#handleEnd(),
         onFailure: (message, neverSent) =>
@@ -139,6 +148,7 @@
     }
     if (events.count === 0) return;
     if (!this.#hasFirstByte) this.#recordFirstByte();
+    this.#events += events.count;
     this.#restartProgressTimeout();
     this.#options.listener.onEvents(this.#head, events.bytes, events.lastId);
   }
@@ -163,7 +173,7 @@
     } else {
       if (!this.#hasFirstByte) this.#recordFirstByte();
       this.#end();
-      this.#options.listener.onResult({ kind: 'done', head, body });
+      this.#options.listener.onResult({ kind: 'done', head, body, trace: this.#traceAnswer() });
     }
   }
 
@@ -219,6 +229,7 @@
       outcome,
       message,
       progress: this.#getProgress(),
+      trace: this.#traceAnswer(),
       isCut,
       answer,
     });
@@ -229,6 +240,23 @@
     return this.#head === null ? 'none' : 'head';
   }
 
+  #traceAnswer(): AnswerTrace {
+    const head = this.#head;
+    if (head === null) return {};
+    const { requestId } = this.#options;
+    const isOwn = head.requestId === requestId;
+    return {
+      status: head.status,
+      answerId: isOwn ? 'own' : (head.requestId ?? 'none'),
+      isSigned: head.isSigned,
+      isNotRun: head.isNotRun,
+      framing: this.#transport?.framing,
+      isFirst: this.#transport?.isFirst,
+      bytes: this.#bodyBytes,
+      events: this.#events,
+    };
+  }
+
   #end(): void {
     this.#hasEnded = true;
     this.#cancelProgressTimeout?.();
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -381,7 +381,7 @@
     const { route } = this.#admission as Admission;
     if (result.kind === 'done') {
       this.#prompt.handleDone(route, result.head.status);
-      if (!this.#hasEnded) this.#finish(result);
+      if (!this.#hasEnded) this.#finish(target, result);
     } else if (this.#prompt.isSuspect(result)) void this.#handleSuspectCut(target, result);
     else {
       this.#prompt.endTrial();
@@ -416,6 +416,8 @@
       outcome,
       cause: result.message,
       progress: result.progress,
+      ...result.trace,
+      hasBegun: this.#answer.isStarted(),
       parts: this.#head.promptParts,
       ms: this.#getElapsedMs(),
       next,
@@ -453,11 +455,15 @@
     }
   }
 
-  #finish(result: Extract<AttemptResult, { kind: 'done' }>): void {
+  #finish(target: DirectTarget, result: Extract<AttemptResult, { kind: 'done' }>): void {
     const { head, body } = result;
     if (this.#answer.isStarted()) this.#answer.end(body);
     else this.#answer.send(head.status, head.forwarded, body);
-    this.#recordEnd(head.status, 'answered');
+    this.#recordEnd(head.status, 'answered', {
+      target: target.id,
+      attempt: this.#sentAttempts,
+      framing: result.trace.framing,
+    });
   }
 
   #handleDeadline(): void {
@@ -503,11 +509,17 @@
     return null;
   }
 
-  #recordEnd(status: number, decision: string): void {
+  #recordEnd(status: number, decision: string, details: object = {}): void {
     const ms = this.#getElapsedMs();
     this.#context.metrics.increase(`limpetbay_answers_total{status="${status}"}`);
     this.#context.metrics.record('limpetbay_answer_ms', ms);
-    this.#context.log.report('request answered', { id: this.#head.id, status, ms, decision });
+    this.#context.log.report('request answered', {
+      id: this.#head.id,
+      ms,
+      decision,
+      ...details,
+      status,
+    });
     this.#end();
   }
 
--- a/packages/gateway/test/support/SimTarget.ts
+++ b/packages/gateway/test/support/SimTarget.ts
@@ -28,6 +28,8 @@
 }
 
 /** One way between an entry and a target. */
+const TRANSPORT = { framing: 'chunks', isFirst: true } as const;
+
 const DELAY_MS = 1;
 
 /** From the arrival to the head of the answer, and from there to the first event. */
@@ -118,7 +120,9 @@
     setTimeout(() => {
       if (!this.#calls.has(running)) return;
       const limit = this.limit === null ? {} : { limit: String(this.limit) };
-      this.#deliver(running, () => running.listener.onHead(200, { id: requestId, ...limit }));
+      this.#deliver(running, () =>
+        running.listener.onHead(200, { id: requestId, ...limit }, TRANSPORT),
+      );
       setTimeout(() => {
         if (!this.#calls.has(running)) return;
         const crashingPart = parts.find((part) => crashingParts.has(part));
--- a/packages/targets/src/direct/DirectConnection.ts
+++ b/packages/targets/src/direct/DirectConnection.ts
@@ -1,6 +1,7 @@
 import { Agent, request as openRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { splitAddress } from '@limpetbay/core';
+import type { AnswerTransport } from './AnswerTransport.js';
 import type { DirectCall } from './DirectCall.js';
 import type { DirectListener } from './DirectListener.js';
 
@@ -52,6 +53,9 @@
 
   #isClosed = false;
 
+  /** Answers whose heads have arrived. */
+  #answerCount = 0;
+
   readonly #closeOnData = (): void => this.close();
 
   /** @param address `IP:PORT` */
@@ -98,7 +102,10 @@
     request.on('error', (error) => fail(error.message));
     request.on('response', (response) => {
       if (isFinished || (response.statusCode ?? 0) < MIN_FINAL_STATUS) return;
-      listener.onHead(response.statusCode ?? 0, response.headers);
+      const framing = readFraming(response);
+      const isFirst = this.#answerCount === 0;
+      this.#answerCount += 1;
+      listener.onHead(response.statusCode ?? 0, response.headers, { framing, isFirst });
       response.on('data', (data: Buffer) => {
         if (!isFinished) listener.onData(data);
       });
@@ -116,7 +123,7 @@
         listener.onEnd();
         if (!this.#isClosed) this.#events.onIdle();
       };
-      const isFramed = hasFraming(response);
+      const isFramed = framing !== 'close';
       if (!isFramed) {
         response.socket.prependListener('end', () => this.#probeReset(response.socket));
       }
@@ -169,6 +176,7 @@
   }
 }
 
-function hasFraming({ headers }: IncomingMessage): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+function readFraming({ headers }: IncomingMessage): AnswerTransport['framing'] {
+  if (headers['transfer-encoding'] !== undefined) return 'chunks';
+  return headers['content-length'] === undefined ? 'close' : 'length';
 }
--- a/packages/targets/src/direct/DirectListener.ts
+++ b/packages/targets/src/direct/DirectListener.ts
@@ -1,7 +1,13 @@
+import type { AnswerTransport } from './AnswerTransport.js';
+
 /** Receives the answer to a `DirectCall`. */
 export interface DirectListener {
   /** @param headers by lower-case name; a repeated header has an array of values */
-  onHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void;
+  onHead(
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+    transport: AnswerTransport,
+  ): void;
   onData(data: Buffer): void;
   /** Called when the answer is complete by its framing. */
   onEnd(): void;
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -1,3 +1,4 @@
+export type { AnswerTransport } from './direct/AnswerTransport.js';
 export type { DirectCall } from './direct/DirectCall.js';
 export { DirectConnection } from './direct/DirectConnection.js';
 export type { DirectListener } from './direct/DirectListener.js';
