Reject header names that are not tokens, from callers and from targets

Change: DirectServer answers such a request with 400 and closes, as the parser of later releases does; DirectConnection treats such an answer as broken.

--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { fail, type RequestHead } from '@limpetbay/core';
+import { fail, hasValidHeaderNames, type RequestHead } from '@limpetbay/core';
 import { DirectAnswer } from './DirectAnswer.js';
 import type { DirectHandler } from './DirectHandler.js';
 
@@ -87,6 +87,10 @@
 
   #readRequest(message: IncomingMessage, response: ServerResponse): void {
     const answer = new DirectAnswer(response, () => this.#isDraining);
+    if (!hasValidHeaderNames(message.rawHeaders)) {
+      answer.failAndClose(fail('bad_request', 'a header name is not valid').val);
+      return;
+    }
     const head = this.#options.readHead(message);
     const chunks: Buffer[] = [];
     let bodyBytes = 0;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -103,6 +103,7 @@
 export { chooseStartWait } from './direct/chooseStartWait.js';
 export { computeStartSlackMs } from './direct/computeStartSlackMs.js';
 export { decideNextAttempt } from './direct/decideNextAttempt.js';
+export { hasValidHeaderNames } from './direct/hasValidHeaderNames.js';
 export { isRepeatableRoute } from './direct/isRepeatableRoute.js';
 export { reportMaxAgeMs } from './direct/reportMaxAgeMs.js';
 export { RouteRule } from './document/RouteRule.js';
--- a/packages/targets/src/direct/DirectConnection.ts
+++ b/packages/targets/src/direct/DirectConnection.ts
@@ -1,6 +1,6 @@
 import { Agent, request as openRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { splitAddress } from '@limpetbay/core';
+import { hasValidHeaderNames, splitAddress } from '@limpetbay/core';
 import type { AnswerTransport } from './AnswerTransport.js';
 import type { DirectCall } from './DirectCall.js';
 import type { DirectListener } from './DirectListener.js';
@@ -102,6 +102,10 @@
     request.on('error', (error) => fail(error.message));
     request.on('response', (response) => {
       if (isFinished || (response.statusCode ?? 0) < MIN_FINAL_STATUS) return;
+      if (!hasValidHeaderNames(response.rawHeaders)) {
+        fail('the answer has a header name that is not valid');
+        return;
+      }
       const framing = readFraming(response);
       const isFirst = this.#answerCount === 0;
       this.#answerCount += 1;
