Decide in one place what the answer of an attempt means

What callers saw: 503 or 429, that is 'not run, try again', for an unsafe request that a target had run, or a second run of it. A target had written an earlier refusal once more on a kept connection.

Cause: AttemptRun took the meaning of an answer from single fields. A head that says 'not run' skipped the check of its id, 421 was not checked at all, and a 503, 429 or 408 without that statement was forwarded as it came.

Change: evaluateHead and decideAnswer in core decide from the request that waits (route, id, earlier attempts) and from all that arrived (head, first on its connection, end, events) what an answer means and what the caller is told if it was the last. An answer for another request proves nothing, whatever its status; one that names no request is believed only as a refusal that is the first answer on its connection. A refusal that is cut, a success that says 'not run', and a promise without the statement end as 502.

--- /dev/null
+++ b/packages/core/src/direct/DirectAnswerHead.ts
@@ -0,0 +1,12 @@
+/** What the head of a target's answer states. */
+export interface DirectAnswerHead {
+  readonly status: number;
+  /** Id of the answered request; null if the head has none. */
+  readonly requestId: string | null;
+  /** Whether the answer carries the signature of the target. */
+  readonly isSigned: boolean;
+  /** Whether the target declares that it did not run the request. */
+  readonly isNotRun: boolean;
+  /** Whether another target now uses this address. */
+  readonly isMisdirected: boolean;
+}
--- /dev/null
+++ b/packages/core/src/direct/ReceivedAnswer.ts
@@ -0,0 +1,18 @@
+import type { DirectAnswerHead } from './DirectAnswerHead.js';
+
+/** What arrived of the answer of an attempt until it ended. */
+export interface ReceivedAnswer {
+  /** Null if no complete head arrived. */
+  readonly head: DirectAnswerHead | null;
+  /** Whether it is the first answer on its connection, and so cannot belong to an earlier request. */
+  readonly isFirst: boolean;
+  /**
+   * `complete` by its framing; `cut` by the end or reset of its connection, or given up; `unsent`
+   * if nothing of the request reached the target.
+   */
+  readonly end: 'complete' | 'cut' | 'unsent';
+  /** Complete events of a stream. */
+  readonly events: number;
+  /** Bytes after the last complete event of a stream. */
+  readonly pendingBytes: number;
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -27,4 +27,3 @@
 export { AttemptRun } from './request/AttemptRun.js';
 export type { RequestContext } from './request/RequestContext.js';
 export { RequestRun } from './request/RequestRun.js';
-export { isSuccessStatus } from './request/isSuccessStatus.js';
--- a/packages/gateway/src/prompts/PromptTracker.ts
+++ b/packages/gateway/src/prompts/PromptTracker.ts
@@ -1,6 +1,10 @@
-import type { DirectRoute, DirectTarget, PromptDecision } from '@limpetbay/core';
+import {
+  isSuccessStatus,
+  type DirectRoute,
+  type DirectTarget,
+  type PromptDecision,
+} from '@limpetbay/core';
 import type { AttemptResult } from '../request/AttemptResult.js';
-import { isSuccessStatus } from '../request/isSuccessStatus.js';
 import type { SharedPromptBreaker } from './SharedPromptBreaker.js';
 import type { TargetEndCheck } from './TargetEndCheck.js';
 
--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -1,24 +1,25 @@
 import {
   EventSplitter,
-  type AttemptOutcome,
+  decideAnswer,
+  evaluateHead,
+  type AwaitedAnswer,
   type DirectRoute,
   type DirectTarget,
+  type HeadMeaning,
+  type ReceivedAnswer,
 } from '@limpetbay/core';
 import type { AnswerTransport } from '@limpetbay/targets';
 import type { AnswerHead } from '../ports/AnswerHead.js';
 import type { AnswerTrace } from './AnswerTrace.js';
 import type { AttemptListener } from './AttemptListener.js';
 import type { AttemptProgress } from './AttemptProgress.js';
-import { isSuccessStatus } from './isSuccessStatus.js';
 import type { RequestContext } from './RequestContext.js';
 
 interface AttemptRunOptions {
   readonly context: RequestContext;
   readonly route: DirectRoute;
   readonly target: DirectTarget;
-  readonly requestId: string;
-  /** Whether the caller has received earlier events of the stream. */
-  readonly isResumed: boolean;
+  readonly awaited: AwaitedAnswer;
   readonly call: {
     readonly method: string;
     readonly url: string;
@@ -28,13 +29,6 @@
   readonly listener: AttemptListener;
 }
 
-interface FailureDetails {
-  /** Error answer of the target that may be forwarded to the caller. */
-  readonly answer?: { readonly head: AnswerHead; readonly body: Buffer } | null;
-  /** Whether the connection broke before the end of the answer. */
-  readonly isCut?: boolean;
-}
-
 /**
  * Longest idle time of a connection that is reused for a request that may not be repeated. The
  * target may close a connection that was idle for longer while the request is in transit; then it
@@ -57,9 +51,6 @@
 /** Largest event of a stream; an incomplete one is kept until its end arrives. */
 const MAX_EVENT_BYTES = 262_144;
 
-/** Lowest status that counts as a failure of the target. */
-const FIRST_FAILURE_STATUS = 500;
-
 /** One attempt: sends a request to one target and evaluates the answer. */
 export class AttemptRun {
   readonly #options: AttemptRunOptions;
@@ -70,6 +61,8 @@
 
   #head: AnswerHead | null = null;
 
+  #meaning: HeadMeaning | null = null;
+
   #transport: AnswerTransport | null = null;
 
   #events = 0;
@@ -102,14 +95,11 @@
         maxIdleMs: route.kind === 'unsafe' ? MAX_UNSAFE_IDLE_MS : MAX_IDLE_MS,
       },
       {
-        onHead: (status, headers, transport) => {
-          this.#transport = transport;
-          this.#handleHead(context.codec.readAnswer(status, headers));
-        },
+        onHead: (status, headers, transport) =>
+          this.#handleHead(context.codec.readAnswer(status, headers), transport),
         onData: (data) => this.#handleData(data),
-        onEnd: () => this.#handleEnd(),
-        onFailure: (message, neverSent) =>
-          this.#fail(neverSent ? 'unreachable' : 'broken', message, { isCut: !neverSent }),
+        onEnd: () => this.#finish('complete'),
+        onFailure: (message, neverSent) => this.#finish(neverSent ? 'unsent' : 'cut', message),
       },
     );
   }
@@ -121,21 +111,19 @@
     this.#cancelCall?.();
   }
 
-  #handleHead(head: AnswerHead): void {
+  #handleHead(head: AnswerHead, transport: AnswerTransport): void {
     if (this.#hasEnded) return;
+    const { context, target, awaited } = this.#options;
     this.#head = head;
-    if (head.isMisdirected) return;
-    const isOwn = head.requestId === this.#options.requestId;
-    const { context, target } = this.#options;
-    if (isOwn) context.limits.handleAnswer(target, head.rateLimit, this.#startMs);
-    if (isOwn || head.isNotRun) return;
-    this.#cancelCall?.();
-    this.#fail('broken', 'the answer carries the id of another request');
+    this.#transport = transport;
+    this.#meaning = evaluateHead(awaited, head, transport.isFirst);
+    if (this.#meaning === 'foreign') this.#abandon();
+    else context.limits.handleAnswer(target, head.rateLimit, this.#startMs);
   }
 
   #handleData(data: Buffer): void {
     if (this.#hasEnded) return;
-    if (this.#head === null || !this.#isEventStream(this.#head)) {
+    if (this.#head === null || this.#meaning !== 'events') {
       this.#bodyBytes += data.length;
       if (this.#bodyBytes <= MAX_BODY_BYTES) this.#chunks.push(data);
       else this.#abandon(`the body is longer than ${MAX_BODY_BYTES} bytes`);
@@ -153,44 +141,10 @@
     this.#options.listener.onEvents(this.#head, events.bytes, events.lastId);
   }
 
-  #handleEnd(): void {
-    if (this.#hasEnded) return;
-    const head = this.#head as AnswerHead;
-    const body = Buffer.concat(this.#chunks);
-    if (this.#isEventStream(head) && this.#isStreamCut()) {
-      this.#fail('broken', 'the stream ended before or inside an event', { isCut: true });
-    } else if (head.isMisdirected) {
-      this.#options.context.registry.remove(this.#options.target.id);
-      this.#fail('rejected', 'another target now has the address');
-    } else if (head.isNotRun) {
-      this.#fail('rejected', `the target rejected the request with status ${head.status}`);
-    } else if (isSuccessStatus(head.status) && !head.isSigned) {
-      this.#fail('broken', 'the answer is not signed');
-    } else if (head.status >= FIRST_FAILURE_STATUS) {
-      this.#fail('failed', `the target answered with status ${head.status}`, {
-        answer: { head, body },
-      });
-    } else {
-      if (!this.#hasFirstByte) this.#recordFirstByte();
-      this.#end();
-      this.#options.listener.onResult({ kind: 'done', head, body, trace: this.#traceAnswer() });
-    }
-  }
-
-  #isEventStream(head: AnswerHead): boolean {
-    return this.#options.route.kind === 'stream' && isSuccessStatus(head.status) && head.isSigned;
-  }
-
-  /** Returns whether a stream that has ended lacks a part. A resumed one may have nothing to add. */
-  #isStreamCut(): boolean {
-    const isEmpty = !this.#hasFirstByte && !this.#options.isResumed;
-    return isEmpty || this.#splitter.countPendingBytes() > 0;
-  }
-
-  /** Gives up an answer that would take too much memory. */
-  #abandon(message: string): void {
+  /** Gives up the answer and closes its connection. */
+  #abandon(cause?: string): void {
     this.#cancelCall?.();
-    this.#fail('broken', message);
+    this.#finish('abandoned', cause);
   }
 
   #recordFirstByte(): void {
@@ -210,28 +164,36 @@
       route.kind === 'stream' ? Math.max(MIN_STREAM_PROGRESS_TIMEOUT_MS, objectiveMs) : objectiveMs;
     this.#cancelProgressTimeout = context.timers.schedule(timeoutMs, () => {
       if (this.#hasEnded) return;
-      this.#cancelCall?.();
-      this.#fail('broken', `target ${target.id} made no progress for ${Math.round(timeoutMs)} ms`);
+      this.#abandon(`target ${target.id} made no progress for ${Math.round(timeoutMs)} ms`);
     });
   }
 
-  #fail(
-    outcome: AttemptOutcome,
-    message: string,
-    { answer = null, isCut = false }: FailureDetails = {},
-  ): void {
+  /** @param cause why the attempt ended, if not by its answer */
+  #finish(how: ReceivedAnswer['end'] | 'abandoned', cause?: string): void {
     if (this.#hasEnded) return;
-    const { context, target, listener } = this.#options;
-    context.picker.getStats(target.id).recordFailure(context.clock.getNow());
+    const { context, target, awaited, listener } = this.#options;
+    const pendingBytes = this.#splitter.countPendingBytes();
+    const decision = decideAnswer(awaited, {
+      head: this.#head,
+      isFirst: this.#transport?.isFirst ?? true,
+      end: how === 'abandoned' ? 'cut' : how,
+      events: this.#events,
+      pendingBytes,
+    });
+    const stats = context.picker.getStats(target.id);
+    if (decision.kind === 'failed') stats.recordFailure(context.clock.getNow());
+    else if (!this.#hasFirstByte) this.#recordFirstByte();
+    if (this.#meaning === 'misdirected') context.registry.remove(target.id);
     this.#end();
+    const isBrokenStream = this.#meaning === 'events' && decision.kind === 'failed';
     listener.onResult({
-      kind: 'failed',
-      outcome,
-      message,
+      ...decision,
+      ...(decision.kind === 'failed' && cause !== undefined ? { cause } : {}),
       progress: this.#getProgress(),
       trace: this.#traceAnswer(),
-      isCut,
-      answer,
+      isCut: how === 'cut' || (how === 'complete' && isBrokenStream),
+      head: this.#head,
+      body: Buffer.concat(this.#chunks),
     });
   }
 
@@ -243,8 +205,7 @@
   #traceAnswer(): AnswerTrace {
     const head = this.#head;
     if (head === null) return {};
-    const { requestId } = this.#options;
-    const isOwn = head.requestId === requestId;
+    const isOwn = head.requestId === this.#options.awaited.requestId;
     return {
       status: head.status,
       answerId: isOwn ? 'own' : (head.requestId ?? 'none'),
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -37,6 +37,8 @@
   readonly retryAfterMs: number;
 }
 
+type AnsweredAttempt = Extract<AttemptResult, { kind: 'answered' }>;
+
 type FailedAttempt = Extract<AttemptResult, { kind: 'failed' }>;
 
 /** Limited targets that are asked for one request; more would delay its refusal. */
@@ -358,8 +360,12 @@
       context: this.#context,
       route: admission.route,
       target,
-      requestId: this.#head.id,
-      isResumed: this.#lastEventId !== null || this.#head.lastEventId !== null,
+      awaited: {
+        route: admission.route,
+        requestId: this.#head.id,
+        isResumed: this.#lastEventId !== null || this.#head.lastEventId !== null,
+        mayHaveRun: this.#mayHaveRun,
+      },
       call: { method: this.#head.method, url: this.#head.url, headers, body: this.#body },
       listener: {
         onEvents: (head, bytes, lastId) => {
@@ -379,8 +385,8 @@
   #handleResult(target: DirectTarget, result: AttemptResult): void {
     this.#attempt = null;
     const { route } = this.#admission as Admission;
-    if (result.kind === 'done') {
-      this.#prompt.handleDone(route, result.head.status);
+    if (result.kind === 'answered') {
+      this.#prompt.handleDone(route, result.head?.status ?? 0);
       if (!this.#hasEnded) this.#finish(target, result);
     } else if (this.#prompt.isSuspect(result)) void this.#handleSuspectCut(target, result);
     else {
@@ -414,7 +420,7 @@
       id: this.#head.id,
       target: target.id,
       outcome,
-      cause: result.message,
+      cause: result.cause,
       progress: result.progress,
       ...result.trace,
       hasBegun: this.#answer.isStarted(),
@@ -438,31 +444,28 @@
     return this.#context.getBudget(service.name).take() ? 'retry' : 'no_budget';
   }
 
-  #answerFailure(result: FailedAttempt, next: string): void {
-    const { outcome, message } = result;
-    if (this.#answer.isStarted()) {
-      this.#abort(message);
-    } else if (outcome === 'failed' && result.answer !== null) {
+  #answerFailure({ outcome, cause, ifLast, head, body }: FailedAttempt, next: string): void {
+    if (this.#answer.isStarted()) this.#abort(cause);
+    else if (ifLast === 'forward' && head !== null) {
       // The error answer of the target is more specific than a generated one.
-      const { head, body } = result.answer;
       this.#answer.send(head.status, head.forwarded, body);
       this.#recordEnd(head.status, next);
-    } else if (this.#mayHaveRun) this.#refuse('outcome_unknown', message);
+    } else if (ifLast === 'outcome_unknown') this.#refuse('outcome_unknown', cause);
     else {
       const { route } = this.#admission as Admission;
       const waitMs = chooseRetryAfter(route, 'away', this.#context.random);
-      this.#refuse(outcome === 'unreachable' ? 'no_target' : 'overloaded', message, waitMs);
+      this.#refuse(outcome === 'unreachable' ? 'no_target' : 'overloaded', cause, waitMs);
     }
   }
 
-  #finish(target: DirectTarget, result: Extract<AttemptResult, { kind: 'done' }>): void {
-    const { head, body } = result;
+  #finish(target: DirectTarget, { head, body, trace }: AnsweredAttempt): void {
+    if (head === null) throw new Error('an answered attempt has a head');
     if (this.#answer.isStarted()) this.#answer.end(body);
     else this.#answer.send(head.status, head.forwarded, body);
     this.#recordEnd(head.status, 'answered', {
       target: target.id,
       attempt: this.#sentAttempts,
-      framing: result.trace.framing,
+      framing: trace.framing,
     });
   }
 
