Break off a stream that has begun when the next answer does not continue it

What callers saw: a stream had begun and broke off, the next target answered with an error, and the text of that error was the last piece of a stream that ended as complete. Or a resumed run started over, and events came twice.

Cause: RequestRun ended an answer that had begun with whatever body the last attempt had, and nothing compared the events of a resumed run with the last one that was passed on.

Change: decideAnswer also knows whether the caller's answer has begun, after which event the attempt resumes and which event came first. Only events that follow are a continuation; anything else breaks the answer off (ifLast is 'abort'). A stream whose events have no ids is not resumed.

--- a/packages/core/src/direct/AwaitedAnswer.ts
+++ b/packages/core/src/direct/AwaitedAnswer.ts
@@ -5,8 +5,10 @@
   readonly route: Pick<DirectRoute, 'kind'>;
   /** Id of the request; empty where the caller sent none. */
   readonly requestId: string;
-  /** Whether the attempt resumes a stream, which may then have nothing to add. */
-  readonly isResumed: boolean;
+  /** Id of the event after which the attempt resumes a stream; null if it does not. */
+  readonly resumedAfter: string | null;
+  /** Whether the caller's answer has begun with events of earlier attempts. */
+  readonly hasBegun: boolean;
   /** Whether an earlier attempt may have run the request. */
   readonly mayHaveRun: boolean;
 }
--- a/packages/core/src/direct/EventSplitter.ts
+++ b/packages/core/src/direct/EventSplitter.ts
@@ -4,7 +4,9 @@
 interface SplitEvents {
   /** Complete events, unchanged. */
   readonly bytes: Buffer;
-  /** Id of the last complete event that has one; null where none has. */
+  /** Id of the first of them that has one; null where none has. */
+  readonly firstId: string | null;
+  /** Id of the last of them that has one; null where none has. */
   readonly lastId: string | null;
   readonly count: number;
 }
@@ -21,6 +23,7 @@
     const bytes =
       this.#remainder.length > 0 ? Buffer.concat([this.#remainder, chunk]) : Buffer.from(chunk);
     let end = 0;
+    let firstId: string | null = null;
     let lastId: string | null = null;
     let count = 0;
     for (
@@ -29,11 +32,12 @@
       boundary = bytes.indexOf('\n\n', end)
     ) {
       lastId = findId(bytes.subarray(end, boundary)) ?? lastId;
+      firstId ??= lastId;
       end = boundary + 2;
       count += 1;
     }
     this.#remainder = bytes.subarray(end);
-    return { bytes: bytes.subarray(0, end), lastId, count };
+    return { bytes: bytes.subarray(0, end), firstId, lastId, count };
   }
 
   /** Returns the number of bytes after the last complete event. */
--- a/packages/core/src/direct/ReceivedAnswer.ts
+++ b/packages/core/src/direct/ReceivedAnswer.ts
@@ -11,8 +11,10 @@
    * if nothing of the request reached the target.
    */
   readonly end: 'complete' | 'cut' | 'unsent';
-  /** Complete events of a stream. */
+  /** Complete events of a stream that were passed on. */
   readonly events: number;
+  /** Id of the first event; null where it has none or none arrived. */
+  readonly firstEventId: string | null;
   /** Bytes after the last complete event of a stream. */
   readonly pendingBytes: number;
 }
--- a/packages/core/src/direct/decideAnswer.ts
+++ b/packages/core/src/direct/decideAnswer.ts
@@ -3,8 +3,13 @@
 import type { HeadMeaning } from './HeadMeaning.js';
 import type { ReceivedAnswer } from './ReceivedAnswer.js';
 import { evaluateHead } from './evaluateHead.js';
+import { isContinuation } from './isContinuation.js';
 
-type Failure = Omit<Extract<AnswerDecision, { kind: 'failed' }>, 'kind' | 'ifLast'>;
+type FailedAnswer = Extract<AnswerDecision, { kind: 'failed' }>;
+
+type Failure = Omit<FailedAnswer, 'kind' | 'ifLast'>;
+
+type FinalAnswer = FailedAnswer['ifLast'];
 
 /**
  * Decides what the answer of an attempt means and what its caller is told, from all that is known
@@ -15,7 +20,7 @@
   const meaning = head === null ? null : evaluateHead(awaited, head, isFirst);
   const failure = findFailure(awaited, received, meaning);
   if (failure === null) return { kind: 'answered' };
-  return { kind: 'failed', ...failure, ifLast: chooseFinalAnswer(awaited, failure) };
+  return { kind: 'failed', ...failure, ifLast: chooseFinalAnswer(awaited, received, failure) };
 }
 
 function findFailure(
@@ -32,6 +37,9 @@
     const of = id === null ? 'names no request' : `belongs to request ${id}`;
     return { outcome: 'broken', cause: `the answer ${of}` };
   }
+  if (!isContinuation(awaited.resumedAfter, received.firstEventId)) {
+    return { outcome: 'broken', cause: 'the resumed stream repeats events' };
+  }
   if (meaning === null || received.end === 'cut') {
     return { outcome: 'broken', cause: 'the connection closed before the end of the answer' };
   }
@@ -47,24 +55,28 @@
     case 'events':
       return findStreamFailure(awaited, received);
     default:
-      return null;
+      if (!awaited.hasBegun) return null;
+      return { outcome: 'failed', cause: `the target answered a resumed stream with ${status}` };
   }
 }
 
 /** Finds out whether a stream that is complete by its framing lacks a part. */
 function findStreamFailure(
-  { isResumed }: AwaitedAnswer,
+  { resumedAfter }: AwaitedAnswer,
   { events, pendingBytes }: ReceivedAnswer,
 ): Failure | null {
   if (pendingBytes > 0) return { outcome: 'broken', cause: 'the stream ended inside an event' };
-  const isEmpty = events === 0 && !isResumed;
+  // A resumed stream may have nothing to add.
+  const isEmpty = events === 0 && resumedAfter === null;
   return isEmpty ? { outcome: 'broken', cause: 'the stream ended before its first event' } : null;
 }
 
 function chooseFinalAnswer(
-  { mayHaveRun }: AwaitedAnswer,
+  { hasBegun, mayHaveRun }: AwaitedAnswer,
+  { events }: ReceivedAnswer,
   { outcome }: Failure,
-): 'forward' | 'not_run' | 'outcome_unknown' {
+): FinalAnswer {
+  if (hasBegun || events > 0) return 'abort';
   if (outcome === 'failed') return 'forward';
   return mayHaveRun || outcome === 'broken' ? 'outcome_unknown' : 'not_run';
 }
--- a/packages/core/src/direct/decideNextAttempt.ts
+++ b/packages/core/src/direct/decideNextAttempt.ts
@@ -8,6 +8,8 @@
   readonly sentCount: number;
   /** Targets that could not be reached. */
   readonly unreachableCount: number;
+  /** Whether another target could not know where to continue an answer that has begun. */
+  readonly isPositionUnknown: boolean;
   /** Time until the request or the caller times out, milliseconds. */
   readonly remainingMs: number;
 }
@@ -23,6 +25,7 @@
   if (state.remainingMs < MIN_REMAINING_MS) return 'give_up';
   if (state.sentCount >= route.maxAttempts) return 'give_up';
   if (state.unreachableCount >= MAX_UNREACHABLE_TARGETS) return 'give_up';
+  if (state.isPositionUnknown) return 'give_up';
   if (state.outcome === 'unreachable' || state.outcome === 'rejected') return 'retry';
   return isRepeatableRoute(route) ? 'retry' : 'give_up';
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -111,6 +111,7 @@
 export { decideNextAttempt } from './direct/decideNextAttempt.js';
 export { evaluateHead } from './direct/evaluateHead.js';
 export { hasValidHeaderNames } from './direct/hasValidHeaderNames.js';
+export { isContinuation } from './direct/isContinuation.js';
 export { isRepeatableRoute } from './direct/isRepeatableRoute.js';
 export { isSuccessStatus } from './direct/isSuccessStatus.js';
 export { reportMaxAgeMs } from './direct/reportMaxAgeMs.js';
--- a/packages/core/test/direct/decideAnswer.test.ts
+++ b/packages/core/test/direct/decideAnswer.test.ts
@@ -28,12 +28,20 @@
     isMisdirected: head?.status === 421,
   };
   const decision: AnswerDecision = decideAnswer(
-    { route: { kind }, requestId: 'own', isResumed: false, mayHaveRun: false, ...awaited },
+    {
+      route: { kind },
+      requestId: 'own',
+      resumedAfter: null,
+      hasBegun: false,
+      mayHaveRun: false,
+      ...awaited,
+    },
     {
       head: head === null ? null : { ...base, ...head },
       isFirst: false,
       end: 'complete',
       events: 0,
+      firstEventId: null,
       pendingBytes: 0,
       ...received,
     },
@@ -52,19 +60,22 @@
   for (const kind of KINDS) {
     const events = kind === 'stream' ? 3 : 0;
     const whole = { kind, received: { events } };
+    const bare = { kind };
     add({ ...whole, name: `${kind}: signed success`, expected: 'answered' });
     add({ ...whole, name: `${kind}: 204`, head: { status: 204 }, expected: 'answered' });
-    add({ ...whole, name: `${kind}: unsigned`, head: { isSigned: false }, expected: unknown });
-    add({ ...whole, name: `${kind}: not run`, head: { isNotRun: true }, expected: unknown });
+    add({ ...bare, name: `${kind}: unsigned`, head: { isSigned: false }, expected: unknown });
+    add({ ...bare, name: `${kind}: not run`, head: { isNotRun: true }, expected: unknown });
     for (const requestId of ['other', null]) {
       const name = `${kind}: success for ${requestId ?? 'no request'}`;
-      add({ ...whole, name, head: { requestId }, expected: unknown });
+      add({ ...bare, name, head: { requestId }, expected: unknown });
     }
+    const broken = kind === 'stream' ? 'broken, abort' : unknown;
     const isCut = { kind, received: { events, end: 'cut' } } as const;
-    add({ ...isCut, name: `${kind}: cut success`, expected: unknown });
-    add({ ...isCut, name: `${kind}: cut in the head`, head: null, expected: unknown });
+    add({ ...isCut, name: `${kind}: cut success`, expected: broken });
+    const noEvents = { kind, received: { end: 'cut' } } as const;
+    add({ ...noEvents, name: `${kind}: cut in the head`, head: null, expected: unknown });
     for (const status of [400, 409, 500]) {
-      add({ ...isCut, name: `${kind}: cut ${status}`, head: { status }, expected: unknown });
+      add({ ...noEvents, name: `${kind}: cut ${status}`, head: { status }, expected: unknown });
     }
     for (const status of [302, 400, 401, 404, 409]) {
       for (const isSigned of [true, false]) {
@@ -128,10 +139,49 @@
   }
   const stream = { kind: 'stream' } as const;
   const isPartial = { received: { events: 2, pendingBytes: 5 } };
-  add({ ...stream, ...isPartial, name: 'stream: ended inside an event', expected: unknown });
+  add({
+    ...stream,
+    ...isPartial,
+    name: 'stream: ended inside an event',
+    expected: 'broken, abort',
+  });
   add({ ...stream, name: 'stream: ended before its first event', expected: unknown });
-  const resumed = { awaited: { isResumed: true } };
-  add({ ...stream, ...resumed, name: 'stream: resumed, nothing to add', expected: 'answered' });
+  const resumed = { ...stream, awaited: { resumedAfter: '9' } };
+  add({ ...resumed, name: 'stream: resumed, nothing to add', expected: 'answered' });
+  for (const [firstEventId, expected] of [
+    ['10', 'answered'],
+    ['9', 'broken, abort'],
+    ['1', 'broken, abort'],
+    ['x', 'answered'],
+    [null, 'answered'],
+  ] as const) {
+    const name = `stream: resumed after 9 with ${firstEventId}`;
+    add({ ...resumed, name, received: { events: 1, firstEventId }, expected });
+  }
+  const begun = { ...stream, awaited: { resumedAfter: '9', hasBegun: true, mayHaveRun: true } };
+  add({ ...begun, name: 'begun: rest', received: { events: 1 }, expected: 'answered' });
+  add({ ...begun, name: 'begun: nothing to add', expected: 'answered' });
+  add({ ...begun, name: 'begun: unsigned', head: { isSigned: false }, expected: 'broken, abort' });
+  add({ ...begun, name: 'begun: cut', received: { end: 'cut' }, expected: 'broken, abort' });
+  add({
+    ...begun,
+    name: 'begun: no head',
+    head: null,
+    received: { end: 'cut' },
+    expected: 'broken, abort',
+  });
+  for (const status of [302, 400, 401, 404, 409, 500, 504]) {
+    for (const isSigned of [true, false]) {
+      const name = `begun: ${status}, ${isSigned ? 'signed' : 'unsigned'}`;
+      add({ ...begun, name, head: { status, isSigned }, expected: 'failed, abort' });
+    }
+  }
+  for (const status of PROMISES) {
+    const refusal = { status, isNotRun: true };
+    add({ ...begun, name: `begun: refusal ${status}`, head: refusal, expected: 'rejected, abort' });
+    const foreign = { ...refusal, requestId: 'other' };
+    add({ ...begun, name: `begun: foreign ${status}`, head: foreign, expected: 'broken, abort' });
+  }
   return rows;
 }
 
--- a/packages/core/test/direct/limits.test.ts
+++ b/packages/core/test/direct/limits.test.ts
@@ -92,7 +92,18 @@
 });
 
 describe('decideNextAttempt', () => {
-  const state = { sentCount: 1, unreachableCount: 0, remainingMs: 500 };
+  const state = {
+    sentCount: 1,
+    unreachableCount: 0,
+    isPositionUnknown: false,
+    remainingMs: 500,
+  };
+
+  // Guards against a stream that begins again because none of its events has an id.
+  it('does not continue an answer at an unknown position', () => {
+    const unknown = { ...state, isPositionUnknown: true };
+    expect(decideNextAttempt(streamRoute, { ...unknown, outcome: 'broken' })).toBe('give_up');
+  });
 
   it('never repeats a request that may have run on a route that must not repeat it', () => {
     const unsafe = { ...streamRoute, kind: 'unsafe' as const, maxAttempts: 3 };
--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -2,6 +2,7 @@
   EventSplitter,
   decideAnswer,
   evaluateHead,
+  isContinuation,
   type AwaitedAnswer,
   type DirectRoute,
   type DirectTarget,
@@ -67,6 +68,8 @@
 
   #events = 0;
 
+  #firstEventId: string | null = null;
+
   #chunks: Buffer[] = [];
 
   #bodyBytes = 0;
@@ -135,6 +138,11 @@
       return;
     }
     if (events.count === 0) return;
+    this.#firstEventId ??= events.firstId;
+    if (!isContinuation(this.#options.awaited.resumedAfter, this.#firstEventId)) {
+      this.#abandon();
+      return;
+    }
     if (!this.#hasFirstByte) this.#recordFirstByte();
     this.#events += events.count;
     this.#restartProgressTimeout();
@@ -178,6 +186,7 @@
       isFirst: this.#transport?.isFirst ?? true,
       end: how === 'abandoned' ? 'cut' : how,
       events: this.#events,
+      firstEventId: this.#firstEventId,
       pendingBytes,
     });
     const stats = context.picker.getStats(target.id);
@@ -185,15 +194,21 @@
     else if (!this.#hasFirstByte) this.#recordFirstByte();
     if (this.#meaning === 'misdirected') context.registry.remove(target.id);
     this.#end();
-    const isBrokenStream = this.#meaning === 'events' && decision.kind === 'failed';
-    listener.onResult({
-      ...decision,
-      ...(decision.kind === 'failed' && cause !== undefined ? { cause } : {}),
+    const answer = {
       progress: this.#getProgress(),
       trace: this.#traceAnswer(),
-      isCut: how === 'cut' || (how === 'complete' && isBrokenStream),
-      head: this.#head,
       body: Buffer.concat(this.#chunks),
+    };
+    if (decision.kind === 'answered') {
+      listener.onResult({ ...decision, ...answer, head: this.#head as AnswerHead });
+      return;
+    }
+    listener.onResult({
+      ...decision,
+      ...answer,
+      cause: cause ?? decision.cause,
+      isCut: how === 'cut' || (how === 'complete' && this.#meaning === 'events'),
+      head: this.#head,
     });
   }
 
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -363,7 +363,8 @@
       awaited: {
         route: admission.route,
         requestId: this.#head.id,
-        isResumed: this.#lastEventId !== null || this.#head.lastEventId !== null,
+        resumedAfter: this.#lastEventId ?? this.#head.lastEventId,
+        hasBegun: this.#answer.isStarted(),
         mayHaveRun: this.#mayHaveRun,
       },
       call: { method: this.#head.method, url: this.#head.url, headers, body: this.#body },
@@ -386,7 +387,7 @@
     this.#attempt = null;
     const { route } = this.#admission as Admission;
     if (result.kind === 'answered') {
-      this.#prompt.handleDone(route, result.head?.status ?? 0);
+      this.#prompt.handleDone(route, result.head.status);
       if (!this.#hasEnded) this.#finish(target, result);
     } else if (this.#prompt.isSuspect(result)) void this.#handleSuspectCut(target, result);
     else {
@@ -438,6 +439,7 @@
       outcome,
       sentCount: this.#sentAttempts,
       unreachableCount: this.#unreachableAttempts,
+      isPositionUnknown: this.#answer.isStarted() && this.#lastEventId === null,
       remainingMs: deadlineMs - this.#context.clock.getNow(),
     });
     if (decision === 'give_up' || outcome === 'unreachable') return decision;
@@ -445,7 +447,7 @@
   }
 
   #answerFailure({ outcome, cause, ifLast, head, body }: FailedAttempt, next: string): void {
-    if (this.#answer.isStarted()) this.#abort(cause);
+    if (ifLast === 'abort') this.#abort(cause);
     else if (ifLast === 'forward' && head !== null) {
       // The error answer of the target is more specific than a generated one.
       this.#answer.send(head.status, head.forwarded, body);
@@ -459,7 +461,6 @@
   }
 
   #finish(target: DirectTarget, { head, body, trace }: AnsweredAttempt): void {
-    if (head === null) throw new Error('an answered attempt has a head');
     if (this.#answer.isStarted()) this.#answer.end(body);
     else this.#answer.send(head.status, head.forwarded, body);
     this.#recordEnd(head.status, 'answered', {
--- a/packages/gateway/test/support/SimTarget.ts
+++ b/packages/gateway/test/support/SimTarget.ts
@@ -105,7 +105,7 @@
     }
     this.#calls.add(running);
     const { clock, onArrival, crashingParts } = this.#options;
-    const [, requestId = '', , partText = ''] = call.headers;
+    const [, requestId = '', , partText = '', , lastEventId = '0'] = call.headers;
     const parts = partText.split(',');
     const arrival: SimArrival = {
       atMs: clock.getNow(),
@@ -130,7 +130,7 @@
         else if (!call.url.startsWith(STREAM_PREFIX)) this.#finish(running);
         else {
           arrival.hasBegun = true;
-          this.#sendEvent(running, 1);
+          this.#sendEvent(running, Number(lastEventId) + 1);
         }
       }, FIRST_EVENT_DELAY_MS);
     }, HEAD_DELAY_MS);
@@ -138,14 +138,15 @@
 
   #sendEvent(running: RunningCall, number: number): void {
     if (!this.#calls.has(running)) return;
+    if (number > EVENTS) {
+      this.#finish(running);
+      return;
+    }
     this.#deliver(running, () =>
       running.listener.onData(Buffer.from(`id: ${number}\ndata: x\n\n`)),
     );
-    if (number < EVENTS) {
-      setTimeout(() => this.#sendEvent(running, number + 1), EVENT_GAP_MS);
-      return;
-    }
-    this.#finish(running);
+    if (number === EVENTS) this.#finish(running);
+    else setTimeout(() => this.#sendEvent(running, number + 1), EVENT_GAP_MS);
   }
 
   #finish(running: RunningCall): void {
--- a/packages/gateway/test/support/simCodec.ts
+++ b/packages/gateway/test/support/simCodec.ts
@@ -3,6 +3,7 @@
 /** Names of the headers between simulated entries and targets. */
 const ID_HEADER = 'id';
 const PARTS_HEADER = 'parts';
+const LAST_EVENT_HEADER = 'last-event-id';
 const LIMIT_HEADER = 'limit';
 
 /** Codec of simulated targets, without the names of a deployment. */
@@ -10,7 +11,14 @@
   readRequest: () => {
     throw new Error('simulated callers send decoded requests');
   },
-  listTargetHeaders: ({ id, promptParts }) => [ID_HEADER, id, PARTS_HEADER, promptParts.join(',')],
+  listTargetHeaders: ({ id, promptParts }, { lastEventId }) => [
+    ID_HEADER,
+    id,
+    PARTS_HEADER,
+    promptParts.join(','),
+    LAST_EVENT_HEADER,
+    lastEventId ?? '0',
+  ],
   readAnswer: (status, headers): AnswerHead => ({
     status,
     requestId: String(headers[ID_HEADER] ?? ''),
