Take an unframed answer whose connection is reset for a broken one in agents too

What callers of a service behind an agent saw: a body with neither a length nor chunks whose connection was reset could end as complete. Cause: libuv reports a reset that arrives with the last bytes as a regular end, as in the direct mode, where the probe of the end already finds it.

Change: the probe moves into a function of its own, which HttpTarget uses on the connections of its pool as well. undici does not tell which connection carried an answer, so a hidden reset of any of them counts.

Evidence: packages/targets/test/HttpTarget.test.ts; its case "Connection: close" failed before ('complete: ...part'). platform/test/answerFraming.test.ts plays 144 answers by route kind, framing and end against the direct mode; all passed before this change too.

--- a/packages/targets/src/direct/DirectConnection.ts
+++ b/packages/targets/src/direct/DirectConnection.ts
@@ -1,6 +1,8 @@
 import { Agent, request as openRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { hasValidHeaderNames, splitAddress } from '@limpetbay/core';
+import { probeReset } from '../connection/probeReset.js';
+import { resetProbeMs } from '../connection/resetProbeMs.js';
 import type { AnswerTransport } from './AnswerTransport.js';
 import type { DirectCall } from './DirectCall.js';
 import type { DirectListener } from './DirectListener.js';
@@ -20,12 +22,6 @@
 
 const MIN_FINAL_STATUS = 200;
 
-/** Error codes of a write to a connection that was reset. */
-const RESET_ERROR_CODES = new Set(['EPIPE', 'ECONNRESET', 'ENOTCONN']);
-
-/** Time within which a write to a reset connection reports its error, milliseconds. */
-const RESET_PROBE_MS = 2;
-
 /**
  * One connection to a target with at most one request at a time. It is closed after an incomplete
  * answer and after any byte outside an answer, so that late bytes are never read as the answer to
@@ -129,11 +125,15 @@
       };
       const isFramed = framing !== 'close';
       if (!isFramed) {
-        response.socket.prependListener('end', () => this.#probeReset(response.socket));
+        response.socket.prependListener('end', () =>
+          probeReset(response.socket, () => {
+            this.#isReset = true;
+          }),
+        );
       }
       response.on('end', () => {
         if (isFramed) finish();
-        else setTimeout(finish, RESET_PROBE_MS);
+        else setTimeout(finish, resetProbeMs);
       });
     });
     request.end(call.body ?? undefined);
@@ -151,17 +151,6 @@
     this.#events.onClosed();
   }
 
-  /**
-   * Detects a reset that arrived in the same poll as the last bytes: libuv reports it as a regular
-   * end, but a write to the connection fails. After a regular end the target ignores the empty line.
-   */
-  #probeReset(socket: Socket): void {
-    socket.write('\r\n', (error) => {
-      const { code } = (error ?? {}) as { code?: string };
-      if (code !== undefined && RESET_ERROR_CODES.has(code)) this.#isReset = true;
-    });
-  }
-
   #listHeaders({ method, headers, body }: DirectCall): string[] {
     const hasHost = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'host');
     const fields = hasHost ? [...headers] : ['Host', `${this.#host}:${this.#port}`, ...headers];
--- a/packages/targets/src/http/HttpTarget.ts
+++ b/packages/targets/src/http/HttpTarget.ts
@@ -1,5 +1,8 @@
-import { Pool, type Dispatcher } from 'undici';
+import { setTimeout as wait } from 'node:timers/promises';
+import { Pool, buildConnector, type Dispatcher } from 'undici';
 import { createParser } from 'eventsource-parser';
+import { probeReset } from '../connection/probeReset.js';
+import { resetProbeMs } from '../connection/resetProbeMs.js';
 import { isConnectError } from './isConnectError.js';
 import { listForwardedHeaders } from './listForwardedHeaders.js';
 import type { Target } from './Target.js';
@@ -18,10 +21,13 @@
 
   #pool: Pool;
 
+  /** Connections that were reset, although Node.js reported a regular end. */
+  #hiddenResets = 0;
+
   /** @param origin scheme, address and port, such as `http://10.0.0.7:8000` */
   constructor(origin: string) {
     this.#origin = origin;
-    this.#pool = createPool(origin);
+    this.#pool = this.#createPool();
   }
 
   send(call: TargetCall, listener: TargetListener): () => void {
@@ -32,7 +38,7 @@
 
   replaceConnections(): void {
     const previous = this.#pool;
-    this.#pool = createPool(this.#origin);
+    this.#pool = this.#createPool();
     void previous.close();
   }
 
@@ -45,36 +51,59 @@
       const answer = await this.#pool.request(buildRequestOptions(call, signal));
       const headers = listForwardedHeaders(answer.headers);
       listener.onHead(answer.statusCode, headers);
+      const resetsBefore = this.#hiddenResets;
       const isEventStream = /^text\/event-stream/.test(
         String(answer.headers['content-type'] ?? ''),
       );
       const isComplete = isEventStream
         ? await forwardEvents(answer.body, listener)
         : await forwardBytes(answer.body, listener);
+      if (!hasFraming(answer.headers)) {
+        await wait(resetProbeMs);
+        // undici does not tell which connection carried the answer, so any of them counts.
+        if (this.#hiddenResets > resetsBefore) {
+          listener.onFailure('the connection was reset before the end of the answer', false);
+          return;
+        }
+      }
       if (isComplete) listener.onEnd();
       else listener.onFailure('the event stream ended without [DONE]', false);
     } catch (error) {
       listener.onFailure((error as Error).message, isConnectError(error));
     }
   }
-}
 
-function createPool(origin: string): Pool {
-  return new Pool(origin, {
-    connect: {
+  #createPool(): Pool {
+    const connect = buildConnector({
       timeout: CONNECT_TIMEOUT_MS,
       keepAlive: true,
       keepAliveInitialDelay: TCP_KEEPALIVE_MS,
-    },
-    // A dead idle connection must be closed before a later call can reuse it.
-    keepAliveTimeout: CONNECTION_IDLE_TIMEOUT_MS,
-    keepAliveMaxTimeout: CONNECTION_IDLE_TIMEOUT_MS,
-    // No timeouts here: the agent monitors progress and knows the step time and the deadline.
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    // Whether a request pipelined behind a failed one was executed would be unknown.
-    pipelining: 1,
-  });
+    });
+    return new Pool(this.#origin, {
+      connect: (options, callback) =>
+        connect(options, (...result) => {
+          const [, socket] = result;
+          socket?.prependListener('end', () =>
+            probeReset(socket, () => {
+              this.#hiddenResets += 1;
+            }),
+          );
+          callback(...result);
+        }),
+      // A dead idle connection must be closed before a later call can reuse it.
+      keepAliveTimeout: CONNECTION_IDLE_TIMEOUT_MS,
+      keepAliveMaxTimeout: CONNECTION_IDLE_TIMEOUT_MS,
+      // No timeouts here: the agent monitors progress and knows the step time and the deadline.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      // Whether a request pipelined behind a failed one was executed would be unknown.
+      pipelining: 1,
+    });
+  }
+}
+
+function hasFraming(headers: Readonly<Record<string, unknown>>): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 }
 
 function buildRequestOptions(call: TargetCall, signal: AbortSignal): Dispatcher.RequestOptions {
