Fail a resumed stream that another target answers with an error, behind agents too

What callers of a model behind agents saw: a stream broke off, the entry resumed it at another rank, that rank answered with an error status, and the text of the error was written into the stream, which ended as complete. The same cause as in the direct mode: AnswerAssembler did not know whether the caller's answer had begun, and Entry wrote the bytes of any later answer.

Change: AnswerAssembler is told, and takes a head without a success status as a broken attempt, which is resumed elsewhere or aborted.

Evidence: the four cases "fails a resumed stream that is answered with status ..." of answer.test.ts failed before.

--- a/packages/core/src/answer/AnswerAssembler.ts
+++ b/packages/core/src/answer/AnswerAssembler.ts
@@ -3,6 +3,7 @@
 import type { Incarnation } from '../ids/Incarnation.js';
 import type { RequestId } from '../ids/RequestId.js';
 import type { LoadReport } from '../admission/LoadReport.js';
+import { isSuccessStatus } from '../direct/isSuccessStatus.js';
 import type { DropCounts } from './DropCounts.js';
 import type { AnswerEvent } from './AnswerEvent.js';
 import type { AnswerFrame } from './AnswerFrame.js';
@@ -21,6 +22,8 @@
 
   readonly #drops = { request: 0, attempt: 0, incarnation: 0, repeated: 0, late: 0 };
 
+  readonly #hasBegun: boolean;
+
   #incarnation: Incarnation | 0;
 
   #state: 'waiting' | 'headed' | 'ended' = 'waiting';
@@ -35,12 +38,20 @@
    * @param incarnation incarnation of the target in the attempt. All frames repeat it, even a
    *   refusal by a later incarnation. 0 uses the incarnation of the first frame of this attempt
    * @param resumeFrom number of tokens that the caller has received from earlier attempts
+   * @param hasBegun whether the caller has received the head of an earlier attempt
    */
-  constructor(requestId: RequestId, attempt: number, incarnation: Incarnation | 0, resumeFrom = 0) {
+  constructor(
+    requestId: RequestId,
+    attempt: number,
+    incarnation: Incarnation | 0,
+    resumeFrom = 0,
+    hasBegun = false,
+  ) {
     this.#requestId = requestId;
     this.#attempt = attempt;
     this.#incarnation = incarnation;
     this.#tokens = resumeFrom;
+    this.#hasBegun = hasBegun;
   }
 
   /** @returns the event for the caller, or null for a dropped frame */
@@ -54,8 +65,11 @@
         return { type: 'progress' };
       case 'head': {
         if (this.#state === 'headed') return this.#drop('repeated');
-        this.#state = 'headed';
         const { status, headers, replayed } = part;
+        if (this.#hasBegun && !isSuccessStatus(status)) {
+          return this.#abort(`the target answered a resumed stream with status ${status}`, null);
+        }
+        this.#state = 'headed';
         return { type: 'head', status, headers, replayed };
       }
       case 'chunk': {
--- a/packages/core/test/answer.test.ts
+++ b/packages/core/test/answer.test.ts
@@ -52,6 +52,18 @@
     expect(assembler.getResumeOffset()).toBe(3);
   });
 
+  // Guards against the text of an error inside a stream that another target began.
+  it.each([302, 404, 429, 500])(
+    'fails a resumed stream that is answered with status %i',
+    (status) => {
+      const resumed = new AnswerAssembler('r1' as RequestId, 2, 5 as Incarnation, 3, true);
+      const answer = createFrame({ type: 'head', status, headers: [], replayed: false });
+      expect(resumed.handleFrame(answer)).toMatchObject({ type: 'failed', end: 'broken' });
+      expect(resumed.handleFrame(createChunk(0, 'error'))).toBeNull();
+      expect(createAssembler().handleFrame(answer)?.type).toBe('head');
+    },
+  );
+
   // Guards against a truncated answer that the caller treats as complete.
   it('completes only with an end frame and matching counts', () => {
     const parts: [chunks: number, bytes: number, type: string][] = [
--- a/packages/entry/src/request/RequestRun.ts
+++ b/packages/entry/src/request/RequestRun.ts
@@ -141,7 +141,13 @@
     this.tried.add(decision.target);
     this.#lastTarget = decision.target;
     const { incarnation }: { incarnation: Incarnation } = decision;
-    const assembler = new AnswerAssembler(this.id, this.#attempts, incarnation, this.#resumeFrom);
+    const assembler = new AnswerAssembler(
+      this.id,
+      this.#attempts,
+      incarnation,
+      this.#resumeFrom,
+      this.answer.isStarted(),
+    );
     this.#current = { decision, address, assembler, cancel: () => undefined };
     return assembler;
   }
