--- a/packages/gateway/test/support/SimEntry.ts
+++ b/packages/gateway/test/support/SimEntry.ts
@@ -78,6 +78,11 @@
     return this.#isRunning && this.#core.isReady();
   }
 
+  /** Lists the addresses that this entry names to callers. */
+  listAddresses(): string[] {
+    return this.#core.listAddresses();
+  }
+
   /** Ends the process without a farewell; its callers get no answers. */
   kill(): void {
     this.#isRunning = false;
--- a/packages/standins/src/store/MemoryStore.ts
+++ b/packages/standins/src/store/MemoryStore.ts
@@ -41,6 +41,18 @@
   readonly action: () => void;
 }
 
+interface Lease {
+  readonly ttlMs: number;
+  endMs: number;
+}
+
+interface StoreCopy {
+  readonly revision: number;
+  readonly nextLeaseId: number;
+  readonly entries: ReadonlyMap<string, Entry>;
+  readonly leases: ReadonlyMap<string, Lease>;
+}
+
 type StoreResult<T> = Result<T, Failure>;
 
 const MAX_VALUE_BYTES = 1_048_576;
@@ -65,9 +77,9 @@
 
   readonly #random: RandomSource;
 
-  readonly #entries = new Map<string, Entry>();
+  #entries = new Map<string, Entry>();
 
-  readonly #leases = new Map<string, { ttlMs: number; endMs: number }>();
+  #leases = new Map<string, Lease>();
 
   readonly #watches = new Set<Watch>();
 
@@ -114,6 +126,33 @@
     this.#history = this.#history.filter((change) => change.revision > revision);
   }
 
+  /** Takes a copy from which the store can be restored. */
+  copy(): StoreCopy {
+    return {
+      revision: this.#revision,
+      nextLeaseId: this.#nextLeaseId,
+      entries: copyValues(this.#entries),
+      leases: copyValues(this.#leases),
+    };
+  }
+
+  /**
+   * Restores a copy: what was written since is lost, and its revisions and lease ids are given out
+   * again. Ends all watches. Leases of the copy run for their whole time again.
+   */
+  restore({ revision, nextLeaseId, entries, leases }: StoreCopy): void {
+    this.#revision = revision;
+    this.#nextLeaseId = nextLeaseId;
+    this.#entries = copyValues(entries);
+    this.#leases = copyValues(leases);
+    const nowMs = this.#clock.getNow();
+    for (const lease of this.#leases.values()) lease.endMs = nowMs + lease.ttlMs;
+    this.#history = this.#history.filter((change) => change.revision <= revision);
+    const watches = [...this.#watches];
+    this.#watches.clear();
+    for (const { listener } of watches) listener.onEnd('failed');
+  }
+
   /** Returns the number of calls received so far, by kind. */
   getCounts(): MemoryStoreCounts {
     return { ...this.#counts };
@@ -187,7 +226,7 @@
       listener.onEnd('failed');
       return () => {};
     }
-    if (fromRevision <= this.#compactedRevision) {
+    if (fromRevision <= this.#compactedRevision || fromRevision > this.#revision + 1) {
       listener.onEnd('gap');
       return () => {};
     }
@@ -359,3 +398,9 @@
     this.#publish();
   }
 }
+
+function copyValues<Value extends object>(values: ReadonlyMap<string, Value>): Map<string, Value> {
+  const copies = new Map<string, Value>();
+  for (const [key, value] of values) copies.set(key, { ...value });
+  return copies;
+}
