--- a/bench/src/benches/atMostOnce/ProcessStore.ts
+++ b/bench/src/benches/atMostOnce/ProcessStore.ts
@@ -3,6 +3,7 @@
   Ok,
   type ClaimOwner,
   type CommitResult,
+  type Era,
   type Failure,
   type Result,
   type Revision,
@@ -95,7 +96,7 @@
         return Err({ kind: 'store_unavailable', message: '' });
       }
       if (this.#variant !== 'unanswered-write-as-success') return answer;
-      return Ok({ committed: true, revision: 1 as Revision, current: [] });
+      return Ok({ committed: true, era: '1' as Era, revision: 1 as Revision, current: [] });
     }
     if (this.#variant !== 'departed-owner-as-free') return answer;
     return Ok({
--- a/bench/src/benches/config/SimulatedStore.ts
+++ b/bench/src/benches/config/SimulatedStore.ts
@@ -1,4 +1,5 @@
 import {
+  Era,
   Ok,
   Revision,
   fail,
@@ -19,6 +20,8 @@
 const PROGRESS_MS = 500;
 /** The silence limit of the store client. */
 const SILENCE_MS = 2000;
+const ERA = Era.parse('1');
+
 const MIN_LATENCY_MS = 1;
 const MAX_LATENCY_MS = 4;
 const MS_PER_SECOND = 1000;
@@ -120,14 +123,17 @@
       this.#count();
       const isDown = this.#outage;
       const records = [...this.#records.values()];
-      const revision = Revision.parse(this.#revision);
+      const position = { era: ERA, revision: Revision.parse(this.#revision) };
       this.#timeline.schedule(this.#pickLatency(), () => {
-        respond(isDown ? fail('store_unavailable', 'outage') : Ok({ records, revision }));
+        respond(isDown ? fail('store_unavailable', 'outage') : Ok({ records, ...position }));
       });
     });
   };
 
-  readonly watchDocuments: ConfigPorts['watchDocuments'] = (fromRevision, listener) => {
+  readonly watchDocuments: ConfigPorts['watchDocuments'] = (
+    { revision: fromRevision },
+    listener,
+  ) => {
     const now = this.#timeline.clock.getNow();
     const watcher: Watcher = { listener, isSilent: false, lastHeardAt: now };
     this.#timeline.schedule(this.#pickLatency(), () => {
--- a/packages/core/src/config/ConfigPorts.ts
+++ b/packages/core/src/config/ConfigPorts.ts
@@ -1,8 +1,8 @@
 import type { Result } from 'ts-results';
 import type { Failure } from '../errors/Failure.js';
-import type { Revision } from '../ids/Revision.js';
 import type { AnnouncedInstance } from '../membership/AnnouncedInstance.js';
 import type { InstanceRecord } from '../membership/InstanceRecord.js';
+import type { StorePosition } from '../store/StorePosition.js';
 import type { StoreRecord } from '../store/StoreRecord.js';
 import type { StoreWatchListener } from '../store/StoreWatchListener.js';
 import type { RelayEvent } from './RelayEvent.js';
@@ -14,11 +14,11 @@
   /** Reads all service documents of the store. */
   readDocuments(
     respond: (
-      answer: Result<{ records: readonly StoreRecord[]; revision: Revision }, Failure>,
+      answer: Result<{ readonly records: readonly StoreRecord[] } & StorePosition, Failure>,
     ) => void,
   ): void;
   /** Watches all service documents. @returns a function that stops the watch */
-  watchDocuments(fromRevision: Revision, listener: StoreWatchListener): () => void;
+  watchDocuments(from: StorePosition, listener: StoreWatchListener): () => void;
   /** Reads the platform's instance list. */
   fetchInstances(respond: (answer: Result<readonly InstanceRecord[], Failure>) => void): void;
   /**
--- a/packages/core/src/config/StoreSource.ts
+++ b/packages/core/src/config/StoreSource.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock/Clock.js';
 import { Revision } from '../ids/Revision.js';
 import type { RandomSource } from '../random/RandomSource.js';
+import type { StorePosition } from '../store/StorePosition.js';
 import type { StoreRecord } from '../store/StoreRecord.js';
 import { Backoff } from './Backoff.js';
 import type { ConfigPorts } from './ConfigPorts.js';
@@ -43,8 +44,8 @@
 
   #confirmedAt: number | null = null;
 
-  /** Revision up to which all changes have arrived; null if a full read is needed. */
-  #revision: Revision | null = null;
+  /** Position up to which all changes have arrived; null if a full read is needed. */
+  #position: StorePosition | null = null;
 
   #stopWatch: (() => void) | null = null;
 
@@ -71,7 +72,7 @@
     if (this.#phase === 'off') this.#scheduleRetry();
   }
 
-  /** Ends the watch; keeps the revision, so that `start` resumes from it. */
+  /** Ends the watch; keeps the position, so that `start` resumes from it. */
   stop(): void {
     this.#endAttempt();
     this.#phase = 'off';
@@ -91,8 +92,8 @@
     const timeoutMs = this.#phase === 'reading' ? READ_TIMEOUT_MS : WATCH_TIMEOUT_MS;
     if (this.#phase === 'waiting') {
       if (now < this.#retryAt) return;
-      if (this.#revision === null) this.#read(now);
-      else this.#watch(now, this.#revision);
+      if (this.#position === null) this.#read(now);
+      else this.#watch(now, this.#position);
     } else if (this.#phase !== 'off' && now - this.#startedAt >= timeoutMs) {
       this.#endAttempt();
       this.#scheduleRetry();
@@ -142,20 +143,20 @@
         this.#scheduleRetry();
         return;
       }
-      const { records, revision } = answer.val;
+      const { records, era, revision } = answer.val;
       this.applyRead(records, revision, now);
-      this.#revision = revision;
-      this.#watch(this.#options.clock.getNow(), revision);
+      this.#position = { era, revision };
+      this.#watch(this.#options.clock.getNow(), this.#position);
     });
   }
 
-  #watch(now: number, revision: Revision): void {
+  #watch(now: number, { era, revision }: StorePosition): void {
     this.#phase = 'watching';
     this.#startedAt = now;
     this.#attempt += 1;
     const attempt = this.#attempt;
     const { clock, table, ports } = this.#options;
-    const from = Revision.parse(revision + 1);
+    const from = { era, revision: Revision.parse(revision + 1) };
     this.#stopWatch = ports.watchDocuments(from, {
       onChange: (change) => {
         if (attempt !== this.#attempt) return;
@@ -177,15 +178,15 @@
         if (attempt !== this.#attempt) return;
         this.#stopWatch = null;
         this.#endAttempt();
-        if (reason === 'gap') this.#revision = null;
+        if (reason !== 'failed') this.#position = null;
         this.#scheduleRetry();
       },
     });
   }
 
   #advanceRevision(revision: number): void {
-    if (this.#revision !== null && revision > this.#revision) {
-      this.#revision = Revision.parse(revision);
+    if (this.#position !== null && revision > this.#position.revision) {
+      this.#position = { ...this.#position, revision: Revision.parse(revision) };
     }
   }
 }
--- a/packages/core/src/direct/EntryDirectory.ts
+++ b/packages/core/src/direct/EntryDirectory.ts
@@ -1,4 +1,6 @@
 import type { Clock } from '../clock/Clock.js';
+import { combineHashes } from '../routing/combineHashes.js';
+import { hashText } from '../routing/hashText.js';
 import type { EntryRecord } from './EntryRecord.js';
 
 /** How long a departed entry still counts for shares, milliseconds. */
@@ -7,6 +9,21 @@
 /** Entries of a deployment start within this time of each other, milliseconds. */
 const SETTLING_MS = 1000;
 
+/** Time for all entries to register again after the store was restored from a copy, milliseconds. */
+const RESTORE_GRACE_MS = 5000;
+
+/**
+ * A registration that returns from a copy of the store expires with its lease within this time if
+ * its entry is gone, milliseconds.
+ */
+const RETURNED_HOLD_MS = 3500;
+
+interface ReturnedEntry {
+  readonly entry: EntryRecord;
+  /** From when on it is listed, monotonic milliseconds. */
+  readonly fromMs: number;
+}
+
 /** Assumed while no entry is known; high, so that shares are too small rather than too large. */
 const DEFAULT_ENTRY_COUNT = 16;
 
@@ -19,6 +36,12 @@
   /** When each entry was removed, by name, monotonic milliseconds; Infinity for live ones. */
   readonly #removedAtMs = new Map<string, number>();
 
+  /** Entries that a restored store lacks, and until when they are listed, monotonic milliseconds. */
+  readonly #missingUntilMs = new Map<string, number>();
+
+  /** Entries that were gone and that a restored store names as registered, by name. */
+  readonly #returned = new Map<string, ReturnedEntry>();
+
   #lastAddedMs: number;
 
   constructor(clock: Clock) {
@@ -30,9 +53,13 @@
     if (!this.#removedAtMs.has(entry.name)) this.#lastAddedMs = this.#clock.getNow();
     this.#entries.set(entry.name, entry);
     this.#removedAtMs.set(entry.name, Infinity);
+    this.#missingUntilMs.delete(entry.name);
+    this.#returned.delete(entry.name);
   }
 
   remove(name: string): void {
+    this.#missingUntilMs.delete(name);
+    this.#returned.delete(name);
     if (!this.#entries.delete(name)) return;
     this.#removedAtMs.set(name, this.#clock.getNow());
   }
@@ -43,10 +70,43 @@
     for (const entry of entries) this.upsert(entry);
   }
 
+  /**
+   * Replaces all entries by those of a store that was restored from a copy. Entries that the copy
+   * lacks get time to register again; those that were gone before are not listed until they do.
+   */
+  restore(entries: readonly EntryRecord[]): void {
+    const nowMs = this.#clock.getNow();
+    const present = new Set(entries.map(({ name }) => name));
+    for (const name of this.#entries.keys()) {
+      if (!present.has(name)) this.#missingUntilMs.set(name, nowMs + RESTORE_GRACE_MS);
+    }
+    this.#returned.clear();
+    for (const entry of entries) {
+      const removedAtMs = this.#removedAtMs.get(entry.name) ?? Infinity;
+      if (removedAtMs === Infinity) this.upsert(entry);
+      else this.#returned.set(entry.name, { entry, fromMs: nowMs + RETURNED_HOLD_MS });
+    }
+  }
+
   listEntries(): readonly EntryRecord[] {
+    this.#expireRestored();
     return [...this.#entries.values()];
   }
 
+  /**
+   * Returns the place of an entry in the order in which entries take over the work on a key; 0 is
+   * first. Entries that know each other compute the same order.
+   */
+  rank(name: string, key: string): number {
+    const keyHash = hashText(key);
+    const ownScore = combineHashes(hashText(name), keyHash);
+    let rank = 0;
+    for (const entry of this.listEntries()) {
+      if (combineHashes(hashText(entry.name), keyHash) > ownScore) rank += 1;
+    }
+    return rank;
+  }
+
   /** Counts the entries that share a common limit. */
   countSharingEntries(): number {
     this.#expireDeparted();
@@ -64,6 +124,14 @@
     return this.#removedAtMs.size > 0 && this.#clock.getNow() - this.#lastAddedMs >= SETTLING_MS;
   }
 
+  #expireRestored(): void {
+    const nowMs = this.#clock.getNow();
+    for (const [name, untilMs] of this.#missingUntilMs) if (nowMs >= untilMs) this.remove(name);
+    for (const { entry, fromMs } of this.#returned.values()) {
+      if (nowMs >= fromMs) this.upsert(entry);
+    }
+  }
+
   #expireDeparted(): void {
     const nowMs = this.#clock.getNow();
     for (const [name, removedAtMs] of this.#removedAtMs) {
--- a/packages/core/src/direct/TargetRegistry.ts
+++ b/packages/core/src/direct/TargetRegistry.ts
@@ -14,6 +14,27 @@
  */
 const LAPSE_GRACE_MS = 2300;
 
+/** How long it is remembered which incarnations have left, milliseconds. */
+const DEPARTED_RETENTION_MS = 60_000;
+
+/**
+ * A registration that returns from a copy of the store lapses within this time if its target does
+ * not renew it: three of its heartbeats, and the delay until this process sees it, milliseconds.
+ */
+const RETURNED_HOLD_MS = 4500;
+
+interface DepartedTarget {
+  readonly bornMs: number;
+  readonly isDraining: boolean;
+  readonly atMs: number;
+}
+
+interface ReturnedTarget {
+  readonly target: DirectTarget;
+  /** From when on it may be used, monotonic milliseconds. */
+  readonly fromMs: number;
+}
+
 /** The registered targets, including those that lapsed only because the store was unavailable. */
 export class TargetRegistry {
   readonly #clock: Clock;
@@ -23,6 +44,12 @@
   /** Until when targets whose registration lapsed remain in use, by id, monotonic milliseconds. */
   readonly #lapsedUntilMs = new Map<string, number>();
 
+  /** Targets whose registration was removed, by id. */
+  readonly #departed = new Map<string, DepartedTarget>();
+
+  /** Targets that had left and that a restored store names as registered, by id. */
+  readonly #returned = new Map<string, ReturnedTarget>();
+
   #isStoreDown = false;
 
   #graceEndMs = -Infinity;
@@ -49,6 +76,8 @@
     const warmAtMs =
       isSameIncarnation && !hasTurnedCold ? Math.min(existing.warmAtMs, coldUntilMs) : coldUntilMs;
     this.#lapsedUntilMs.delete(target.id);
+    this.#departed.delete(target.id);
+    this.#returned.delete(target.id);
     this.#targets.set(target.id, { target, warmAtMs });
     this.#targetsByService = null;
   }
@@ -64,12 +93,21 @@
 
   /** Handles a removed registration; keeps the target for a grace period around a store outage. */
   remove(id: string): void {
+    this.#returned.delete(id);
     if (!this.#targets.has(id)) return;
     const nowMs = this.#clock.getNow();
     if (this.#isStoreDown || nowMs < this.#graceEndMs) {
       this.#lapsedUntilMs.set(id, Math.max(this.#graceEndMs, nowMs));
       return;
     }
+    this.#delete(id);
+  }
+
+  #delete(id: string): void {
+    const removed = this.#targets.get(id)?.target;
+    if (removed === undefined) return;
+    const { bornMs, isDraining } = removed;
+    this.#departed.set(id, { bornMs, isDraining, atMs: this.#clock.getNow() });
     this.#targets.delete(id);
     this.#targetsByService = null;
   }
@@ -81,21 +119,51 @@
     for (const target of targets) this.upsert(target);
   }
 
+  /**
+   * Replaces all registrations by those of a store that was restored from a copy. Targets that the
+   * copy lacks get time to register again. A registration in the copy may be older than what is
+   * known here: a target that was draining or had left is not used before it has written again.
+   */
+  restore(targets: readonly DirectTarget[]): void {
+    const nowMs = this.#clock.getNow();
+    this.#graceEndMs = nowMs + LAPSE_GRACE_MS;
+    this.#returned.clear();
+    const present = new Set(targets.map(({ id }) => id));
+    for (const id of [...this.#targets.keys()]) if (!present.has(id)) this.remove(id);
+    for (const target of targets) {
+      const existing = this.#targets.get(target.id)?.target;
+      const departed = this.#departed.get(target.id);
+      if (existing?.bornMs === target.bornMs && existing.isDraining) continue;
+      if (existing !== undefined || departed?.bornMs !== target.bornMs) this.upsert(target);
+      else if (!departed.isDraining) {
+        this.#returned.set(target.id, { target, fromMs: nowMs + RETURNED_HOLD_MS });
+      }
+    }
+  }
+
   /** Records whether the store is down; the grace period begins when it is available again. */
   setStoreUnavailable(isDown: boolean): void {
     if (this.#isStoreDown && !isDown) this.#graceEndMs = this.#clock.getNow() + LAPSE_GRACE_MS;
     this.#isStoreDown = isDown;
   }
 
-  /** Removes lapsed targets that have not registered again within the grace period. */
+  /**
+   * Removes lapsed targets that have not registered again within the grace period, and uses those
+   * that returned from a copy of the store and whose registrations have not lapsed.
+   */
   expire(): void {
     if (this.#isStoreDown) return;
     const nowMs = this.#clock.getNow();
+    for (const { target, fromMs } of this.#returned.values()) {
+      if (nowMs >= fromMs) this.upsert(target);
+    }
+    for (const [id, { atMs }] of this.#departed) {
+      if (nowMs - atMs > DEPARTED_RETENTION_MS) this.#departed.delete(id);
+    }
     for (const [id, untilMs] of this.#lapsedUntilMs) {
       if (nowMs < Math.max(untilMs, this.#graceEndMs)) continue;
       this.#lapsedUntilMs.delete(id);
-      this.#targets.delete(id);
-      this.#targetsByService = null;
+      this.#delete(id);
     }
   }
 
--- a/packages/core/src/prompts/PromptBreaker.ts
+++ b/packages/core/src/prompts/PromptBreaker.ts
@@ -115,6 +115,14 @@
     this.#updateCounts();
   }
 
+  /** Handles that the store was restored from a copy, which may lack anything that is known here. */
+  beginEra(): void {
+    for (const suspected of this.#suspected.values()) {
+      suspected.revision = 0;
+      suspected.isUnsaved = true;
+    }
+  }
+
   /** Handles the removal of a stored record, which clears the part unless more is known here. */
   removeRecord(part: string): void {
     const suspected = this.#suspected.get(part);
--- a/packages/core/src/store/CommitResult.ts
+++ b/packages/core/src/store/CommitResult.ts
@@ -1,11 +1,12 @@
-import type { Revision } from '../ids/Revision.js';
+import type { StorePosition } from './StorePosition.js';
 import type { StoreRecord } from './StoreRecord.js';
 
-/** The result of a transaction. */
-export interface CommitResult {
+/**
+ * The result of a transaction, with the position of the store after it; if committed, `revision` is
+ * the revision of its writes.
+ */
+export interface CommitResult extends StorePosition {
   readonly committed: boolean;
-  /** Revision of the store after the transaction; if committed, the revision of its writes. */
-  readonly revision: Revision;
   /** If not committed: the current records of the condition keys, without absent keys. */
   readonly current: readonly StoreRecord[];
 }
--- a/packages/core/src/store/StoreWatchListener.ts
+++ b/packages/core/src/store/StoreWatchListener.ts
@@ -7,6 +7,9 @@
   onChange(change: Omit<StoreRecord, 'value'> & { readonly value: string | null }): void;
   /** Called when the store confirms that all changes up to `revision` have been delivered. */
   onProgress(revision: Revision): void;
-  /** Called when the watch has ended. `gap`: revisions were compacted, so a full read is needed. */
-  onEnd(reason: 'gap' | 'failed'): void;
+  /**
+   * Called when the watch has ended. A full read is needed after `gap` (revisions were compacted)
+   * and `restored` (the store has another era).
+   */
+  onEnd(reason: 'gap' | 'restored' | 'failed'): void;
 }
--- a/packages/core/test/config.test.ts
+++ b/packages/core/test/config.test.ts
@@ -4,6 +4,7 @@
   Backoff,
   ConfigNode,
   DocumentTable,
+  Era,
   InstanceRecord,
   ManualClock,
   Membership,
@@ -23,6 +24,8 @@
   type StoreWatchListener,
 } from '@limpetbay/core';
 
+const ERA = Era.parse('1');
+
 const SEED = 4711;
 
 function createDocument(name: string): ServiceDocument {
@@ -80,11 +83,11 @@
         this.reads += 1;
         const answer = this.isStoreDown
           ? fail('store_unavailable', 'outage')
-          : Ok({ records: this.stored, revision: this.storeRevision });
+          : Ok({ records: this.stored, era: ERA, revision: this.storeRevision });
         this.#pendingAnswers.push(() => respond(answer));
       },
       watchDocuments: (from, listener) => {
-        this.watch = { from, listener };
+        this.watch = { from: from.revision, listener };
         return () => {
           this.watch = null;
         };
@@ -199,10 +202,10 @@
       ...({} as ConfigPorts),
       readDocuments: (respond) => {
         fixture.reads += 1;
-        respond(Ok({ records: fixture.stored, revision: fixture.storeRevision }));
+        respond(Ok({ records: fixture.stored, era: ERA, revision: fixture.storeRevision }));
       },
       watchDocuments: (from, listener) => {
-        fixture.watch = { from, listener };
+        fixture.watch = { from: from.revision, listener };
         return () => undefined;
       },
       warn: () => undefined,
--- a/packages/core/test/fakes/FakeStore.ts
+++ b/packages/core/test/fakes/FakeStore.ts
@@ -1,4 +1,4 @@
-import { Ok, fail } from '@limpetbay/core';
+import { Era, Ok, fail } from '@limpetbay/core';
 import type {
   Clock,
   CommitResult,
@@ -6,6 +6,7 @@
   Result,
   Revision,
   Store,
+  StorePosition,
   StoreRecord,
   StoreTransaction,
 } from '@limpetbay/core';
@@ -42,21 +43,21 @@
 
   async read(
     key: string,
-  ): Promise<Result<{ record: StoreRecord | null; revision: Revision }, Failure>> {
+  ): Promise<Result<{ readonly record: StoreRecord | null } & StorePosition, Failure>> {
     if (this.isDown) return fail('store_unavailable', 'the fake store is down');
     this.#removeExpiredLeases();
     const record = this.#records.get(key) ?? null;
-    return Ok({ record, revision: this.#revision as Revision });
+    return Ok({ record, ...this.#getPosition() });
   }
 
   async readPrefix(
     prefix: string,
-  ): Promise<Result<{ records: StoreRecord[]; revision: Revision }, Failure>> {
+  ): Promise<Result<{ readonly records: StoreRecord[] } & StorePosition, Failure>> {
     if (this.isUnresponsive) await new Promise(() => {});
     if (this.isDown) return fail('store_unavailable', 'the fake store is down');
     this.#removeExpiredLeases();
     const records = [...this.#records.values()].filter(({ key }) => key.startsWith(prefix));
-    return Ok({ records, revision: this.#revision as Revision });
+    return Ok({ records, ...this.#getPosition() });
   }
 
   async commit(transaction: StoreTransaction): Promise<Result<CommitResult, Failure>> {
@@ -81,7 +82,7 @@
       this.answersToDrop -= 1;
       return fail('outcome_unknown', 'the answer of the commit was dropped');
     }
-    return Ok({ committed, revision: this.#revision as Revision, current });
+    return Ok({ committed, ...this.#getPosition(), current });
   }
 
   watch(): () => void {
@@ -112,6 +113,10 @@
     return Ok(undefined);
   }
 
+  #getPosition(): StorePosition {
+    return { era: Era.parse('1'), revision: this.#revision as Revision };
+  }
+
   #removeExpiredLeases(): void {
     for (const [lease, { expiresMs }] of this.#leaseExpiries) {
       if (this.#clock.getNow() < expiresMs) continue;
--- a/packages/gateway/src/feed/EntryLease.ts
+++ b/packages/gateway/src/feed/EntryLease.ts
@@ -1,11 +1,14 @@
-import type { EntryRecord, Store } from '@limpetbay/core';
+import type { EntryRecord, RandomSource, Store } from '@limpetbay/core';
 import type { Log } from '@limpetbay/runtime';
 import type { Timers } from '../ports/Timers.js';
 
 interface EntryLeaseOptions {
   readonly store: Store;
   readonly timers: Timers;
+  readonly random: RandomSource;
   readonly log: Log;
+  /** Returns the number of entries. */
+  readonly countEntries: () => number;
   /** Store key of the registration. */
   readonly key: string;
   readonly record: EntryRecord;
@@ -17,6 +20,12 @@
 /** Three renewals fit into the TTL, so that one unanswered call does not end the registration. */
 const RENEW_INTERVAL_MS = 800;
 
+/**
+ * Leases of many entries end together if the store was restored from a copy or was down for long.
+ * Their new registrations are spread by this per entry, milliseconds.
+ */
+const REGISTRATION_SPREAD_MS = 4;
+
 /** Delay after a failed call. */
 const RETRY_DELAY_MS = 300;
 
@@ -96,6 +105,15 @@
     });
     if (renewed.val.kind !== 'stale_epoch') return false;
     this.#lease = null;
-    return this.#register();
+    await this.#waitForTurn();
+    return this.#isStopped || this.#register();
+  }
+
+  #waitForTurn(): Promise<void> {
+    const { timers, random, countEntries } = this.#options;
+    const delayMs = random.next() * REGISTRATION_SPREAD_MS * countEntries();
+    return new Promise((resolve) => {
+      timers.schedule(delayMs, resolve);
+    });
   }
 }
--- a/packages/gateway/src/feed/GatewayView.ts
+++ b/packages/gateway/src/feed/GatewayView.ts
@@ -12,6 +12,7 @@
 import type { SharedTargetLimits } from '../limits/SharedTargetLimits.js';
 import type { SharedPromptBreaker } from '../prompts/SharedPromptBreaker.js';
 import type { MirrorListener } from './MirrorListener.js';
+import type { MirrorSnapshot } from './MirrorSnapshot.js';
 import type { RecordLayout } from './RecordLayout.js';
 
 interface GatewayViewOptions {
@@ -26,12 +27,18 @@
   readonly onConfig: (table: RouteTable) => void;
 }
 
+/** How long an evacuation that a restored store lacks holds, until the operator has written it again. */
+const EVACUATION_GRACE_MS = 10_000;
+
 /** State of an entry from the store: configuration, zones out of service, targets and entries. */
 export class GatewayView implements MirrorListener {
   readonly #options: GatewayViewOptions;
 
   readonly #evacuatedZones = new Set<string>();
 
+  /** Evacuations that a restored store lacks, and until when they hold, monotonic milliseconds. */
+  readonly #lostEvacuations = new Map<string, number>();
+
   #table: RouteTable | null = null;
 
   #hasTargets = false;
@@ -49,13 +56,16 @@
     return this.#table !== null && this.#hasTargets;
   }
 
-  onSnapshot(records: readonly StoreRecord[]): void {
-    const { layout, registry, entries } = this.#options;
+  onSnapshot(snapshot: MirrorSnapshot): void {
+    const { records, isRestored } = snapshot;
+    const { layout, registry, entries, clock } = this.#options;
     const targets: DirectTarget[] = [];
     const entryRecords: EntryRecord[] = [];
     const promptRecords: StoreRecord[] = [];
     const limitRecords: StoreRecord[] = [];
+    const evacuatedBefore = [...this.#evacuatedZones];
     this.#evacuatedZones.clear();
+    this.#lostEvacuations.clear();
     for (const record of records) {
       if (record.key.startsWith(layout.targetPrefix)) {
         const target = this.#decodeTarget(record);
@@ -67,16 +77,29 @@
       else if (record.key.startsWith(layout.limitPrefix)) limitRecords.push(record);
       else this.onRecord(record);
     }
-    registry.replaceAll(targets);
-    entries.replaceAll(entryRecords);
-    this.#options.prompts.handleSnapshot(promptRecords);
-    this.#options.limits.handleSnapshot(limitRecords);
+    if (isRestored) {
+      for (const zone of evacuatedBefore) {
+        if (this.#evacuatedZones.has(zone)) continue;
+        this.#evacuatedZones.add(zone);
+        this.#lostEvacuations.set(zone, clock.getNow() + EVACUATION_GRACE_MS);
+      }
+      registry.restore(targets);
+      entries.restore(entryRecords);
+    } else {
+      registry.replaceAll(targets);
+      entries.replaceAll(entryRecords);
+    }
+    this.#options.prompts.handleSnapshot({ ...snapshot, records: promptRecords });
+    this.#options.limits.handleSnapshot({ ...snapshot, records: limitRecords });
     this.#hasTargets = true;
     this.#options.picker.setEvacuated(this.#evacuatedZones);
     this.#options.log.report('store records loaded', {
+      era: snapshot.era,
+      isRestored,
       targets: targets.length,
       entries: entryRecords.length,
       zonesOut: [...this.#evacuatedZones],
+      lostEvacuations: [...this.#lostEvacuations.keys()],
       config: this.#table?.config.version,
     });
   }
@@ -87,6 +110,7 @@
     else if (record.key.startsWith(layout.evacuationPrefix)) {
       const zone = record.key.slice(layout.evacuationPrefix.length);
       this.#evacuatedZones.add(zone);
+      this.#lostEvacuations.delete(zone);
       this.#options.log.report('zone taken out of service', { zone, revision: record.revision });
     } else if (record.key.startsWith(layout.targetPrefix)) {
       const target = this.#decodeTarget(record);
@@ -108,6 +132,7 @@
     if (key.startsWith(layout.evacuationPrefix)) {
       const zone = key.slice(layout.evacuationPrefix.length);
       this.#evacuatedZones.delete(zone);
+      this.#lostEvacuations.delete(zone);
       log.report('zone put back into service', { zone });
     } else if (key.startsWith(layout.targetPrefix)) {
       const id = key.slice(layout.targetPrefix.length);
@@ -121,6 +146,19 @@
     else if (key.startsWith(layout.limitPrefix)) this.#options.limits.handleRemoval(key);
   }
 
+  /** Takes back evacuations that were lost with the store and not written again. */
+  expire(): void {
+    const nowMs = this.#options.clock.getNow();
+    for (const [zone, untilMs] of this.#lostEvacuations) {
+      if (nowMs < untilMs) continue;
+      this.#lostEvacuations.delete(zone);
+      this.#evacuatedZones.delete(zone);
+      this.#options.log.warn('zone put back into service: its evacuation was not written again', {
+        zone,
+      });
+    }
+  }
+
   onStoreAvailabilityChange(isUnavailable: boolean): void {
     this.#options.registry.setStoreUnavailable(isUnavailable);
   }
--- a/packages/gateway/src/feed/StoreMirror.ts
+++ b/packages/gateway/src/feed/StoreMirror.ts
@@ -1,8 +1,10 @@
 import {
   Backoff,
   Revision,
+  type Era,
   type RandomSource,
   type Store,
+  type StorePosition,
   type StoreRecord,
 } from '@limpetbay/core';
 import type { Log } from '@limpetbay/runtime';
@@ -16,16 +18,21 @@
   readonly timers: Timers;
   readonly random: RandomSource;
   readonly log: Log;
+  /** Returns the number of processes that mirror the store. */
+  readonly countMirrors: () => number;
 }
 
 /** Bounds of the delay before a retry; short, as the store answers within a few milliseconds. */
 const RETRY_DELAY_BASE_MS = 100;
 const MAX_RETRY_DELAY_MS = 600;
 
+/** After a restoration all mirrors read everything again; their reads are spread by this per mirror. */
+const RESTORED_READ_SPREAD_MS = 4;
+
 /**
  * Mirrors a prefix of the store: a full read, then a watch from the next revision on. A watch that
- * fails is resumed after the last revision received; one that missed revisions is replaced by
- * another full read.
+ * fails is resumed after the last revision received; one that missed revisions, or whose store was
+ * restored from a copy, is replaced by another full read.
  */
 export class StoreMirror {
   readonly #options: StoreMirrorOptions;
@@ -34,8 +41,11 @@
 
   #stopWatch: (() => void) | null = null;
 
-  /** Revision up to which all changes were received; null while a full read is needed. */
-  #revision: Revision | null = null;
+  /** Position up to which all changes were received; null while a full read is needed. */
+  #position: StorePosition | null = null;
+
+  /** Era of the last full read; null before the first one. */
+  #era: Era | null = null;
 
   #isStoreUnavailable = false;
 
@@ -68,16 +78,19 @@
       this.#scheduleRetry();
       return;
     }
-    const { records, revision } = read.val;
+    const { records, era, revision } = read.val;
+    const isRestored = this.#era !== null && this.#era !== era;
     this.#setStoreUnavailable(false, 'read');
-    this.#revision = revision;
-    listener.onSnapshot(records);
-    this.#watch(revision);
+    this.#position = { era, revision };
+    this.#era = era;
+    listener.onSnapshot({ records, era, isRestored });
+    this.#watch(this.#position);
   }
 
-  #watch(revision: Revision): void {
+  #watch({ era, revision }: StorePosition): void {
     const { store, prefix, listener } = this.#options;
-    this.#stopWatch = store.watch(prefix, Revision.parse(revision + 1), {
+    const from = { era, revision: Revision.parse(revision + 1) };
+    this.#stopWatch = store.watch(prefix, from, {
       onChange: (change) => {
         this.#recordRevision(change.revision);
         if (change.value === null) listener.onRemoval(change.key);
@@ -91,27 +104,35 @@
   #recordRevision(revision: Revision): void {
     this.#setStoreUnavailable(false, 'watch');
     this.#backoff.reset();
-    this.#revision = Revision.parse(Math.max(revision, this.#revision ?? 0));
+    if (this.#position === null || revision <= this.#position.revision) return;
+    this.#position = { ...this.#position, revision };
   }
 
-  #handleWatchEnd(reason: 'gap' | 'failed'): void {
+  #handleWatchEnd(reason: 'gap' | 'restored' | 'failed'): void {
     if (this.#isStopped) return;
     this.#stopWatch = null;
+    if (reason === 'failed') {
+      this.#setStoreUnavailable(true, 'the watch failed');
+      this.#scheduleRetry();
+      return;
+    }
+    const { prefix, log, random, countMirrors } = this.#options;
+    const fields = { prefix, ...this.#position };
+    this.#position = null;
     if (reason === 'gap') {
-      this.#options.log.warn('watch missed revisions; reading all records again', {
-        prefix: this.#options.prefix,
-        revision: this.#revision,
-      });
-      this.#revision = null;
-    } else this.#setStoreUnavailable(true, 'the watch failed');
-    this.#scheduleRetry();
+      log.warn('watch missed revisions; reading all records again', fields);
+      this.#scheduleRetry();
+      return;
+    }
+    log.warn('store was restored from a copy; reading all records again', fields);
+    this.#scheduleRetry(random.next() * RESTORED_READ_SPREAD_MS * countMirrors());
   }
 
-  #scheduleRetry(): void {
-    this.#options.timers.schedule(this.#backoff.next(), () => {
+  #scheduleRetry(delayMs = this.#backoff.next()): void {
+    this.#options.timers.schedule(delayMs, () => {
       if (this.#isStopped) return;
-      if (this.#revision === null) void this.#readAll();
-      else this.#watch(this.#revision);
+      if (this.#position === null) void this.#readAll();
+      else this.#watch(this.#position);
     });
   }
 
--- a/packages/gateway/src/limits/SharedTargetLimits.ts
+++ b/packages/gateway/src/limits/SharedTargetLimits.ts
@@ -10,6 +10,7 @@
 } from '@limpetbay/core';
 import type { PeerMessage } from '@limpetbay/rpc';
 import type { Log } from '@limpetbay/runtime';
+import type { MirrorSnapshot } from '../feed/MirrorSnapshot.js';
 import type { Timers } from '../ports/Timers.js';
 import type { SharedRates } from '../rates/SharedRates.js';
 
@@ -23,6 +24,8 @@
   readonly registry: Pick<TargetRegistry, 'get'>;
   readonly rates: SharedRates;
   readonly log: Log;
+  /** Returns the place of this entry among those that save the same key; 0 is first. */
+  readonly rankSelf: (key: string) => number;
   /** Sends a message to all other entries, without confirmation of delivery. */
   readonly sendToEntries: (message: PeerMessage) => void;
 }
@@ -45,6 +48,12 @@
 /** Changes in the store may be older than what answers told within this time. */
 const STORE_DELAY_MS = 1500;
 
+/** Delay after which the first entry saves a limit that a restored store lacks. */
+const DEFERRED_SAVE_DELAY_MS = 1000;
+
+/** Each further entry waits so much longer, to see the write of the one before it. */
+const DEFERRED_SAVE_STEP_MS = 600;
+
 /** Limits of targets that are gone are kept for this time, because registrations may lapse. */
 const GONE_RETENTION_MS = 10_000;
 
@@ -69,8 +78,8 @@
   /** Limits by run of a target. */
   readonly #limits = new Map<string, NamedLimit>();
 
-  /** Runs whose limit the store holds. */
-  readonly #stored = new Set<string>();
+  /** Stored values of limits by run. */
+  readonly #stored = new Map<string, string>();
 
   readonly #saving = new Set<string>();
 
@@ -152,14 +161,29 @@
     this.#set(run, targetId, perSecond, this.#options.clock.getNow());
   }
 
-  handleSnapshot(records: readonly StoreRecord[]): void {
+  handleSnapshot({ records, isRestored }: MirrorSnapshot): void {
+    if (isRestored) {
+      this.#restore(records);
+      return;
+    }
     const runs = new Set(records.map(({ key }) => this.#parseKey(key)));
-    for (const run of [...this.#stored]) {
+    for (const run of [...this.#stored.keys()]) {
       if (!runs.has(run)) this.handleRemoval(this.#buildKey(run));
     }
     for (const record of records) this.handleRecord(record);
   }
 
+  /** Handles the records of a restored store; a limit that is known here is not older. */
+  #restore(records: readonly StoreRecord[]): void {
+    this.#stored.clear();
+    for (const record of records) {
+      const run = this.#parseKey(record.key);
+      if (this.#limits.has(run)) this.#stored.set(run, record.value);
+      else this.handleRecord(record);
+    }
+    for (const run of this.#limits.keys()) this.#scheduleSave(run);
+  }
+
   handleRecord({ key, value, revision }: StoreRecord): void {
     const run = this.#parseKey(key);
     const stored = parseLimit(value);
@@ -167,7 +191,7 @@
       this.#options.log.warn('invalid record of a limit ignored', { key, revision });
       return;
     }
-    this.#stored.add(run);
+    this.#stored.set(run, value);
     if (this.#isNewerThanStore(run)) return;
     this.#set(run, stored.targetId, stored.perSecond, -Infinity);
   }
@@ -242,6 +266,20 @@
     void this.#save(run);
   }
 
+  /** Saves a limit unless another entry does so first. */
+  #scheduleSave(run: string): void {
+    if (this.#isStored(run)) return;
+    const { timers, rankSelf } = this.#options;
+    const rank = rankSelf(this.#buildKey(run));
+    timers.schedule(DEFERRED_SAVE_DELAY_MS + rank * DEFERRED_SAVE_STEP_MS, () => {
+      if (!this.#isClosed && this.#limits.has(run) && !this.#isStored(run)) void this.#save(run);
+    });
+  }
+
+  #isStored(run: string): boolean {
+    return this.#stored.get(run) === this.#buildValue(run);
+  }
+
   /** Writes the limit of a target until the store holds the current one. */
   async #save(run: string): Promise<void> {
     if (this.#saving.has(run)) return;
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -86,6 +86,7 @@
     const promptsLog = createLog('prompts');
     const sendToEntries = (message: PeerMessage): void =>
       options.network.sendToPeers(message, this.#listPeers());
+    const rankSelf = (key: string): number => this.#entries.rank(options.self.name, key);
     this.#rates = new SharedRates({
       clock,
       timers,
@@ -104,6 +105,7 @@
       registry: this.#registry,
       rates: this.#rates,
       log: limitsLog,
+      rankSelf,
       sendToEntries,
     });
     const picker = new TargetPicker({
@@ -127,6 +129,7 @@
       ownName: options.self.name,
       log: promptsLog,
       metrics,
+      rankSelf,
       sendToEntries,
     });
     this.#view = new GatewayView({
@@ -171,11 +174,14 @@
       timers,
       random,
       log,
+      countMirrors: () => this.#entries.countSharingEntries(),
     });
     this.#lease = new EntryLease({
       store,
       timers,
+      random,
       log,
+      countEntries: () => this.#entries.countSharingEntries(),
       key: `${layout.entryPrefix}${options.self.name}`,
       record: options.self,
     });
@@ -257,6 +263,7 @@
 
   #tick(): void {
     this.#registry.expire();
+    this.#view.expire();
     this.#prompts.expire();
     this.#limits.expire();
     this.#rates.expire();
--- a/packages/gateway/src/prompts/SharedPromptBreaker.ts
+++ b/packages/gateway/src/prompts/SharedPromptBreaker.ts
@@ -5,6 +5,7 @@
   buildRunName,
   type Clock,
   type DirectTarget,
+  type Era,
   type PromptDecision,
   type RandomSource,
   type Revision,
@@ -14,6 +15,7 @@
 } from '@limpetbay/core';
 import type { PeerMessage } from '@limpetbay/rpc';
 import type { Log, MetricRegistry } from '@limpetbay/runtime';
+import type { MirrorSnapshot } from '../feed/MirrorSnapshot.js';
 import type { Timers } from '../ports/Timers.js';
 
 interface SharedPromptBreakerOptions {
@@ -26,6 +28,8 @@
   readonly ownName: string;
   readonly log: Log;
   readonly metrics: MetricRegistry;
+  /** Returns the place of this entry among those that save the same key; 0 is first. */
+  readonly rankSelf: (key: string) => number;
   /** Sends a message to all other entries, without confirmation of delivery. */
   readonly sendToEntries: (message: PeerMessage) => void;
 }
@@ -36,8 +40,11 @@
 /** Bounds of the delay after a failed call; during an outage all entries may have ends to save. */
 const SAVE_RETRY_MS = { baseMs: 300, capMs: 2000 } as const;
 
-/** Bounds of the random delay before an entry saves what another one reported. */
-const DEFERRED_SAVE_DELAY_MS = { shortest: 1000, longest: 2000 } as const;
+/** Delay after which the first entry saves what none of them has reported itself. */
+const DEFERRED_SAVE_DELAY_MS = 1000;
+
+/** Each further entry waits so much longer, to see the write of the one before it. */
+const DEFERRED_SAVE_STEP_MS = 600;
 
 /** Bounds of the random delay before an entry removes an expired record. */
 const REMOVAL_DELAY_MS = { shortest: 0, longest: 20_000 } as const;
@@ -70,6 +77,9 @@
   /** Scheduled removals of records of parts that are forgotten; functions that cancel them. */
   readonly #removals = new Map<string, () => void>();
 
+  /** Era of the revisions of stored records; undefined before the first full read. */
+  #era: Era | undefined = undefined;
+
   #isClosed = false;
 
   constructor(options: SharedPromptBreakerOptions) {
@@ -136,7 +146,7 @@
       writes.push({ key: this.#buildKey(part), value: JSON.stringify(record) });
     }
     if (writes.length === 0) return true;
-    const result = await store.commit({ conditions, writes });
+    const result = await store.commit({ ...this.#getEra(), conditions, writes });
     if (result.err) {
       log.warn('trial not possible: the store failed', { parts, cause: result.val.message });
       return false;
@@ -172,12 +182,19 @@
   }
 
   /** Handles all stored records after a full read. */
-  handleSnapshot(records: readonly StoreRecord[]): void {
-    const stored = new Set(records.map(({ key }) => this.#parseKey(key)));
-    for (const part of this.#breaker.listParts()) {
-      if (!stored.has(part)) this.handleRemoval(this.#buildKey(part));
+  handleSnapshot({ records, era, isRestored }: MirrorSnapshot): void {
+    this.#era = era;
+    if (isRestored) this.#breaker.beginEra();
+    else {
+      const stored = new Set(records.map(({ key }) => this.#parseKey(key)));
+      for (const part of this.#breaker.listParts()) {
+        if (!stored.has(part)) this.handleRemoval(this.#buildKey(part));
+      }
     }
     for (const record of records) this.handleRecord(record);
+    for (const part of this.#breaker.listParts()) {
+      if (this.#breaker.get(part)?.isUnsaved === true) this.#scheduleSave(part);
+    }
   }
 
   handleRecord({ key, value, revision }: StoreRecord): void {
@@ -288,7 +305,9 @@
   #scheduleSave(part: string): void {
     if (this.#scheduledSaves.has(part)) return;
     this.#scheduledSaves.add(part);
-    this.#schedule(DEFERRED_SAVE_DELAY_MS, () => {
+    const rank = this.#options.rankSelf(this.#buildKey(part));
+    const delayMs = DEFERRED_SAVE_DELAY_MS + rank * DEFERRED_SAVE_STEP_MS;
+    this.#schedule({ shortest: delayMs, longest: delayMs }, () => {
       this.#scheduledSaves.delete(part);
       void this.#save(part);
     });
@@ -343,6 +362,7 @@
     const record = this.#breaker.buildRecord(part);
     const revision = this.#breaker.get(part)?.revision ?? 0;
     const result = await store.commit({
+      ...this.#getEra(),
       conditions: [{ key, revision }],
       writes: [{ key, value: JSON.stringify(record) }],
     });
@@ -376,6 +396,11 @@
     }
   }
 
+  /** Returns the era of a transaction with conditions on known revisions. */
+  #getEra(): { readonly era?: Era } {
+    return this.#era === undefined ? {} : { era: this.#era };
+  }
+
   #buildKey(part: string): string {
     return `${this.#options.prefix}${part}`;
   }
--- a/packages/gateway/test/SharedPromptBreaker.test.ts
+++ b/packages/gateway/test/SharedPromptBreaker.test.ts
@@ -37,6 +37,7 @@
       ownName: 'e1',
       log: NOOP_LOG,
       metrics: new MetricRegistry(),
+      rankSelf: () => 0,
       sendToEntries: () => {},
     });
     let ends = 0;
--- a/packages/gateway/test/SharedTargetLimits.test.ts
+++ b/packages/gateway/test/SharedTargetLimits.test.ts
@@ -43,6 +43,7 @@
       registry: { get: () => TARGET },
       rates: {} as never,
       log: NOOP_LOG,
+      rankSelf: () => 0,
       sendToEntries: (message) => messages.push(message),
     });
     for (let change = 1; change <= CHANGES; change += 1) {
--- a/packages/gateway/test/restoredStore.test.ts
+++ b/packages/gateway/test/restoredStore.test.ts
@@ -83,7 +83,7 @@
     'store a part that ends targets again, and keep it blocked',
     async () => {
       await createFleet(8);
-      const copy = fleet.store.copy();
+      const copy = fleet.store.takeCopy();
       fleet.crashingParts.add(CRASHING_PART);
       repeat(SOUND_INTERVAL_MS, ['f']);
       repeat(CRASHING_INTERVAL_MS, [CRASHING_PART]);
@@ -94,9 +94,9 @@
       fleet.store.restore(copy);
       await timers.advance(REWRITE_MS);
       expect(listKeys(simLayout.promptPrefix)).toContain(key);
-      const writers = fleet.entries.filter(({ link }, index) => {
-        return link.writes - (writesBefore[index] ?? 0) > MAX_REGISTRATION_CALLS;
-      });
+      const writers = fleet.entries.filter(
+        ({ link }, index) => link.writes - (writesBefore[index] ?? 0) > MAX_REGISTRATION_CALLS,
+      );
       expect(writers.length).toBeLessThanOrEqual(MAX_WRITERS);
       for (const entry of fleet.entries) entry.kill();
       for (let index = 0; index < 8; index += 1) fleet.startEntry(index);
@@ -112,7 +112,7 @@
     'keep a part that ends targets blocked from the restoration on',
     async () => {
       await createFleet(8);
-      const copy = fleet.store.copy();
+      const copy = fleet.store.takeCopy();
       fleet.crashingParts.add(CRASHING_PART);
       repeat(SOUND_INTERVAL_MS, ['f']);
       repeat(CRASHING_INTERVAL_MS, [CRASHING_PART]);
@@ -130,7 +130,7 @@
     'store a limit that a target named again',
     async () => {
       await createFleet(8, 3);
-      const copy = fleet.store.copy();
+      const copy = fleet.store.takeCopy();
       repeat(SOUND_INTERVAL_MS, ['f']);
       fleet.setLimit(2, LIMIT);
       await timers.advance(CALM_MS);
@@ -149,7 +149,7 @@
     'register all again within what the store bears (%i entries)',
     async (entries) => {
       await createFleet(entries);
-      const beforeRegistration = fleet.store.copy();
+      const beforeRegistration = fleet.store.takeCopy();
       await timers.advance(CALM_MS);
       expect(listKeys(simLayout.entryPrefix)).toHaveLength(entries);
       fleet.store.restore({ ...beforeRegistration, entries: keepOthers(beforeRegistration) });
@@ -174,7 +174,7 @@
     'keep each other in the directory until all had time to register again',
     async () => {
       await createFleet(8);
-      const copy = fleet.store.copy();
+      const copy = fleet.store.takeCopy();
       await timers.advance(CALM_MS);
       fleet.store.restore({ ...copy, entries: keepOthers(copy) });
       for (let step = 0; step < REWRITE_MS / 100; step += 1) {
@@ -190,7 +190,7 @@
     'do not name an entry that was gone before',
     async () => {
       await createFleet(8);
-      const copy = fleet.store.copy();
+      const copy = fleet.store.takeCopy();
       fleet.entries[3]?.kill();
       await timers.advance(LEASE_MS);
       fleet.store.restore(copy);
@@ -205,7 +205,7 @@
   );
 
   /** Returns the records of a copy without the registrations of entries. */
-  function keepOthers({ entries }: ReturnType<SimFleet['store']['copy']>): typeof entries {
+  function keepOthers({ entries }: ReturnType<SimFleet['store']['takeCopy']>): typeof entries {
     const kept = [...entries].filter(([key]) => !key.startsWith(simLayout.entryPrefix));
     return new Map(kept);
   }
--- a/packages/gateway/test/support/SimStoreLink.ts
+++ b/packages/gateway/test/support/SimStoreLink.ts
@@ -3,8 +3,8 @@
   type CommitResult,
   type Failure,
   type Result,
-  type Revision,
   type Store,
+  type StorePosition,
   type StoreRecord,
   type StoreTransaction,
   type StoreWatchListener,
@@ -51,13 +51,15 @@
     this.#watches.clear();
   }
 
-  read(key: string): Promise<Result<{ record: StoreRecord | null; revision: Revision }, Failure>> {
+  read(
+    key: string,
+  ): Promise<Result<{ readonly record: StoreRecord | null } & StorePosition, Failure>> {
     return this.#isCut ? this.#failLate() : this.#store.read(key);
   }
 
   readPrefix(
     prefix: string,
-  ): Promise<Result<{ records: StoreRecord[]; revision: Revision }, Failure>> {
+  ): Promise<Result<{ readonly records: StoreRecord[] } & StorePosition, Failure>> {
     return this.#isCut ? this.#failLate() : this.#store.readPrefix(prefix);
   }
 
@@ -66,7 +68,7 @@
     return this.#isCut ? this.#failLate() : this.#store.commit(transaction);
   }
 
-  watch(prefix: string, fromRevision: Revision, listener: StoreWatchListener): () => void {
+  watch(prefix: string, from: StorePosition, listener: StoreWatchListener): () => void {
     if (this.#isCut) {
       setTimeout(() => listener.onEnd('failed'), CALL_TIMEOUT_MS);
       return () => {};
@@ -74,7 +76,7 @@
     const changes: StoreChange[] = [];
     const watch: LinkedWatch = { listener, changes, stop: () => {}, isHeld: false };
     this.#watches.add(watch);
-    watch.stop = this.#store.watch(prefix, fromRevision, {
+    watch.stop = this.#store.watch(prefix, from, {
       onChange: (change) => {
         if (changes.length === 0) this.#scheduleDelivery(watch);
         changes.push(change);
--- a/packages/platform/src/etcd/EtcdApi.ts
+++ b/packages/platform/src/etcd/EtcdApi.ts
@@ -1,4 +1,6 @@
 interface ResponseHeader {
+  /** Differs for a cluster that was restored from a backup. */
+  readonly cluster_id: string;
   readonly revision: string;
 }
 
--- a/packages/platform/src/etcd/EtcdStore.ts
+++ b/packages/platform/src/etcd/EtcdStore.ts
@@ -7,6 +7,7 @@
   type ServiceError,
 } from '@grpc/grpc-js';
 import {
+  Era,
   Ok,
   Revision,
   fail,
@@ -15,6 +16,7 @@
   type Failure,
   type Result,
   type Store,
+  type StorePosition,
   type StoreRecord,
   type StoreTransaction,
   type StoreWatchListener,
@@ -91,21 +93,21 @@
 
   async read(
     key: string,
-  ): Promise<Result<{ record: StoreRecord | null; revision: Revision }, Failure>> {
+  ): Promise<Result<{ readonly record: StoreRecord | null } & StorePosition, Failure>> {
     const answer = await this.#readRange({ key: Buffer.from(key) });
     if (answer.err) return answer;
-    const { records, revision } = answer.val;
-    return Ok({ record: records[0] ?? null, revision });
+    const { records, ...position } = answer.val;
+    return Ok({ record: records[0] ?? null, ...position });
   }
 
   async readPrefix(
     prefix: string,
-  ): Promise<Result<{ records: StoreRecord[]; revision: Revision }, Failure>> {
+  ): Promise<Result<{ readonly records: StoreRecord[] } & StorePosition, Failure>> {
     return this.#readRange({ key: Buffer.from(prefix), range_end: getPrefixEnd(prefix) });
   }
 
   async commit(transaction: StoreTransaction): Promise<Result<CommitResult, Failure>> {
-    const { conditions, writes } = transaction;
+    const { conditions, writes, era } = transaction;
     const request: EtcdApi['TxnRequest'] = {
       compare: conditions.map(({ key, revision }) => ({
         result: 'EQUAL',
@@ -123,14 +125,18 @@
     const answer = await this.#send<EtcdApi['TxnResponse']>('kv', 'Txn', request, true);
     if (answer.err) return answer;
     const { header, succeeded, responses } = answer.val;
+    const position = EtcdStore.#readPosition(header);
+    if (era !== undefined && era !== position.era) {
+      return fail('outcome_unknown', 'store: Txn: the store was restored before it was applied');
+    }
     const current: StoreRecord[] = [];
     for (const { response_range: range } of succeeded ? [] : responses) {
       for (const kv of range?.kvs ?? []) current.push(EtcdStore.#readRecord(kv));
     }
-    return Ok({ committed: succeeded, revision: EtcdStore.#readRevision(header), current });
+    return Ok({ committed: succeeded, ...position, current });
   }
 
-  watch(prefix: string, fromRevision: Revision, listener: StoreWatchListener): () => void {
+  watch(prefix: string, from: StorePosition, listener: StoreWatchListener): () => void {
     const { clock, progressIntervalMs, progressTimeoutMs } = this.#options;
     const removeWatch = (): void => {
       this.#watches.delete(watch);
@@ -139,7 +145,7 @@
       connection: this.#connect(),
       clock,
       prefix,
-      fromRevision,
+      from,
       progressIntervalMs,
       progressTimeoutMs,
       listener: {
@@ -198,11 +204,11 @@
 
   async #readRange(
     request: EtcdApi['RangeRequest'],
-  ): Promise<Result<{ records: StoreRecord[]; revision: Revision }, Failure>> {
+  ): Promise<Result<{ readonly records: StoreRecord[] } & StorePosition, Failure>> {
     const answer = await this.#send<EtcdApi['RangeResponse']>('kv', 'Range', request, false);
     if (answer.err) return answer;
     const records = answer.val.kvs.map((kv) => EtcdStore.#readRecord(kv));
-    return Ok({ records, revision: EtcdStore.#readRevision(answer.val.header) });
+    return Ok({ records, ...EtcdStore.#readPosition(answer.val.header) });
   }
 
   async #send<Response>(
@@ -298,8 +304,11 @@
     return fail('outcome_unknown', `store: ${method} may have taken effect: ${details}`);
   }
 
-  static #readRevision(header: { readonly revision: string }): Revision {
-    return Revision.parse(Number(header.revision));
+  static #readPosition(header: EtcdApi['RangeResponse']['header']): StorePosition {
+    return {
+      era: Era.parse(header.cluster_id),
+      revision: Revision.parse(Number(header.revision)),
+    };
   }
 
   static #readRecord(kv: EtcdApi['KeyValue']): StoreRecord {
--- a/packages/platform/src/etcd/EtcdWatch.ts
+++ b/packages/platform/src/etcd/EtcdWatch.ts
@@ -1,5 +1,5 @@
 import { Metadata, type ClientDuplexStream } from '@grpc/grpc-js';
-import { Revision, type Clock, type StoreWatchListener } from '@limpetbay/core';
+import { Revision, type Clock, type StorePosition, type StoreWatchListener } from '@limpetbay/core';
 import type { EtcdApi } from './EtcdApi.js';
 import type { EtcdConnection } from './EtcdConnection.js';
 import { getPrefixEnd } from './getPrefixEnd.js';
@@ -9,7 +9,7 @@
   readonly connection: EtcdConnection;
   readonly clock: Clock;
   readonly prefix: string;
-  readonly fromRevision: Revision;
+  readonly from: StorePosition;
   readonly listener: StoreWatchListener;
   /** Interval of progress requests, milliseconds. */
   readonly progressIntervalMs: number;
@@ -50,7 +50,7 @@
       create_request: {
         key: Buffer.from(options.prefix),
         range_end: getPrefixEnd(options.prefix),
-        start_revision: String(options.fromRevision),
+        start_revision: String(options.from.revision),
         progress_notify: true,
       },
     });
@@ -66,7 +66,7 @@
     this.#options.connection.close();
   }
 
-  #end(reason: 'gap' | 'failed'): void {
+  #end(reason: 'gap' | 'restored' | 'failed'): void {
     if (this.#ended) return;
     this.stop();
     this.#options.listener.onEnd(reason);
@@ -92,6 +92,10 @@
       return;
     }
     this.#lastMessageAt = now;
+    if (response.header.cluster_id !== this.#options.from.era) {
+      this.#end('restored');
+      return;
+    }
     if (response.canceled) {
       this.#end(Number(response.compact_revision) > 0 ? 'gap' : 'failed');
       return;
--- a/packages/platform/test/EtcdStore.test.ts
+++ b/packages/platform/test/EtcdStore.test.ts
@@ -1,8 +1,10 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import {
+  Era,
   ManualClock,
   Revision,
   type Clock,
+  type StorePosition,
   type StoreRecord,
   type StoreWatchListener,
 } from '@limpetbay/core';
@@ -35,6 +37,11 @@
   };
 }
 
+/** A position in the history of a store server that was not restored. */
+function buildPosition(revision: number): StorePosition {
+  return { era: Era.parse('1'), revision: Revision.parse(revision) };
+}
+
 describe('EtcdStore', () => {
   const clock: Clock = new RealClock();
   let server: StoreServer;
@@ -104,11 +111,11 @@
 
   // Guards against a watch that misses the changes between a read and the start of the watch.
   it('resumes a watch from a revision and confirms progress', async () => {
-    const { revision } = (await store.readPrefix('a/')).unwrap();
+    const { era, revision } = (await store.readPrefix('a/')).unwrap();
     await put('a/1', 'x', 0);
     await put('b/1', 'other prefix', 0);
     const recorder = createRecorder();
-    store.watch('a/', Revision.parse(revision + 1), recorder);
+    store.watch('a/', { era, revision: Revision.parse(revision + 1) }, recorder);
     await waitForCheck(() => expect(recorder.progress.length).toBeGreaterThan(1));
     server.put('a/1', null);
     await waitForCheck(() => expect(recorder.changes.length).toBe(2));
@@ -121,18 +128,31 @@
     await put('a/2', 'y', 0);
     server.dropHistory();
     const recorder = createRecorder();
-    store.watch('a/', Revision.parse(2), recorder);
+    store.watch('a/', buildPosition(2), recorder);
     await waitForCheck(() => expect(recorder.ends).toEqual(['gap']));
   });
 
+  // Guards against a cluster that was restored from a backup and is followed as the one before.
+  it('ends a watch and a transaction whose cluster was restored', async () => {
+    const { era } = (await store.read('k')).unwrap();
+    server.state.setClusterId(2);
+    const recorder = createRecorder();
+    store.watch('a/', { era, revision: Revision.parse(1) }, recorder);
+    await waitForCheck(() => expect(recorder.ends).toEqual(['restored']));
+    const conditions = [{ key: 'k', revision: 0 as const }];
+    const committed = await store.commit({ era, conditions, writes: [{ key: 'k', value: 'v' }] });
+    expect(committed.val).toMatchObject({ kind: 'outcome_unknown' });
+    expect((await store.read('k')).unwrap().era).toBe('2');
+  });
+
   // Guards against a watch whose connection stays open but no longer delivers anything.
   it('ends a stalled watch and leaves other watches and calls unaffected', async () => {
     const stalled = createRecorder();
-    store.watch('a/', Revision.parse(1), stalled);
+    store.watch('a/', buildPosition(1), stalled);
     await waitForCheck(() => expect(stalled.progress.length).toBeGreaterThan(0));
     server.setWatchesStalled();
     const other = createRecorder();
-    store.watch('a/', Revision.parse(1), other);
+    store.watch('a/', buildPosition(1), other);
     await waitForCheck(() => expect(stalled.ends).toEqual(['failed']));
     expect(other.ends).toEqual([]);
     await put('a/1', 'x', 0);
@@ -150,7 +170,7 @@
       progressIntervalMs: 50,
     });
     const recorder = createRecorder();
-    secondStore.watch('a/', Revision.parse(1), recorder);
+    secondStore.watch('a/', buildPosition(1), recorder);
     await waitForCheck(() => expect(recorder.progress.length).toBeGreaterThan(0));
     paused.advance(60_000);
     const before = recorder.progress.length;
--- a/packages/rpc/src/relay/ConfigService.ts
+++ b/packages/rpc/src/relay/ConfigService.ts
@@ -194,8 +194,7 @@
       readDocuments: (respond) => {
         void store.readPrefix(servicePrefix).then(respond);
       },
-      watchDocuments: (fromRevision, listener) =>
-        store.watch(servicePrefix, fromRevision, listener),
+      watchDocuments: (from, listener) => store.watch(servicePrefix, from, listener),
       fetchInstances: (respond) => {
         void instanceList.fetchInstances().then(respond);
       },
--- a/packages/standins/src/store/KeyValueState.ts
+++ b/packages/standins/src/store/KeyValueState.ts
@@ -41,6 +41,8 @@
 
   readonly #onEvents: (events: readonly EtcdEvent[]) => void;
 
+  #clusterId = 1;
+
   #revision = 1;
 
   #compactedRevision = 0;
@@ -53,6 +55,11 @@
     this.#onEvents = onEvents;
   }
 
+  /** Sets the id of the cluster, which changes when it is restored from a backup. */
+  setClusterId(clusterId: number): void {
+    this.#clusterId = clusterId;
+  }
+
   getRevision(): number {
     return this.#revision;
   }
@@ -70,12 +77,17 @@
     }
   }
 
+  /** Returns the header of an answer. */
+  getHeader(): EtcdApi['RangeResponse']['header'] {
+    return { cluster_id: String(this.#clusterId), revision: String(this.#revision) };
+  }
+
   readRange(request: EtcdApi['RangeRequest']): EtcdApi['RangeResponse'] {
     const from = decodeKey(request.key);
     const end = decodeKey(request.range_end ?? Buffer.alloc(0));
     const keys = [...this.#entries.keys()].filter((key) => isInRange(key, from, end)).sort();
     return {
-      header: { revision: String(this.#revision) },
+      header: this.getHeader(),
       kvs: keys.map((key) => this.#buildKeyValue(key, this.#entries.get(key) as Entry)),
     };
   }
@@ -99,7 +111,7 @@
       responses.push(range ? { response_range: this.readRange(range) } : {});
     }
     this.#publish(revision, events);
-    return { header: { revision: String(this.#revision) }, succeeded, responses };
+    return { header: this.getHeader(), succeeded, responses };
   }
 
   /** Lists the retained events of a key range since `fromRevision`, grouped by revision. */
--- a/packages/standins/src/store/MemoryStore.ts
+++ b/packages/standins/src/store/MemoryStore.ts
@@ -1,4 +1,5 @@
 import {
+  Era,
   Ok,
   fail,
   type Clock,
@@ -8,6 +9,7 @@
   type Result,
   type Revision,
   type Store,
+  type StorePosition,
   type StoreRecord,
   type StoreTransaction,
   type StoreWatchListener,
@@ -42,6 +44,7 @@
 }
 
 interface Lease {
+  readonly era: Era;
   readonly ttlMs: number;
   endMs: number;
 }
@@ -93,6 +96,8 @@
 
   #revision = 1;
 
+  #era = 1;
+
   #compactedRevision = 0;
 
   #nextLeaseId = 1;
@@ -127,24 +132,25 @@
   }
 
   /** Takes a copy from which the store can be restored. */
-  copy(): StoreCopy {
+  takeCopy(): StoreCopy {
     return {
       revision: this.#revision,
       nextLeaseId: this.#nextLeaseId,
-      entries: copyValues(this.#entries),
-      leases: copyValues(this.#leases),
+      entries: cloneValues(this.#entries),
+      leases: cloneValues(this.#leases),
     };
   }
 
   /**
-   * Restores a copy: what was written since is lost, and its revisions and lease ids are given out
-   * again. Ends all watches. Leases of the copy run for their whole time again.
+   * Restores a copy: what was written since is lost, and its revisions are given out again. Ends all
+   * watches. Leases of the copy run for their whole time again, but cannot be renewed.
    */
   restore({ revision, nextLeaseId, entries, leases }: StoreCopy): void {
+    this.#era += 1;
     this.#revision = revision;
     this.#nextLeaseId = nextLeaseId;
-    this.#entries = copyValues(entries);
-    this.#leases = copyValues(leases);
+    this.#entries = cloneValues(entries);
+    this.#leases = cloneValues(leases);
     const nowMs = this.#clock.getNow();
     for (const lease of this.#leases.values()) lease.endMs = nowMs + lease.ttlMs;
     this.#history = this.#history.filter((change) => change.revision <= revision);
@@ -199,17 +205,17 @@
     }
   }
 
-  read(key: string): Promise<StoreResult<{ record: StoreRecord | null; revision: Revision }>> {
+  read(key: string): Promise<StoreResult<{ readonly record: StoreRecord | null } & StorePosition>> {
     this.#counts.reads += 1;
-    return this.#call(false, () =>
-      Ok({ record: this.#find(key), revision: this.#revision as Revision }),
-    );
+    return this.#call(false, () => Ok({ record: this.#find(key), ...this.#getPosition() }));
   }
 
-  readPrefix(prefix: string): Promise<StoreResult<{ records: StoreRecord[]; revision: Revision }>> {
+  readPrefix(
+    prefix: string,
+  ): Promise<StoreResult<{ readonly records: StoreRecord[] } & StorePosition>> {
     this.#counts.reads += 1;
     return this.#call(false, () =>
-      Ok({ records: this.listRecords(prefix), revision: this.#revision as Revision }),
+      Ok({ records: this.listRecords(prefix), ...this.#getPosition() }),
     );
   }
 
@@ -220,12 +226,17 @@
     return this.#call(isWrite, () => this.#apply(transaction));
   }
 
-  watch(prefix: string, fromRevision: Revision, listener: StoreWatchListener): () => void {
+  watch(prefix: string, from: StorePosition, listener: StoreWatchListener): () => void {
     this.#counts.watches += 1;
     if (this.#faults.outage === 'down') {
       listener.onEnd('failed');
       return () => {};
     }
+    const { revision: fromRevision } = from;
+    if (from.era !== this.#getPosition().era) {
+      listener.onEnd('restored');
+      return () => {};
+    }
     if (fromRevision <= this.#compactedRevision || fromRevision > this.#revision + 1) {
       listener.onEnd('gap');
       return () => {};
@@ -246,10 +257,12 @@
   grantLease(ttlMs: number): Promise<StoreResult<{ lease: string; ttlMs: number }>> {
     this.#counts.leases += 1;
     return this.#call(true, () => {
-      const lease = String(this.#nextLeaseId);
+      const { era } = this.#getPosition();
+      const lease = `${era}/${this.#nextLeaseId}`;
       const roundedMs = Math.ceil(ttlMs / 1000) * 1000;
       this.#nextLeaseId += 1;
-      this.#leases.set(lease, { ttlMs: roundedMs, endMs: this.#clock.getNow() + roundedMs });
+      const endMs = this.#clock.getNow() + roundedMs;
+      this.#leases.set(lease, { era, ttlMs: roundedMs, endMs });
       return Ok({ lease, ttlMs: roundedMs });
     });
   }
@@ -257,8 +270,8 @@
   renewLease(lease: string): Promise<StoreResult<{ ttlMs: number }>> {
     this.#counts.leases += 1;
     return this.#call(true, () => {
-      const entry = this.#leases.get(lease);
-      if (entry === undefined) return fail('stale_epoch', `lease ${lease} does not exist`);
+      const entry = this.#findLease(lease);
+      if (entry === null) return fail('stale_epoch', `lease ${lease} does not exist`);
       entry.endMs = this.#clock.getNow() + entry.ttlMs;
       return Ok({ ttlMs: entry.ttlMs });
     });
@@ -326,8 +339,21 @@
     this.#timers.splice(index < 0 ? this.#timers.length : index, 0, timer);
   }
 
-  #apply({ conditions, writes }: StoreTransaction): StoreResult<CommitResult> {
-    const revision = this.#revision as Revision;
+  /** Finds a lease of the current era; those of a copy live on but cannot be used. */
+  #findLease(lease: string): Lease | null {
+    const found = this.#leases.get(lease);
+    return found === undefined || found.era !== this.#getPosition().era ? null : found;
+  }
+
+  #getPosition(): StorePosition {
+    return { era: Era.parse(String(this.#era)), revision: this.#revision as Revision };
+  }
+
+  #apply({ conditions, writes, era }: StoreTransaction): StoreResult<CommitResult> {
+    const position = this.#getPosition();
+    if (era !== undefined && era !== position.era) {
+      return fail('stale_epoch', `the store was restored since era ${era}`);
+    }
     if (new Set(writes.map(({ key }) => key)).size < writes.length) {
       return fail('bad_request', 'a transaction writes a key twice');
     }
@@ -339,21 +365,21 @@
         const record = this.#find(key);
         if (record !== null) current.push(record);
       }
-      return Ok({ committed: false, revision, current });
+      return Ok({ committed: false, ...position, current });
     }
     for (const { value, lease } of writes) {
       if (value !== null && Buffer.byteLength(value) > MAX_VALUE_BYTES) {
         return fail('bad_request', 'a value is larger than 1 MiB');
       }
-      if (lease !== undefined && !this.#leases.has(lease)) {
+      if (lease !== undefined && this.#findLease(lease) === null) {
         return fail('stale_epoch', `lease ${lease} does not exist`);
       }
     }
-    if (writes.length === 0) return Ok({ committed: true, revision, current: [] });
+    if (writes.length === 0) return Ok({ committed: true, ...position, current: [] });
     this.#revision += 1;
     for (const { key, value, lease } of writes) this.#put(key, value, lease ?? null);
     this.#publish();
-    return Ok({ committed: true, revision: this.#revision as Revision, current: [] });
+    return Ok({ committed: true, ...this.#getPosition(), current: [] });
   }
 
   #put(key: string, value: string | null, lease: string | null): void {
@@ -399,7 +425,7 @@
   }
 }
 
-function copyValues<Value extends object>(values: ReadonlyMap<string, Value>): Map<string, Value> {
+function cloneValues<Value extends object>(values: ReadonlyMap<string, Value>): Map<string, Value> {
   const copies = new Map<string, Value>();
   for (const [key, value] of values) copies.set(key, { ...value });
   return copies;
--- a/packages/standins/src/store/StoreServer.ts
+++ b/packages/standins/src/store/StoreServer.ts
@@ -110,12 +110,12 @@
     });
     server.addService(services.Lease.service, {
       LeaseGrant: this.#serve('LeaseGrant', (request: EtcdApi['LeaseGrantRequest']) => ({
-        header: this.#getHeader(),
+        header: this.state.getHeader(),
         ID: this.state.grantLease(Number(request.TTL), request.ID),
         TTL: request.TTL,
       })),
       LeaseRevoke: this.#serve('LeaseRevoke', (request: EtcdApi['LeaseRevokeRequest']) =>
-        this.state.revokeLease(request.ID) ? { header: this.#getHeader() } : null,
+        this.state.revokeLease(request.ID) ? { header: this.state.getHeader() } : null,
       ),
       LeaseKeepAlive: (stream: ServerDuplexStream<{ ID: string }, object>) =>
         this.#serveKeepAlive(stream),
@@ -192,10 +192,6 @@
     return this.#watchers.size;
   }
 
-  #getHeader(): { revision: string } {
-    return { revision: String(this.state.getRevision()) };
-  }
-
   #countCall(method: RpcMethod): void {
     this.#callCounts.set(method, (this.#callCounts.get(method) ?? 0) + 1);
   }
@@ -231,7 +227,7 @@
         return;
       }
       const ttl = this.state.renewLease(request.ID);
-      const answer = { header: this.#getHeader(), ID: request.ID, TTL: String(ttl) };
+      const answer = { header: this.state.getHeader(), ID: request.ID, TTL: String(ttl) };
       this.#sendLater(() => stream.write(answer));
     });
     stream.on('end', () => stream.end());
@@ -294,7 +290,7 @@
   }
 
   #send(watcher: Watcher, answer: Partial<EtcdApi['WatchResponse']>): void {
-    const message = { header: this.#getHeader(), ...answer } as EtcdApi['WatchResponse'];
+    const message = { header: this.state.getHeader(), ...answer } as EtcdApi['WatchResponse'];
     this.#sendLater(() => {
       if (!watcher.isStalled && this.#watchers.has(watcher)) watcher.stream.write(message);
     });
--- a/packages/standins/test/MemoryStore.test.ts
+++ b/packages/standins/test/MemoryStore.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { ManualClock, SeededRandom, type Revision } from '@limpetbay/core';
+import { ManualClock, SeededRandom, Revision } from '@limpetbay/core';
 import { MemoryStore } from '@limpetbay/standins';
 
 function buildStore() {
@@ -47,11 +47,16 @@
     const { lease } = (await store.grantLease(1500)).unwrap();
     await store.commit({ conditions: [], writes: [{ key: 'a', value: '1', lease }] });
     const receivedValues: (string | null)[] = [];
-    store.watch('a', 1 as Revision, {
-      onChange: (change) => receivedValues.push(change.value),
-      onProgress: () => {},
-      onEnd: () => {},
-    });
+    const { era } = (await store.read('a')).unwrap();
+    store.watch(
+      'a',
+      { era, revision: Revision.parse(1) },
+      {
+        onChange: (change) => receivedValues.push(change.value),
+        onProgress: () => {},
+        onEnd: () => {},
+      },
+    );
     clock.advance(1999);
     store.tick();
     expect(receivedValues).toEqual(['1']);
--- a/packages/targets/src/direct/requestJson.ts
+++ b/packages/targets/src/direct/requestJson.ts
@@ -12,6 +12,8 @@
 
 interface JsonAnswer {
   readonly status: number;
+  /** By lower-case name; a repeated header has an array of values. */
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   /** Undefined if the answer has no body. */
   readonly body: unknown;
 }
@@ -31,24 +33,24 @@
 ): Promise<Result<JsonAnswer, Failure>> {
   const { method, url, timeoutMs } = request;
   const body = request.body === undefined ? null : Buffer.from(JSON.stringify(request.body));
-  const headers = body === null ? [] : ['content-type', 'application/json'];
+  const requestHeaders = body === null ? [] : ['content-type', 'application/json'];
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
-    let status = 0;
+    let head: Pick<JsonAnswer, 'status' | 'headers'> = { status: 0, headers: {} };
     const timer = setTimeout(() => {
       cancel();
       resolve(fail('outcome_unknown', `${url}: no complete answer within ${timeoutMs} ms`));
     }, timeoutMs);
     const cancel = pool.send(
-      { method, url, headers, body, maxIdleMs: MAX_IDLE_MS },
+      { method, url, headers: requestHeaders, body, maxIdleMs: MAX_IDLE_MS },
       {
-        onHead: (statusCode) => {
-          status = statusCode;
+        onHead: (status, headers) => {
+          head = { status, headers };
         },
         onData: (data) => chunks.push(data),
         onEnd: () => {
           clearTimeout(timer);
-          resolve(decodeAnswer(url, status, Buffer.concat(chunks)));
+          resolve(decodeAnswer(url, head, Buffer.concat(chunks)));
         },
         onFailure: (message, isUnsent) => {
           clearTimeout(timer);
@@ -60,10 +62,14 @@
   });
 }
 
-function decodeAnswer(url: string, status: number, bytes: Buffer): Result<JsonAnswer, Failure> {
-  if (bytes.length === 0) return Ok({ status, body: undefined });
+function decodeAnswer(
+  url: string,
+  head: Pick<JsonAnswer, 'status' | 'headers'>,
+  bytes: Buffer,
+): Result<JsonAnswer, Failure> {
+  if (bytes.length === 0) return Ok({ ...head, body: undefined });
   try {
-    return Ok({ status, body: JSON.parse(bytes.toString()) as unknown });
+    return Ok({ ...head, body: JSON.parse(bytes.toString()) as unknown });
   } catch (error) {
     return fail(
       'outcome_unknown',
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -1,3 +1,5 @@
+export { probeReset } from './connection/probeReset.js';
+export { resetProbeMs } from './connection/resetProbeMs.js';
 export type { AnswerTransport } from './direct/AnswerTransport.js';
 export type { DirectCall } from './direct/DirectCall.js';
 export { DirectConnection } from './direct/DirectConnection.js';
