--- a/packages/core/src/direct/EntryDirectory.ts
+++ b/packages/core/src/direct/EntryDirectory.ts
@@ -78,7 +78,9 @@
     const nowMs = this.#clock.getNow();
     const present = new Set(entries.map(({ name }) => name));
     for (const name of this.#entries.keys()) {
-      if (!present.has(name)) this.#missingUntilMs.set(name, nowMs + RESTORE_GRACE_MS);
+      if (present.has(name)) continue;
+      const untilMs = this.#missingUntilMs.get(name) ?? nowMs + RESTORE_GRACE_MS;
+      this.#missingUntilMs.set(name, untilMs);
     }
     this.#returned.clear();
     for (const entry of entries) {
--- a/packages/core/test/direct/limits.test.ts
+++ b/packages/core/test/direct/limits.test.ts
@@ -86,6 +86,19 @@
     expect(directory.countSharingEntries()).toBe(1);
   });
 
+  // Guards against a directory that names a departed entry because the store is restored repeatedly.
+  it('lists an entry that a restored store lacks only for the time to register again', () => {
+    const clock = new ManualClock();
+    const directory = new EntryDirectory(clock);
+    directory.upsert(entry);
+    for (const waitMs of [3000, 3000]) {
+      directory.restore([]);
+      expect(directory.listEntries()).toHaveLength(1);
+      clock.advance(waitMs);
+    }
+    expect(directory.listEntries()).toHaveLength(0);
+  });
+
   it('assumes many entries while none is known, so that shares are rather too small', () => {
     expect(new EntryDirectory(new ManualClock()).countSharingEntries()).toBeGreaterThanOrEqual(8);
   });
--- a/packages/gateway/src/feed/GatewayView.ts
+++ b/packages/gateway/src/feed/GatewayView.ts
@@ -28,7 +28,7 @@
 }
 
 /** How long an evacuation that a restored store lacks holds, until the operator has written it again. */
-const EVACUATION_GRACE_MS = 10_000;
+const EVACUATION_GRACE_MS = 5000;
 
 /** State of an entry from the store: configuration, zones out of service, targets and entries. */
 export class GatewayView implements MirrorListener {
@@ -64,6 +64,7 @@
     const promptRecords: StoreRecord[] = [];
     const limitRecords: StoreRecord[] = [];
     const evacuatedBefore = [...this.#evacuatedZones];
+    const lostBefore = new Map(this.#lostEvacuations);
     this.#evacuatedZones.clear();
     this.#lostEvacuations.clear();
     for (const record of records) {
@@ -81,7 +82,8 @@
       for (const zone of evacuatedBefore) {
         if (this.#evacuatedZones.has(zone)) continue;
         this.#evacuatedZones.add(zone);
-        this.#lostEvacuations.set(zone, clock.getNow() + EVACUATION_GRACE_MS);
+        const untilMs = lostBefore.get(zone) ?? clock.getNow() + EVACUATION_GRACE_MS;
+        this.#lostEvacuations.set(zone, untilMs);
       }
       registry.restore(targets);
       entries.restore(entryRecords);
--- a/packages/gateway/src/feed/MirrorSnapshot.ts
+++ b/packages/gateway/src/feed/MirrorSnapshot.ts
@@ -5,8 +5,9 @@
   readonly records: readonly StoreRecord[];
   readonly era: Era;
   /**
-   * Whether the store was restored from a copy since the last read. What is older or missing in the
-   * records than what is known here was lost, and its writers write it again.
+   * Whether the store was restored from a copy since the last read, or a few seconds before this one.
+   * What is missing in the records, or older than what is known here, may be lost; its writers write
+   * it again.
    */
   readonly isRestored: boolean;
 }
--- a/packages/gateway/src/feed/StoreMirror.ts
+++ b/packages/gateway/src/feed/StoreMirror.ts
@@ -1,6 +1,7 @@
 import {
   Backoff,
   Revision,
+  type Clock,
   type Era,
   type RandomSource,
   type Store,
@@ -12,6 +13,7 @@
 import type { MirrorListener } from './MirrorListener.js';
 
 interface StoreMirrorOptions {
+  readonly clock: Clock;
   readonly store: Store;
   readonly prefix: string;
   readonly listener: MirrorListener;
@@ -29,6 +31,9 @@
 /** After a restoration all mirrors read everything again; their reads are spread by this per mirror. */
 const RESTORED_READ_SPREAD_MS = 4;
 
+/** Time in which writers write again what a restored store has lost. */
+const RESTORATION_MS = 5000;
+
 /**
  * Mirrors a prefix of the store: a full read, then a watch from the next revision on. A watch that
  * fails is resumed after the last revision received; one that missed revisions, or whose store was
@@ -47,6 +52,9 @@
   /** Era of the last full read; null before the first one. */
   #era: Era | null = null;
 
+  /** Until when full reads count as reads of a restored store, monotonic milliseconds. */
+  #restorationEndMs = -Infinity;
+
   #isStoreUnavailable = false;
 
   #isStopped = false;
@@ -70,7 +78,7 @@
   }
 
   async #readAll(): Promise<void> {
-    const { store, prefix, listener } = this.#options;
+    const { clock, store, prefix, listener } = this.#options;
     const read = await store.readPrefix(prefix);
     if (this.#isStopped) return;
     if (read.err) {
@@ -79,7 +87,9 @@
       return;
     }
     const { records, era, revision } = read.val;
-    const isRestored = this.#era !== null && this.#era !== era;
+    const nowMs = clock.getNow();
+    if (this.#era !== null && this.#era !== era) this.#restorationEndMs = nowMs + RESTORATION_MS;
+    const isRestored = nowMs < this.#restorationEndMs;
     this.#setStoreUnavailable(false, 'read');
     this.#position = { era, revision };
     this.#era = era;
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -168,6 +168,7 @@
     };
     const log = createLog('store');
     this.#mirror = new StoreMirror({
+      clock,
       store,
       prefix: '',
       listener: this.#view,
