--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,8 +1,10 @@
 export { EntryLease } from './feed/EntryLease.js';
 export { GatewayView } from './feed/GatewayView.js';
 export type { MirrorListener } from './feed/MirrorListener.js';
+export type { MirrorSnapshot } from './feed/MirrorSnapshot.js';
 export type { RecordLayout } from './feed/RecordLayout.js';
 export { StoreMirror } from './feed/StoreMirror.js';
+export { computeSaveDelay } from './feed/computeSaveDelay.js';
 export { SharedTargetLimits } from './limits/SharedTargetLimits.js';
 export type { AnswerHead } from './ports/AnswerHead.js';
 export type { AttemptHead } from './ports/AttemptHead.js';
--- a/packages/gateway/src/limits/SharedTargetLimits.ts
+++ b/packages/gateway/src/limits/SharedTargetLimits.ts
@@ -10,6 +10,7 @@
 } from '@limpetbay/core';
 import type { PeerMessage } from '@limpetbay/rpc';
 import type { Log } from '@limpetbay/runtime';
+import { computeSaveDelay } from '../feed/computeSaveDelay.js';
 import type { MirrorSnapshot } from '../feed/MirrorSnapshot.js';
 import type { Timers } from '../ports/Timers.js';
 import type { SharedRates } from '../rates/SharedRates.js';
@@ -48,12 +49,6 @@
 /** Changes in the store may be older than what answers told within this time. */
 const STORE_DELAY_MS = 1500;
 
-/** Delay after which the first entry saves a limit that a restored store lacks. */
-const DEFERRED_SAVE_DELAY_MS = 1000;
-
-/** Each further entry waits so much longer, to see the write of the one before it. */
-const DEFERRED_SAVE_STEP_MS = 600;
-
 /** Limits of targets that are gone are kept for this time, because registrations may lapse. */
 const GONE_RETENTION_MS = 10_000;
 
@@ -270,8 +265,7 @@
   #scheduleSave(run: string): void {
     if (this.#isStored(run)) return;
     const { timers, rankSelf } = this.#options;
-    const rank = rankSelf(this.#buildKey(run));
-    timers.schedule(DEFERRED_SAVE_DELAY_MS + rank * DEFERRED_SAVE_STEP_MS, () => {
+    timers.schedule(computeSaveDelay(rankSelf(this.#buildKey(run))), () => {
       if (!this.#isClosed && this.#limits.has(run) && !this.#isStored(run)) void this.#save(run);
     });
   }
--- a/packages/gateway/src/prompts/SharedPromptBreaker.ts
+++ b/packages/gateway/src/prompts/SharedPromptBreaker.ts
@@ -15,6 +15,7 @@
 } from '@limpetbay/core';
 import type { PeerMessage } from '@limpetbay/rpc';
 import type { Log, MetricRegistry } from '@limpetbay/runtime';
+import { computeSaveDelay } from '../feed/computeSaveDelay.js';
 import type { MirrorSnapshot } from '../feed/MirrorSnapshot.js';
 import type { Timers } from '../ports/Timers.js';
 
@@ -40,12 +41,6 @@
 /** Bounds of the delay after a failed call; during an outage all entries may have ends to save. */
 const SAVE_RETRY_MS = { baseMs: 300, capMs: 2000 } as const;
 
-/** Delay after which the first entry saves what none of them has reported itself. */
-const DEFERRED_SAVE_DELAY_MS = 1000;
-
-/** Each further entry waits so much longer, to see the write of the one before it. */
-const DEFERRED_SAVE_STEP_MS = 600;
-
 /** Bounds of the random delay before an entry removes an expired record. */
 const REMOVAL_DELAY_MS = { shortest: 0, longest: 20_000 } as const;
 
@@ -305,8 +300,7 @@
   #scheduleSave(part: string): void {
     if (this.#scheduledSaves.has(part)) return;
     this.#scheduledSaves.add(part);
-    const rank = this.#options.rankSelf(this.#buildKey(part));
-    const delayMs = DEFERRED_SAVE_DELAY_MS + rank * DEFERRED_SAVE_STEP_MS;
+    const delayMs = computeSaveDelay(this.#options.rankSelf(this.#buildKey(part)));
     this.#schedule({ shortest: delayMs, longest: delayMs }, () => {
       this.#scheduledSaves.delete(part);
       void this.#save(part);
