Reset the connection of a caller without chunks when its answer breaks off

A caller that speaks HTTP/1.0 gets its answer without chunks, ended by the end of the connection. Cause: both kinds of answers relied on a missing last chunk. Now one function breaks answers off, and resets the connection where there are no chunks; the stall timeout uses it too.

--- a/packages/callers/src/answer/HttpCallerAnswer.ts
+++ b/packages/callers/src/answer/HttpCallerAnswer.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import { answerTable, type Failure, type Header } from '@limpetbay/core';
 import type { CallerAnswer } from './CallerAnswer.js';
+import { abortResponse } from './abortResponse.js';
 import { toErrorBody } from './toErrorBody.js';
 
 const MS_PER_SECOND = 1000;
@@ -41,9 +42,8 @@
     const body = JSON.stringify(toErrorBody(failure));
     if (this.#response.headersSent) {
       if (this.#isEventStream) this.#response.write(`event: error\ndata: ${body}\n\n`);
-      // Node sends the final chunk only on end(), so destroy() leaves the answer incomplete. It is
-      // called in the next turn of the event loop, so that the error event is sent first.
-      setImmediate(() => this.#response.destroy());
+      // In the next turn of the event loop, so that the error event is sent first.
+      setImmediate(() => abortResponse(this.#response));
       return;
     }
     const headers: Header[] = [{ name: 'Content-Type', value: 'application/json' }];
--- a/packages/callers/src/direct/DirectAnswer.ts
+++ b/packages/callers/src/direct/DirectAnswer.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import { answerTable, type Failure } from '@limpetbay/core';
+import { abortResponse } from '../answer/abortResponse.js';
 import { toErrorBody } from '../answer/toErrorBody.js';
 
 const MS_PER_SECOND = 1000;
@@ -44,7 +45,7 @@
 
   /** Closes the connection, so that the caller cannot mistake the answer for a complete one. */
   destroy(): void {
-    this.#response.destroy();
+    abortResponse(this.#response);
   }
 
   /** Answers a caller that has stopped sending with an error, and closes the connection. */
--- a/packages/callers/src/server/startCallerServer.ts
+++ b/packages/callers/src/server/startCallerServer.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import { fail } from '@limpetbay/core';
 import { HttpCallerAnswer } from '../answer/HttpCallerAnswer.js';
+import { abortResponse } from '../answer/abortResponse.js';
 import { parseRequest } from '../request/parseRequest.js';
 import type { CallerHandler } from './CallerHandler.js';
 import type { CallerServer } from './CallerServer.js';
@@ -112,7 +113,7 @@
     const sentBytes = socket.bytesWritten - socket.writableLength;
     const isStalled = socket.writableLength > 0 && sentBytes === lastSentBytes;
     lastSentBytes = sentBytes;
-    if (isStalled) response.destroy();
+    if (isStalled) abortResponse(response);
   }, timeoutMs);
   timer.unref();
   response.on('close', () => clearInterval(timer));
