Resume a stream only after a last event that has an id

Callers could get an event twice: a stream that breaks off after an event without an id was resumed after an earlier one that has an id. Cause: the splitter remembered the last id instead of the id of the last event.

--- a/packages/core/test/direct/RouteTable.test.ts
+++ b/packages/core/test/direct/RouteTable.test.ts
@@ -58,10 +58,10 @@
     const splitter = new EventSplitter();
     const first = splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
     expect(first.bytes.toString()).toBe('id: 1\ndata: a\n\n');
-    expect(first.lastId).toBe('1');
+    expect(splitter.getLastId()).toBe('1');
     const second = splitter.push(Buffer.from('ta: b\n\n'));
     expect(second.bytes.toString()).toBe('id: 2\ndata: b\n\n');
-    expect(second.lastId).toBe('2');
+    expect(splitter.getLastId()).toBe('2');
     expect(splitter.countPendingBytes()).toBe(0);
   });
 });
--- a/packages/gateway/src/request/AttemptListener.ts
+++ b/packages/gateway/src/request/AttemptListener.ts
@@ -3,7 +3,7 @@
 
 /** Receives the events and the result of an attempt. */
 export interface AttemptListener {
-  /** Called with complete events of a stream. @param lastId id of the last event that has one */
+  /** Called with complete events of a stream. @param lastId id of the last one; null if it has none */
   onEvents(head: AnswerHead, bytes: Buffer, lastId: string | null): void;
   /** Called once, when the attempt has ended; no further call follows. */
   onResult(result: AttemptResult): void;
--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -56,7 +56,7 @@
 export class AttemptRun {
   readonly #options: AttemptRunOptions;
 
-  readonly #splitter = new EventSplitter();
+  readonly #splitter: EventSplitter;
 
   readonly #startMs: number;
 
@@ -84,6 +84,7 @@
 
   constructor(options: AttemptRunOptions) {
     this.#options = options;
+    this.#splitter = new EventSplitter(options.awaited.resumedAfter);
     this.#startMs = options.context.clock.getNow();
   }
 
@@ -146,7 +147,7 @@
     if (!this.#hasFirstByte) this.#recordFirstByte();
     this.#events += events.count;
     this.#restartProgressTimeout();
-    this.#options.listener.onEvents(this.#head, events.bytes, events.lastId);
+    this.#options.listener.onEvents(this.#head, events.bytes, this.#splitter.getLastId());
   }
 
   /** Gives up the answer and closes its connection. */
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -96,7 +96,7 @@
   /** Whether a target may have run the request; no answer may then say that it did not run. */
   #mayHaveRun = false;
 
-  /** Id of the last event sent to the caller; null before the first. */
+  /** Id of the last event sent to the caller; null before the first or if it has none. */
   #lastEventId: string | null = null;
 
   #hasEnded = false;
@@ -373,7 +373,7 @@
           if (this.#hasEnded) return;
           this.#prompt.handleEvents();
           if (!this.#answer.isStarted()) this.#answer.start(head.status, head.forwarded);
-          if (lastId !== null) this.#lastEventId = lastId;
+          this.#lastEventId = lastId;
           this.#answer.write(bytes);
           this.#progressMs = this.#context.clock.getNow();
         },
