Test: entries in the directory after a store outage or restoration (fail)

An entry that ended just before the store was restored is named to callers for 5 s, longer than the 3 s after which the store counts as stable. After an outage in which all registrations lapse, each entry lists only itself.

--- a/packages/gateway/test/restoredStore.test.ts
+++ b/packages/gateway/test/restoredStore.test.ts
@@ -33,6 +33,12 @@
 /** Calls of one entry to register: one for the lease, one for the record, one that is refused. */
 const MAX_REGISTRATION_CALLS = 3;
 
+/** Longer than a registration lasts without a renewal and two calls to renew it take. */
+const OUTAGE_MS = 6000;
+
+/** Time after the return of the store from which entries must name no entry that is gone. */
+const STABLE_MS = 3000;
+
 const SIMULATION_TIMEOUT_MS = 120_000;
 
 // Day "restored" of issue 24: the store comes back from a copy that lacks what it acknowledged.
@@ -204,9 +210,76 @@
     SIMULATION_TIMEOUT_MS,
   );
 
+  // Guards against callers that are sent to an entry that ended while the store was away.
+  it(
+    'name no entry that ended just before, once the store is stable again',
+    async () => {
+      await createFleet(8);
+      const copy = fleet.store.takeCopy();
+      await timers.advance(CALM_MS);
+      fleet.entries[3]?.kill();
+      fleet.store.restore({ ...copy, entries: keepOthers(copy) });
+      await timers.advance(STABLE_MS);
+      for (const [index, entry] of fleet.entries.entries()) {
+        if (index !== 3) expect(entry.listAddresses()).not.toContain('entry-3:80');
+      }
+    },
+    SIMULATION_TIMEOUT_MS,
+  );
+
   /** Returns the records of a copy without the registrations of entries. */
   function keepOthers({ entries }: ReturnType<SimFleet['store']['takeCopy']>): typeof entries {
     const kept = [...entries].filter(([key]) => !key.startsWith(simLayout.entryPrefix));
     return new Map(kept);
   }
 });
+
+// The same class: registrations that are lost although their entries run.
+describe('entries whose registrations lapse in an outage of the store', () => {
+  const timers = new SimTimers();
+  let fleet: SimFleet;
+
+  beforeEach(async () => {
+    timers.begin();
+    fleet = new SimFleet(timers, { entries: 8, targets: 3, seed: 24 });
+    await fleet.start();
+    await timers.advance(START_MS);
+  });
+
+  afterEach(async () => {
+    fleet.stop();
+    await timers.advance(LEASE_MS);
+    timers.end();
+  });
+
+  // Guards against callers that are sent to few entries, and rates that several entries keep.
+  it(
+    'keep each other in the directory until all had time to register again',
+    async () => {
+      fleet.store.setFaults({ outage: 'down' });
+      await timers.advance(OUTAGE_MS);
+      fleet.store.setFaults({ outage: 'none' });
+      for (let step = 0; step < REWRITE_MS / 100; step += 1) {
+        await timers.advance(100);
+        for (const entry of fleet.entries) expect(entry.listAddresses()).toHaveLength(8);
+      }
+    },
+    SIMULATION_TIMEOUT_MS,
+  );
+
+  // Guards against callers that are sent to an entry that ended while the store was away.
+  it(
+    'name no entry that ended in the outage, once the store is stable again',
+    async () => {
+      fleet.store.setFaults({ outage: 'down' });
+      fleet.entries[3]?.kill();
+      await timers.advance(OUTAGE_MS);
+      fleet.store.setFaults({ outage: 'none' });
+      await timers.advance(STABLE_MS);
+      for (const [index, entry] of fleet.entries.entries()) {
+        if (index !== 3) expect(entry.listAddresses()).not.toContain('entry-3:80');
+      }
+    },
+    SIMULATION_TIMEOUT_MS,
+  );
+});
