Name lost entries no longer than registering again takes

After a restoration, an entry that the copy lacks was named to callers for 5 s, also if it had ended: longer than the 3 s after which the store counts as stable. The time now follows from what a new registration takes, and grows with the spread of a fleet.

--- a/packages/core/src/direct/EntryDirectory.ts
+++ b/packages/core/src/direct/EntryDirectory.ts
@@ -9,8 +9,14 @@
 /** Entries of a deployment start within this time of each other, milliseconds. */
 const SETTLING_MS = 1000;
 
-/** Time for all entries to register again after the store was restored from a copy, milliseconds. */
-const RESTORE_GRACE_MS = 5000;
+/**
+ * Time for an entry to register again after the store was restored: its next renewal, its calls, and
+ * the delay until this process sees the registration, milliseconds.
+ */
+const REGISTRATION_GRACE_MS = 2000;
+
+/** The registrations of a fleet are spread by this per entry, milliseconds. */
+const GRACE_PER_ENTRY_MS = 4;
 
 /**
  * A registration that returns from a copy of the store expires with its lease within this time if
@@ -76,10 +82,11 @@
    */
   restore(entries: readonly EntryRecord[]): void {
     const nowMs = this.#clock.getNow();
+    const graceMs = REGISTRATION_GRACE_MS + GRACE_PER_ENTRY_MS * this.#entries.size;
     const present = new Set(entries.map(({ name }) => name));
     for (const name of this.#entries.keys()) {
       if (present.has(name)) continue;
-      const untilMs = this.#missingUntilMs.get(name) ?? nowMs + RESTORE_GRACE_MS;
+      const untilMs = this.#missingUntilMs.get(name) ?? nowMs + graceMs;
       this.#missingUntilMs.set(name, untilMs);
     }
     this.#returned.clear();
