Keep entries whose registrations lapsed in a store outage

Cause: the directory of entries took a lapsed registration for an ended entry; targets already had a grace period. Now entries have it too.

--- a/packages/core/src/direct/EntryDirectory.ts
+++ b/packages/core/src/direct/EntryDirectory.ts
@@ -10,8 +10,8 @@
 const SETTLING_MS = 1000;
 
 /**
- * Time for an entry to register again after the store was restored: its next renewal, its calls, and
- * the delay until this process sees the registration, milliseconds.
+ * Time for an entry to register again after the store was restored or was away: its next renewal,
+ * its calls, and the delay until this process sees the registration, milliseconds.
  */
 const REGISTRATION_GRACE_MS = 2000;
 
@@ -42,7 +42,10 @@
   /** When each entry was removed, by name, monotonic milliseconds; Infinity for live ones. */
   readonly #removedAtMs = new Map<string, number>();
 
-  /** Entries that a restored store lacks, and until when they are listed, monotonic milliseconds. */
+  /**
+   * Entries whose registrations were lost with the store or lapsed while it was away, and until when
+   * they are listed, monotonic milliseconds; Infinity while the store is away.
+   */
   readonly #missingUntilMs = new Map<string, number>();
 
   /** Entries that were gone and that a restored store names as registered, by name. */
@@ -50,6 +53,11 @@
 
   #lastAddedMs: number;
 
+  #isStoreDown = false;
+
+  /** Until when a registration that is removed may only have lapsed, monotonic milliseconds. */
+  #graceEndMs = -Infinity;
+
   constructor(clock: Clock) {
     this.#clock = clock;
     this.#lastAddedMs = clock.getNow();
@@ -63,17 +71,46 @@
     this.#returned.delete(entry.name);
   }
 
+  /** Handles a removed registration; keeps the entry for a grace period around a store outage. */
   remove(name: string): void {
-    this.#missingUntilMs.delete(name);
     this.#returned.delete(name);
-    if (!this.#entries.delete(name)) return;
+    if (!this.#entries.has(name) || this.#missingUntilMs.has(name)) return;
+    if (this.#isStoreDown) this.#missingUntilMs.set(name, Infinity);
+    else if (this.#clock.getNow() < this.#graceEndMs) {
+      this.#missingUntilMs.set(name, this.#graceEndMs);
+    } else this.#delete(name);
+  }
+
+  #delete(name: string): void {
+    this.#missingUntilMs.delete(name);
+    this.#entries.delete(name);
     this.#removedAtMs.set(name, this.#clock.getNow());
   }
 
+  /** Records whether the store is down; the grace period begins when it is available again. */
+  setStoreUnavailable(isDown: boolean): void {
+    if (this.#isStoreDown && !isDown) {
+      this.#startGrace();
+      for (const [name, untilMs] of this.#missingUntilMs) {
+        if (untilMs === Infinity) this.#missingUntilMs.set(name, this.#graceEndMs);
+      }
+    }
+    this.#isStoreDown = isDown;
+  }
+
+  #startGrace(): void {
+    const graceMs = REGISTRATION_GRACE_MS + GRACE_PER_ENTRY_MS * this.#entries.size;
+    this.#graceEndMs = this.#clock.getNow() + graceMs;
+  }
+
   replaceAll(entries: readonly EntryRecord[]): void {
+    this.#removeAbsent(entries);
+    for (const entry of entries) this.upsert(entry);
+  }
+
+  #removeAbsent(entries: readonly EntryRecord[]): void {
     const present = new Set(entries.map(({ name }) => name));
     for (const name of [...this.#entries.keys()]) if (!present.has(name)) this.remove(name);
-    for (const entry of entries) this.upsert(entry);
   }
 
   /**
@@ -82,13 +119,8 @@
    */
   restore(entries: readonly EntryRecord[]): void {
     const nowMs = this.#clock.getNow();
-    const graceMs = REGISTRATION_GRACE_MS + GRACE_PER_ENTRY_MS * this.#entries.size;
-    const present = new Set(entries.map(({ name }) => name));
-    for (const name of this.#entries.keys()) {
-      if (present.has(name)) continue;
-      const untilMs = this.#missingUntilMs.get(name) ?? nowMs + graceMs;
-      this.#missingUntilMs.set(name, untilMs);
-    }
+    this.#startGrace();
+    this.#removeAbsent(entries);
     this.#returned.clear();
     for (const entry of entries) {
       const removedAtMs = this.#removedAtMs.get(entry.name) ?? Infinity;
@@ -98,7 +130,7 @@
   }
 
   listEntries(): readonly EntryRecord[] {
-    this.#expireRestored();
+    this.#expireMissing();
     return [...this.#entries.values()];
   }
 
@@ -133,9 +165,9 @@
     return this.#removedAtMs.size > 0 && this.#clock.getNow() - this.#lastAddedMs >= SETTLING_MS;
   }
 
-  #expireRestored(): void {
+  #expireMissing(): void {
     const nowMs = this.#clock.getNow();
-    for (const [name, untilMs] of this.#missingUntilMs) if (nowMs >= untilMs) this.remove(name);
+    for (const [name, untilMs] of this.#missingUntilMs) if (nowMs >= untilMs) this.#delete(name);
     for (const { entry, fromMs } of this.#returned.values()) {
       if (nowMs >= fromMs) this.upsert(entry);
     }
--- a/packages/gateway/src/feed/GatewayView.ts
+++ b/packages/gateway/src/feed/GatewayView.ts
@@ -162,7 +162,9 @@
   }
 
   onStoreAvailabilityChange(isUnavailable: boolean): void {
-    this.#options.registry.setStoreUnavailable(isUnavailable);
+    const { registry, entries } = this.#options;
+    registry.setStoreUnavailable(isUnavailable);
+    entries.setStoreUnavailable(isUnavailable);
   }
 
   #handleConfig(record: StoreRecord): void {
