Treat answers without a body as framed by their head

An entry ended with a TypeError when a target closed a connection on which it had answered 204 or 304: such an answer has neither length nor chunks, so it was taken for one that ends with its connection, and the listener that probes for a reset used a socket that the answer no longer had. Each such answer also left one listener more. Now these answers are framed by their head, and the probe keeps its socket.

--- a/packages/targets/src/direct/DirectConnection.ts
+++ b/packages/targets/src/direct/DirectConnection.ts
@@ -1,6 +1,7 @@
 import { Agent, request as openRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { hasValidHeaderNames, splitAddress } from '@limpetbay/core';
+import { hasBody } from '../connection/hasBody.js';
 import { probeReset } from '../connection/probeReset.js';
 import { resetProbeMs } from '../connection/resetProbeMs.js';
 import type { AnswerTransport } from './AnswerTransport.js';
@@ -102,7 +103,7 @@
         fail('the answer has a header name that is not valid');
         return;
       }
-      const framing = readFraming(response);
+      const framing = readFraming(call.method, response);
       const isFirst = this.#answerCount === 0;
       this.#answerCount += 1;
       listener.onHead(response.statusCode ?? 0, response.headers, { framing, isFirst });
@@ -125,8 +126,9 @@
       };
       const isFramed = framing !== 'close';
       if (!isFramed) {
-        response.socket.prependListener('end', () =>
-          probeReset(response.socket, () => {
+        const { socket } = response;
+        socket.prependListener('end', () =>
+          probeReset(socket, () => {
             this.#isReset = true;
           }),
         );
@@ -169,7 +171,11 @@
   }
 }
 
-function readFraming({ headers }: IncomingMessage): AnswerTransport['framing'] {
+function readFraming(
+  method: string,
+  { statusCode = 0, headers }: IncomingMessage,
+): AnswerTransport['framing'] {
+  if (!hasBody(method, statusCode)) return 'none';
   if (headers['transfer-encoding'] !== undefined) return 'chunks';
   return headers['content-length'] === undefined ? 'close' : 'length';
 }
--- a/packages/targets/src/http/HttpTarget.ts
+++ b/packages/targets/src/http/HttpTarget.ts
@@ -1,6 +1,7 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { Pool, buildConnector, type Dispatcher } from 'undici';
 import { createParser } from 'eventsource-parser';
+import { hasBody } from '../connection/hasBody.js';
 import { probeReset } from '../connection/probeReset.js';
 import { resetProbeMs } from '../connection/resetProbeMs.js';
 import { isConnectError } from './isConnectError.js';
@@ -58,7 +59,7 @@
       const isComplete = isEventStream
         ? await forwardEvents(answer.body, listener)
         : await forwardBytes(answer.body, listener);
-      if (!hasFraming(answer.headers)) {
+      if (hasBody(call.method, answer.statusCode) && !hasFraming(answer.headers)) {
         await wait(resetProbeMs);
         // undici does not tell which connection carried the answer, so any of them counts.
         if (this.#hiddenResets > resetsBefore) {
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -1,3 +1,4 @@
+export { hasBody } from './connection/hasBody.js';
 export { probeReset } from './connection/probeReset.js';
 export { resetProbeMs } from './connection/resetProbeMs.js';
 export type { AnswerTransport } from './direct/AnswerTransport.js';
