Deliver a whole answer although other bytes follow it in the same packet

A target may send bytes that are no answer behind a whole one. Where both came in one packet, callers got 502 or a broken stream, though the answer had arrived. Cause: the parser's error was taken for that of the answer, whose end Node reports a moment later. Now an error after the last byte of a framed answer only closes the connection; an answer that ends with its connection is still broken by a reset.

--- a/packages/targets/src/direct/DirectConnection.ts
+++ b/packages/targets/src/direct/DirectConnection.ts
@@ -96,7 +96,12 @@
       });
       socket.once('close', () => clearTimeout(timer));
     });
-    request.on('error', (error) => fail(error.message));
+    let isWhole = (): boolean => false;
+    request.on('error', (error) => {
+      // After the last byte of an answer, other bytes or a reset only end the connection.
+      if (isWhole()) this.close();
+      else fail(error.message);
+    });
     request.on('response', (response) => {
       if (isFinished || (response.statusCode ?? 0) < MIN_FINAL_STATUS) return;
       if (!hasValidHeaderNames(response.rawHeaders)) {
@@ -104,38 +109,21 @@
         return;
       }
       const framing = readFraming(call.method, response);
+      isWhole = () => response.complete && framing !== 'close';
       const isFirst = this.#answerCount === 0;
       this.#answerCount += 1;
       listener.onHead(response.statusCode ?? 0, response.headers, { framing, isFirst });
-      response.on('data', (data: Buffer) => {
-        if (!isFinished) listener.onData(data);
-      });
-      response.on('error', (error) => fail(error.message));
-      response.on('close', () => {
-        if (!response.complete) fail('the connection closed before the end of the answer');
-      });
-      const finish = (): void => {
-        if (isFinished) return;
-        if (!response.complete || this.#isReset) {
-          fail('the connection was reset before the end of the answer');
-          return;
-        }
-        isFinished = true;
-        listener.onEnd();
-        if (!this.#isClosed) this.#events.onIdle();
-      };
-      const isFramed = framing !== 'close';
-      if (!isFramed) {
-        const { socket } = response;
-        socket.prependListener('end', () =>
-          probeReset(socket, () => {
-            this.#isReset = true;
-          }),
-        );
-      }
-      response.on('end', () => {
-        if (isFramed) finish();
-        else setTimeout(finish, resetProbeMs);
+      this.#receiveBody(response, framing, {
+        onData: (data) => {
+          if (!isFinished) listener.onData(data);
+        },
+        onEnd: () => {
+          if (isFinished) return;
+          isFinished = true;
+          listener.onEnd();
+          if (!this.#isClosed) this.#events.onIdle();
+        },
+        onFailure: fail,
       });
     });
     request.end(call.body ?? undefined);
@@ -145,6 +133,37 @@
     };
   }
 
+  /** Receives the rest of an answer; its listener may be called after the end. */
+  #receiveBody(
+    response: IncomingMessage,
+    framing: AnswerTransport['framing'],
+    listener: Omit<DirectListener, 'onHead'>,
+  ): void {
+    const { socket } = response;
+    const isFramed = framing !== 'close';
+    const finish = (): void => {
+      if (response.complete && (isFramed || !this.#isReset)) listener.onEnd();
+      else listener.onFailure('the connection was reset before the end of the answer', false);
+    };
+    response.on('data', (data: Buffer) => listener.onData(data));
+    response.on('error', (error) => listener.onFailure(error.message, false));
+    response.on('close', () => {
+      if (!response.complete) {
+        listener.onFailure('the connection closed before the end of the answer', false);
+      } else if (isFramed) finish();
+    });
+    response.on('end', () => {
+      if (isFramed) finish();
+      else setTimeout(finish, resetProbeMs);
+    });
+    if (isFramed) return;
+    socket.prependListener('end', () =>
+      probeReset(socket, () => {
+        this.#isReset = true;
+      }),
+    );
+  }
+
   close(): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
