Keep and supersede documents that a restored etcd cluster has lost

Cause: documents were ordered by the store's revision, which goes back.

Now each document carries the least revision that orders it. accept writes one above the stored one, and above what processes report if that is later than the store has, so relays and followers need no notion of eras. A service that a restored store lacks is kept; status lists lost documents.

--- a/packages/cli/src/commands/runAccept.ts
+++ b/packages/cli/src/commands/runAccept.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { Ok, type Failure, type Result, type ServiceDocument } from '@limpetbay/core';
 import {
   acceptDocument,
   confirmActivation,
@@ -8,10 +9,16 @@
 } from '@limpetbay/operators';
 import type { CommandContext } from './CommandContext.js';
 import { ExitStatus } from './ExitStatus.js';
+import { readAcceptedDocument } from './readAcceptedDocument.js';
 import { readDocumentFile } from './readDocumentFile.js';
 
+type Confirmation = Awaited<ReturnType<typeof confirmActivation>>;
+
 const MAX_LISTED_INSTANCES = 20;
 
+/** A document is accepted again while processes have one that a restored store has lost. */
+const MAX_ACCEPTS = 3;
+
 /**
  * Accepts a document and waits until it is active in all processes.
  *
@@ -28,19 +35,60 @@
     context.warn(read.val.message);
     return ExitStatus.invalid;
   }
-  const { document } = read.val;
+  const { document, baseRevision } = read.val;
+  let base = ignoreBase ? null : baseRevision;
+  let knownRevision = 0;
+  for (let accepts = 1; ; accepts += 1) {
+    const accepted = await acceptOnce(context, document, base, knownRevision);
+    if (accepted.err) {
+      context.warn(`${accepted.val.kind}: ${accepted.val.message}`);
+      return ExitStatus.failed;
+    }
+    const revision = accepted.val;
+    const list = await context.instanceList.fetchInstances();
+    if (list.err) {
+      context.warn(`could not check where the document is active: ${list.val.message}`);
+      return ExitStatus.unconfirmed;
+    }
+    const confirmation = await confirmActivation({
+      service: document.service.name,
+      revision,
+      instances: list.val,
+      clock: context.clock,
+      limitMs: context.settings.accept.confirm_ms,
+      sleep: (delayMs) => sleep(delayMs),
+      fetchReport: (address, timeoutMs) => context.relays.fetchReport(address, timeoutMs),
+    });
+    knownRevision = confirmation.newestRevision;
+    const isOverridden = await isLost(context, document.service.name, knownRevision);
+    if (!isOverridden || accepts === MAX_ACCEPTS) {
+      return reportActivation(context, list.val.length, confirmation, isOverridden);
+    }
+    context.warn(
+      `${document.service.name}: processes have revision ${knownRevision}, which the store has ` +
+        'lost; accepting the document above it',
+    );
+    base = revision;
+  }
+}
+
+/** Writes the document and prints what changed. @returns the accepted revision */
+async function acceptOnce(
+  context: CommandContext,
+  document: ServiceDocument,
+  baseRevision: number | null,
+  knownRevision: number,
+): Promise<Result<number, Failure>> {
   const operationId = randomUUID();
   const accepted = await acceptDocument({
     store: context.store,
     document,
     operationId,
-    baseRevision: ignoreBase ? null : read.val.baseRevision,
+    baseRevision,
+    knownRevision,
     sleep: (delayMs) => sleep(delayMs),
   });
-  if (accepted.err) {
-    context.warn(`${accepted.val.kind}: ${accepted.val.message}`);
-    return ExitStatus.failed;
-  }
+  if (accepted.err) return accepted;
   const { name } = document.service;
   const { revision, before, isUnchanged } = accepted.val;
   if (isUnchanged) context.print(`${name}: already accepted at revision ${revision}`);
@@ -48,24 +96,33 @@
     context.print(`${name}: accepted at revision ${revision}, operation ${operationId}`);
     context.print(formatDifferences(diffDocuments(before, document)));
   }
-  const list = await context.instanceList.fetchInstances();
-  if (list.err) {
-    context.warn(`could not check where the document is active: ${list.val.message}`);
-    return ExitStatus.unconfirmed;
-  }
-  const { confirmed, lastMs, missing } = await confirmActivation({
-    service: name,
-    revision,
-    instances: list.val,
-    clock: context.clock,
-    limitMs: context.settings.accept.confirm_ms,
-    sleep: (delayMs) => sleep(delayMs),
-    fetchReport: (address, timeoutMs) => context.relays.fetchReport(address, timeoutMs),
-  });
-  const total = list.val.length;
+  return Ok(revision);
+}
+
+/** Returns whether the store has only an older revision of the document than a process. */
+async function isLost(
+  context: CommandContext,
+  service: string,
+  revision: number,
+): Promise<boolean> {
+  const stored = await readAcceptedDocument(context, service);
+  return stored.ok && stored.val !== null && stored.val.revision < revision;
+}
+
+/** Prints where the document is active. @returns the exit status */
+function reportActivation(
+  context: CommandContext,
+  total: number,
+  { confirmed, lastMs, missing }: Confirmation,
+  isOverridden: boolean,
+): number {
   context.print(
     `active in ${confirmed} of ${total} processes, the last after ${Math.round(lastMs)} ms`,
   );
+  if (isOverridden) {
+    context.warn('processes keep a newer document that the store has lost; accept it once more');
+    return ExitStatus.unconfirmed;
+  }
   if (missing.length === 0) return ExitStatus.ok;
   for (const { instance, reason } of missing.slice(0, MAX_LISTED_INSTANCES)) {
     context.warn(`not confirmed: ${instance.id} (zone ${instance.zone}): ${reason}`);
--- a/packages/cli/test/runApp.test.ts
+++ b/packages/cli/test/runApp.test.ts
@@ -78,6 +78,7 @@
   let list: InstanceListServer;
   let settings: string;
   let cleanups: (() => void)[];
+  let configs: ConfigService[];
 
   beforeEach(async () => {
     store = new StoreServer({ clock });
@@ -90,6 +91,7 @@
         '[accept]\nconfirm_ms = 3000\n',
     );
     cleanups = [];
+    configs = [];
     const records: InstanceRecord[] = [];
     for (const id of ['entry-a-0', 'entry-a-1']) {
       const server = new Server();
@@ -107,6 +109,7 @@
       const options = { store: client, instanceList, self, clock, random, server, log };
       const config = new ConfigService(options);
       config.start();
+      configs.push(config);
       records.push(self);
       cleanups.push(() => {
         config.stop();
@@ -154,6 +157,34 @@
     expect(conflicting.err).toContain('[zones] in: a, b -> a, b, c');
   });
 
+  // Guards against a document that is reported as active while the processes keep a later one that
+  // the store has lost, and against processes that go back to an earlier one.
+  it('makes a document active that is accepted after the store was restored from a copy', async () => {
+    const accept = async (queue: number, ...flags: string[]): ReturnType<typeof run> => {
+      const text = readFileSync(file, 'utf8').replace('queue = 64', `queue = ${queue}`);
+      return run('accept', writeFile('bookings.ini', text), '--settings', settings, ...flags);
+    };
+    const listQueues = (): (number | undefined)[] =>
+      configs.map((config) => config.getDocument('bookings')?.document?.limits.queue);
+    await accept(64);
+    const copy = store.state.takeCopy();
+    for (const queue of [65, 66, 67]) await accept(queue, '--ignore-base');
+    expect(listQueues()).toEqual([67, 67]);
+    store.state.restore(copy);
+    await vi.waitFor(async () => {
+      const status = await run('status', '--settings', settings);
+      expect(status.out).toContain('documents that the store has lost: 2 of 2 instances');
+    }, 10_000);
+    expect(listQueues()).toEqual([67, 67]);
+    const accepted = await accept(68, '--ignore-base');
+    expect(accepted).toMatchObject({ status: 0 });
+    expect(accepted.err).toContain('which the store has lost');
+    expect(listQueues()).toEqual([68, 68]);
+    expect((await accept(69, '--ignore-base')).status).toBe(0);
+    expect(listQueues()).toEqual([69, 69]);
+    expect((await run('status', '--settings', settings)).status).toBe(0);
+  });
+
   // Guards against an accept that does not name the unconfirmed process, and a status that does not
   // print the problems.
   it('names the unconfirmed process and prints the problems first', async () => {
--- a/packages/core/src/config/ConfigFollower.ts
+++ b/packages/core/src/config/ConfigFollower.ts
@@ -516,7 +516,7 @@
     this.#options.ports.readDocuments((answer) => {
       this.#readSentAt = null;
       if (answer.err) return;
-      this.#source.applyRead(answer.val.records, answer.val.revision, now);
+      this.#source.applyRead(answer.val, now);
       this.#recordConfirmation(now);
     });
   }
--- a/packages/core/src/config/DocumentTable.ts
+++ b/packages/core/src/config/DocumentTable.ts
@@ -33,14 +33,14 @@
    * its tombstone gets the revision of the read, at which the service was certainly absent.
    *
    * @param revision revision of the store at the read
-   * @param unreadable services whose value could not be decoded; they do not count as deleted
+   * @param kept services that do not count as deleted although `documents` lacks them
    */
   applySnapshot(
     documents: readonly VersionedDocument[],
     revision: Revision,
-    unreadable: ReadonlySet<string> = new Set(),
+    kept: ReadonlySet<string> = new Set(),
   ): void {
-    const present = new Set<string>(unreadable);
+    const present = new Set<string>(kept);
     for (const document of documents) {
       present.add(document.name);
       this.apply(document);
--- a/packages/core/src/config/StoreSource.ts
+++ b/packages/core/src/config/StoreSource.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock/Clock.js';
 import { Revision } from '../ids/Revision.js';
 import type { RandomSource } from '../random/RandomSource.js';
+import type { Era } from '../store/Era.js';
 import type { StorePosition } from '../store/StorePosition.js';
 import type { StoreRecord } from '../store/StoreRecord.js';
 import { Backoff } from './Backoff.js';
@@ -47,6 +48,12 @@
   /** Position up to which all changes have arrived; null if a full read is needed. */
   #position: StorePosition | null = null;
 
+  /** Era of the last full read; null before the first one. */
+  #era: Era | null = null;
+
+  /** Services that the store has lost by a restoration; they do not count as deleted. */
+  readonly #lostServices = new Set<string>();
+
   #stopWatch: (() => void) | null = null;
 
   /** Number of the current attempt, so that answers to earlier ones can be ignored. */
@@ -101,22 +108,41 @@
   }
 
   /** Applies the result of a full read. @param sentAt when the read was sent */
-  applyRead(records: readonly StoreRecord[], revision: Revision, sentAt: number): void {
+  applyRead(
+    { records, era, revision }: { readonly records: readonly StoreRecord[] } & StorePosition,
+    sentAt: number,
+  ): void {
     const { table, ports } = this.#options;
     const documents = [];
     const unreadable = new Set<string>();
+    const present = new Set<string>();
     for (const record of records) {
+      const name = record.key.slice(servicePrefix.length);
+      present.add(name);
       const decoded = decodeStoredDocument(record);
       if (decoded.ok) documents.push(decoded.val);
       else {
-        unreadable.add(record.key.slice(servicePrefix.length));
+        unreadable.add(name);
         ports.warn('ignored an invalid store document', { reason: decoded.val.message });
       }
     }
-    table.applySnapshot(documents, revision, unreadable);
+    if (this.#era !== null && this.#era !== era) this.#findLostServices();
+    this.#era = era;
+    for (const name of present) this.#lostServices.delete(name);
+    table.applySnapshot(documents, revision, new Set([...unreadable, ...this.#lostServices]));
     this.#recordConfirmation(sentAt);
   }
 
+  /** Assumes that all known services are lost, until the restored store shows them. */
+  #findLostServices(): void {
+    const { table, ports } = this.#options;
+    this.#lostServices.clear();
+    for (const { name, document } of table.listDocuments()) {
+      if (document !== null) this.#lostServices.add(name);
+    }
+    ports.warn('store was restored from a copy; keeping the documents that it has lost');
+  }
+
   #recordConfirmation(at: number): void {
     this.#confirmedAt = Math.max(this.#confirmedAt ?? -Infinity, at);
   }
@@ -143,8 +169,8 @@
         this.#scheduleRetry();
         return;
       }
-      const { records, era, revision } = answer.val;
-      this.applyRead(records, revision, now);
+      const { era, revision } = answer.val;
+      this.applyRead(answer.val, now);
       this.#position = { era, revision };
       this.#watch(this.#options.clock.getNow(), this.#position);
     });
@@ -162,6 +188,7 @@
         if (attempt !== this.#attempt) return;
         this.#startedAt = clock.getNow();
         const decoded = decodeStoredDocument(change);
+        this.#lostServices.delete(change.key.slice(servicePrefix.length));
         if (decoded.ok) table.apply(decoded.val);
         else ports.warn('ignored an invalid store document', { reason: decoded.val.message });
         // Several keys may change in one revision, so resuming repeats the last one.
--- a/packages/core/src/config/decodeStoredDocument.ts
+++ b/packages/core/src/config/decodeStoredDocument.ts
@@ -5,11 +5,16 @@
 import type { Failure } from '../errors/Failure.js';
 import { fail } from '../errors/fail.js';
 import { Ok } from '../errors/results.js';
-import type { Revision } from '../ids/Revision.js';
+import { Revision } from '../ids/Revision.js';
 import { ServiceName } from '../ids/ServiceName.js';
 import { servicePrefix } from './servicePrefix.js';
 
-const StoredValue = z.object({ operationId: z.string(), document: ServiceDocument });
+const StoredValue = z.object({
+  operationId: z.string(),
+  /** Absent in documents of earlier builds. */
+  leastRevision: z.number().int().nonnegative().default(0),
+  document: ServiceDocument,
+});
 
 /**
  * Decodes a service document record of the store.
@@ -40,5 +45,7 @@
     const issue = z.prettifyError(stored.error).replaceAll('\n', ' ');
     return fail('invalid_document', `store key ${key} at revision ${revision}: ${issue}`);
   }
-  return Ok({ name: name.data, revision, ...stored.data });
+  const { leastRevision, ...content } = stored.data;
+  const ordered = Revision.parse(Math.max(revision, leastRevision));
+  return Ok({ name: name.data, revision: ordered, ...content });
 }
--- a/packages/operators/src/accept/AcceptOptions.ts
+++ b/packages/operators/src/accept/AcceptOptions.ts
@@ -11,6 +11,11 @@
    * the store is a conflict.
    */
   readonly baseRevision: number | null;
+  /**
+   * Highest revision of the document that processes have, 0 if unknown. It is higher than that of the
+   * store if the store was restored from a copy; the document is then accepted above it.
+   */
+  readonly knownRevision: number;
   /** Waits between attempts; the delay is in milliseconds. */
   readonly sleep: (delayMs: number) => Promise<void>;
 }
--- a/packages/operators/src/accept/acceptDocument.ts
+++ b/packages/operators/src/accept/acceptDocument.ts
@@ -25,6 +25,9 @@
 
 /** Content of the store for a service. */
 interface StoredState {
+  /** Revision at which the store wrote the record; 0 if there is none. */
+  readonly storeRevision: Revision | 0;
+  /** Revision that orders the document among its versions; 0 if there is none. */
   readonly revision: Revision | 0;
   readonly document: ServiceDocument | null;
   /** Ids of the accepts in the record, latest first. */
@@ -39,7 +42,7 @@
 const MAX_VALUE_BYTES = 1_000_000;
 
 function decodeStoredState(record: StoreRecord | null | undefined): StoredState {
-  if (!record) return { revision: 0, document: null, operationIds: [] };
+  if (!record) return { storeRevision: 0, revision: 0, document: null, operationIds: [] };
   const decoded = decodeStoredDocument(record);
   const operationIds: string[] = [];
   try {
@@ -48,8 +51,10 @@
   } catch {
     // An unreadable value was not written by an accept; the new document replaces it.
   }
-  const document = decoded.ok ? decoded.val.document : null;
-  return { revision: record.revision, document, operationIds };
+  const { revision: storeRevision } = record;
+  if (decoded.err) return { storeRevision, revision: storeRevision, document: null, operationIds };
+  const { revision, document } = decoded.val;
+  return { storeRevision, revision, document, operationIds };
 }
 
 function failConflict(
@@ -89,13 +94,15 @@
 export async function acceptDocument(
   options: AcceptOptions,
 ): Promise<Result<AcceptedDocument, Failure>> {
-  const { store, document, operationId, baseRevision, sleep } = options;
+  const { store, document, operationId, baseRevision, knownRevision, sleep } = options;
   const key = getServiceKey(document.service.name);
   const read = await store.read(key);
   if (read.err) return read;
   const stored = decodeStoredState(read.val.record);
   const isUnchanged =
-    stored.document !== null && diffDocuments(stored.document, document).length === 0;
+    stored.document !== null &&
+    stored.revision >= knownRevision &&
+    diffDocuments(stored.document, document).length === 0;
   // Succeeds even if the base revision is outdated: a repeated accept has nothing to overwrite.
   if (isUnchanged) {
     const revision = Revision.parse(stored.revision);
@@ -105,16 +112,15 @@
     return failConflict(options, null, baseRevision, stored);
   }
   const earlierOperations = stored.operationIds.slice(0, MAX_EARLIER_OPERATIONS);
-  const value = JSON.stringify({
-    ...(JSON.parse(encodeStoredDocument(document, operationId)) as object),
-    earlierOperations,
-  });
+  const leastRevision = Math.max(stored.revision, knownRevision) + 1;
+  const encoded = encodeStoredDocument(document, operationId, leastRevision);
+  const value = JSON.stringify({ ...(JSON.parse(encoded) as object), earlierOperations });
   if (Buffer.byteLength(value) > MAX_VALUE_BYTES) {
     return fail('invalid_document', `${key}: larger than ${MAX_VALUE_BYTES} bytes in the store`);
   }
   const transaction = {
     era: read.val.era,
-    conditions: [{ key, revision: stored.revision }],
+    conditions: [{ key, revision: stored.storeRevision }],
     writes: [{ key, value }],
   };
   let mayBeWritten = false;
@@ -123,8 +129,11 @@
     if (attempt > 0) await sleep(RETRY_DELAY_MS * attempt);
     const answer = await store.commit(transaction);
     if (answer.ok) {
-      const { committed, revision, current } = answer.val;
-      if (committed) return Ok({ revision, before: stored.document, isUnchanged });
+      const { committed, revision: storeRevision, current } = answer.val;
+      if (committed) {
+        const revision = Revision.parse(Math.max(storeRevision, leastRevision));
+        return Ok({ revision, before: stored.document, isUnchanged });
+      }
       const currentState = decodeStoredState(current[0]);
       if (currentState.operationIds[0] === operationId) {
         const accepted = Revision.parse(currentState.revision);
--- a/packages/operators/src/accept/confirmActivation.ts
+++ b/packages/operators/src/accept/confirmActivation.ts
@@ -21,6 +21,8 @@
   readonly confirmed: number;
   /** Time until the last confirmed instance had the revision active, milliseconds from the start. */
   readonly lastMs: number;
+  /** Highest revision that an instance reported; 0 if none did. */
+  readonly newestRevision: number;
   /** Unconfirmed instances, with the reason from their latest answer. */
   readonly missing: readonly { readonly instance: InstanceRecord; readonly reason: string }[];
 }
@@ -42,6 +44,7 @@
   const reasons = new Map<InstanceRecord, string>();
   for (const instance of instances) reasons.set(instance, 'not asked');
   let lastMs = 0;
+  let newestRevision = 0;
   let undecided = 0;
   let lateRounds = 0;
   const checkInstance = async (instance: InstanceRecord): Promise<void> => {
@@ -52,6 +55,7 @@
       return;
     }
     const reported = answer.val.revisions.get(service);
+    newestRevision = Math.max(newestRevision, reported?.revision ?? 0);
     if (reported === undefined || reported.revision < revision) {
       const shown =
         reported === undefined
@@ -81,7 +85,8 @@
     if (isLate) lateRounds += 1;
     if (reasons.size === 0 || (isLate && (undecided === 0 || lateRounds >= MAX_LATE_ROUNDS))) {
       const missing = [...reasons].map(([instance, reason]) => ({ instance, reason }));
-      return { confirmed: instances.length - missing.length, lastMs, missing };
+      const confirmed = instances.length - missing.length;
+      return { confirmed, lastMs, newestRevision, missing };
     }
     await sleep(POLL_INTERVAL_MS);
   }
--- a/packages/operators/src/status/findProblems.ts
+++ b/packages/operators/src/status/findProblems.ts
@@ -56,6 +56,21 @@
   return outdated;
 }
 
+/** Lists documents of a process that a store restored from a copy has lost. */
+function findLostDocuments({ documents }: StatusView, report: RevisionReport): string[] {
+  if (documents === null) return [];
+  const stored = new Map<string, number>();
+  for (const { name, revision } of documents) stored.set(name, revision);
+  const lost: string[] = [];
+  for (const [name, { revision, deleted }] of report.revisions) {
+    const storedRevision = stored.get(name) ?? 0;
+    if (!deleted && revision > storedRevision) {
+      lost.push(`${name} at ${revision}, in the store at ${storedRevision || 'none'}`);
+    }
+  }
+  return lost;
+}
+
 function describeFreshness(report: RevisionReport): string {
   const { state, confirmationAgeMs, outsideContactAgeMs, zoneCount } = report;
   const confirmed =
@@ -72,6 +87,7 @@
   const notReady: string[] = [];
   const outdated: string[] = [];
   const unconfirmed: string[] = [];
+  const lost: string[] = [];
   for (const instance of view.instances ?? []) {
     const report = view.reports.get(instance.id) ?? null;
     const label = describeInstance(instance);
@@ -80,7 +96,9 @@
       continue;
     }
     const documents = findOutdatedDocuments(view, report);
+    const lostDocuments = findLostDocuments(view, report);
     if (!report.ready) notReady.push(label);
+    else if (lostDocuments.length > 0) lost.push(`${label}: ${lostDocuments.join('; ')}`);
     else if (documents.length > 0) outdated.push(`${label}: ${documents.join('; ')}`);
     else if (report.state !== 'fresh') unconfirmed.push(`${label}: ${describeFreshness(report)}`);
   }
@@ -99,6 +117,12 @@
     'dead, unreachable from here, or just replaced (the list lags); entries avoid them',
   );
   addProblem(notReady, 'no configuration', 'they refuse all work (not_ready)');
+  addProblem(
+    lost,
+    'documents that the store has lost',
+    'normal for a moment after an accept; longer means that the store was restored from a copy: ' +
+      'they stay active; accept the wanted documents again',
+  );
   addProblem(
     outdated,
     'older documents than accepted',
--- a/packages/operators/test/acceptDocument.test.ts
+++ b/packages/operators/test/acceptDocument.test.ts
@@ -45,12 +45,14 @@
     operationId: string,
     targetStore: Store = store,
     base: number | null = null,
+    knownRevision = 0,
   ) =>
     acceptDocument({
       store: targetStore,
       document: createDocument(queue),
       operationId,
       baseRevision: base,
+      knownRevision,
       sleep,
     });
 
@@ -110,6 +112,19 @@
     expect((await accept(1, 'mine', failingStore)).val).toMatchObject({ kind: 'outcome_unknown' });
   });
 
+  // Guards against documents that processes ignore because they have later ones, which the store has
+  // lost.
+  it('accepts a document above the revision that processes have, and the next ones above it', async () => {
+    await accept(1, 'first');
+    expect((await accept(1, 'again', store, null, 30)).unwrap()).toMatchObject({
+      revision: 31,
+      isUnchanged: false,
+    });
+    expect((await accept(2, 'next')).unwrap().revision).toBe(32);
+    expect((await accept(3, 'based', store, 32)).unwrap().revision).toBe(33);
+    expect(server.state.getRevision()).toBe(5);
+  });
+
   // Guards against an edit of an outdated copy that silently reverts the change of another operator.
   it('rejects a document based on an outdated revision', async () => {
     await accept(1, 'first');
--- a/packages/standins/src/store/KeyValueState.ts
+++ b/packages/standins/src/store/KeyValueState.ts
@@ -16,6 +16,12 @@
   expiresAtMs: number;
 }
 
+/** What a store that is restored from a backup has. */
+interface KeyValueCopy {
+  readonly revision: number;
+  readonly entries: ReadonlyMap<string, Entry>;
+}
+
 const FIRST_LEASE_ID = 7_587_000_000;
 
 /** Decodes a key as `latin1`, so that JavaScript's string order equals the byte order of etcd. */
@@ -60,6 +66,22 @@
     this.#clusterId = clusterId;
   }
 
+  /** Takes a copy from which the store can be restored. */
+  takeCopy(): KeyValueCopy {
+    return { revision: this.#revision, entries: new Map(this.#entries) };
+  }
+
+  /** Restores a copy, as a cluster with another id; history and leases are lost. */
+  restore({ revision, entries }: KeyValueCopy): void {
+    this.#clusterId += 1;
+    this.#revision = revision;
+    this.#compactedRevision = 0;
+    this.#history.length = 0;
+    this.#leases.clear();
+    this.#entries.clear();
+    for (const [key, entry] of entries) this.#entries.set(key, entry);
+  }
+
   getRevision(): number {
     return this.#revision;
   }
