--- a/packages/dev/test/failures.test.ts
+++ b/packages/dev/test/failures.test.ts
@@ -44,7 +44,8 @@
       prompts.map((prompt, index) => streamChat(urls[index % urls.length]!, prompt, 12)),
     );
     for (const [index, answer] of answers.entries()) {
-      expect(answer.words).toEqual(listExpectedWords(prompts[index]!, 12));
+      const words = listExpectedWords(prompts[index]!, 12);
+      expect(answer).toEqual({ status: 200, words, isComplete: true, rest: '' });
     }
   });
 
--- a/packages/dev/test/support/callers.ts
+++ b/packages/dev/test/support/callers.ts
@@ -4,8 +4,11 @@
 const JSON_HEADERS = { 'content-type': 'application/json', 'limpetbay-workspace': 'estate-1' };
 
 interface StreamedAnswer {
+  readonly status: number;
   readonly words: string[];
   readonly isComplete: boolean;
+  /** What arrived after the last event: the text of an error, or part of an event. */
+  readonly rest: string;
 }
 
 const buildMessages = (content: string): object[] => [{ role: 'user', content }];
@@ -58,7 +61,8 @@
   } catch {
     isComplete = false;
   }
-  return { words, isComplete: isComplete && response.status === 200 };
+  const { status } = response;
+  return { status, words, isComplete: isComplete && status === 200, rest: buffered };
 }
 
 interface CallResult {
