Test: views of a store that is restored again and again (fail)

The stand-in of the store kept the revision up to which its history was dropped over a restoration; corrected.

--- /dev/null
+++ b/packages/gateway/test/support/SimViews.ts
@@ -0,0 +1,113 @@
+import {
+  EntryDirectory,
+  TargetRegistry,
+  type Clock,
+  type DirectTarget,
+  type RandomSource,
+} from '@limpetbay/core';
+import type { MemoryStore } from '@limpetbay/standins';
+import { RealTimers } from '../../src/index.js';
+import { GatewayView } from '../../src/feed/GatewayView.js';
+import { StoreMirror } from '../../src/feed/StoreMirror.js';
+import { SimStoreLink } from './SimStoreLink.js';
+import { simLayout } from './simLayout.js';
+
+const NOOP_LOG = { report: () => {}, warn: () => {}, alert: () => {} };
+
+const NOOP_RECORDS = {
+  handleSnapshot: () => {},
+  handleRecord: () => {},
+  handleRemoval: () => {},
+};
+
+const EXPIRE_INTERVAL_MS = 100;
+
+/** What one entry takes from the store, with what it has confirmed before. */
+export class SimView {
+  readonly link: SimStoreLink;
+
+  readonly registry: TargetRegistry;
+
+  readonly #view: GatewayView;
+
+  #evacuated: ReadonlySet<string> = new Set();
+
+  readonly #drained = new Set<string>();
+
+  #version = 0;
+
+  constructor(clock: Clock, random: RandomSource, store: MemoryStore) {
+    this.link = new SimStoreLink(store);
+    this.registry = new TargetRegistry(clock);
+    this.#view = new GatewayView({
+      clock,
+      log: NOOP_LOG,
+      layout: simLayout,
+      registry: this.registry,
+      entries: new EntryDirectory(clock),
+      picker: {
+        setEvacuated: (zones: ReadonlySet<string>) => {
+          this.#evacuated = zones;
+        },
+      } as never,
+      prompts: NOOP_RECORDS as never,
+      limits: NOOP_RECORDS as never,
+      onConfig: () => {},
+    });
+    const timers = new RealTimers();
+    const mirror = new StoreMirror({
+      clock,
+      store: this.link,
+      prefix: '',
+      listener: this.#view,
+      timers,
+      random,
+      log: NOOP_LOG,
+      countMirrors: () => 1,
+    });
+    mirror.start();
+    const expire = (): void => {
+      this.registry.expire();
+      this.#view.expire();
+      timers.schedule(EXPIRE_INTERVAL_MS, expire);
+    };
+    expire();
+  }
+
+  getVersion(): number {
+    return this.#view.getTable()?.config.version ?? 0;
+  }
+
+  isEvacuated(zone: string): boolean {
+    return this.#evacuated.has(zone);
+  }
+
+  /** Lists what went back since the last call: versions, and targets that were draining. */
+  listReversals(): string[] {
+    const reversals: string[] = [];
+    const version = this.getVersion();
+    if (version < this.#version) reversals.push(`version ${this.#version} -> ${version}`);
+    this.#version = version;
+    for (const target of this.registry.listAll()) {
+      const run = `${target.id}/${target.bornMs}`;
+      if (target.isDraining) this.#drained.add(run);
+      else if (this.#drained.has(run)) reversals.push(`${run} is in use after it was draining`);
+    }
+    return reversals;
+  }
+
+  /** Describes the state, comparable with that of the writers. */
+  describe(): string {
+    return describeState(this.getVersion(), this.#evacuated, this.registry.listAll());
+  }
+}
+
+/** Describes a configuration version, zones that are out of service, and targets. */
+export function describeState(
+  version: number,
+  evacuated: Iterable<string>,
+  targets: readonly DirectTarget[],
+): string {
+  const runs = targets.map(({ id, bornMs, isDraining }) => `${id}/${bornMs}/${isDraining}`);
+  return `version ${version}; out: ${[...evacuated].sort().join()}; ${runs.sort().join(' ')}`;
+}
--- a/packages/standins/src/store/MemoryStore.ts
+++ b/packages/standins/src/store/MemoryStore.ts
@@ -154,6 +154,7 @@
     const nowMs = this.#clock.getNow();
     for (const lease of this.#leases.values()) lease.endMs = nowMs + lease.ttlMs;
     this.#history = this.#history.filter((change) => change.revision <= revision);
+    this.#compactedRevision = Math.min(this.#compactedRevision, revision);
     const watches = [...this.#watches];
     this.#watches.clear();
     for (const { listener } of watches) listener.onEnd('failed');
