Do not replace a target by its earlier incarnation from a copy of the store

A target that had been draining was used again: it had started again under its id, and a restored copy of the store named it from before that. Cause: the registry compared incarnations only for equality. Now a registration of an earlier incarnation than the one known, or than one that has left, counts as missing in the copy.

--- a/packages/core/src/direct/TargetRegistry.ts
+++ b/packages/core/src/direct/TargetRegistry.ts
@@ -122,15 +122,17 @@
   /**
    * Replaces all registrations by those of a store that was restored from a copy. Targets that the
    * copy lacks get time to register again. A registration in the copy may be older than what is
-   * known here: a target that was draining or had left is not used before it has written again.
+   * known here: a target that was draining or had left is not used before it has written again, and
+   * one that has started again since is not replaced by its earlier incarnation.
    */
   restore(targets: readonly DirectTarget[]): void {
     const nowMs = this.#clock.getNow();
     this.#graceEndMs = nowMs + LAPSE_GRACE_MS;
     this.#returned.clear();
-    const present = new Set(targets.map(({ id }) => id));
+    const current = targets.filter((target) => !this.#hasLaterIncarnation(target));
+    const present = new Set(current.map(({ id }) => id));
     for (const id of [...this.#targets.keys()]) if (!present.has(id)) this.remove(id);
-    for (const target of targets) {
+    for (const target of current) {
       const existing = this.#targets.get(target.id)?.target;
       const departed = this.#departed.get(target.id);
       if (existing?.bornMs === target.bornMs && existing.isDraining) continue;
@@ -141,6 +143,11 @@
     }
   }
 
+  #hasLaterIncarnation({ id, bornMs }: DirectTarget): boolean {
+    const known = this.#targets.get(id)?.target ?? this.#departed.get(id);
+    return known !== undefined && known.bornMs > bornMs;
+  }
+
   /** Records whether the store is down; the grace period begins when it is available again. */
   setStoreUnavailable(isDown: boolean): void {
     if (this.#isStoreDown && !isDown) this.#graceEndMs = this.#clock.getNow() + LAPSE_GRACE_MS;
