--- a/packages/core/test/direct/limits.test.ts
+++ b/packages/core/test/direct/limits.test.ts
@@ -99,6 +99,19 @@
     expect(directory.listEntries()).toHaveLength(0);
   });
 
+  // Guards against a departed entry that a restored store named, and that is listed for good because
+  // its registration had lapsed when the store was read next.
+  it('does not list a returned entry that the next read lacks', () => {
+    const clock = new ManualClock();
+    const directory = new EntryDirectory(clock);
+    directory.upsert(entry);
+    directory.remove('e1');
+    directory.restore([entry]);
+    directory.replaceAll([]);
+    clock.advance(10_000);
+    expect(directory.listEntries()).toHaveLength(0);
+  });
+
   it('assumes many entries while none is known, so that shares are rather too small', () => {
     expect(new EntryDirectory(new ManualClock()).countSharingEntries()).toBeGreaterThanOrEqual(8);
   });
