Forget targets and entries that returned from a copy when a read lacks them

A target or entry that was gone, and that a restored copy named, is used a few seconds later unless its registration lapses. If the entry lost sight of the store meanwhile and read everything again, what the read lacked was forgotten, but not what waited to be used: an ended target got requests, and an ended entry was named, for good. Now a full read replaces these too.

--- a/packages/core/src/direct/EntryDirectory.ts
+++ b/packages/core/src/direct/EntryDirectory.ts
@@ -104,6 +104,7 @@
   }
 
   replaceAll(entries: readonly EntryRecord[]): void {
+    this.#returned.clear();
     this.#removeAbsent(entries);
     for (const entry of entries) this.upsert(entry);
   }
--- a/packages/core/src/direct/TargetRegistry.ts
+++ b/packages/core/src/direct/TargetRegistry.ts
@@ -114,6 +114,7 @@
 
   /** Replaces all registrations by those of a full read. */
   replaceAll(targets: readonly DirectTarget[]): void {
+    this.#returned.clear();
     const present = new Set(targets.map(({ id }) => id));
     for (const id of [...this.#targets.keys()]) if (!present.has(id)) this.remove(id);
     for (const target of targets) this.upsert(target);
