--- a/packages/gateway/test/restoredViews.test.ts
+++ b/packages/gateway/test/restoredViews.test.ts
@@ -1,7 +1,7 @@
 import { SeededRandom } from '@limpetbay/core';
 import { MemoryStore, SimTimers } from '@limpetbay/standins';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { SimView } from './support/SimViews.js';
+import { SimView } from './support/SimView.js';
 import { SimWriters } from './support/SimWriters.js';
 
 const VIEWS = 5;
--- a/packages/gateway/test/support/SimViews.ts
+++ b/packages/gateway/test/support/SimView.ts
@@ -1,15 +1,10 @@
-import {
-  EntryDirectory,
-  TargetRegistry,
-  type Clock,
-  type DirectTarget,
-  type RandomSource,
-} from '@limpetbay/core';
+import { EntryDirectory, TargetRegistry, type Clock, type RandomSource } from '@limpetbay/core';
 import type { MemoryStore } from '@limpetbay/standins';
 import { RealTimers } from '../../src/index.js';
 import { GatewayView } from '../../src/feed/GatewayView.js';
 import { StoreMirror } from '../../src/feed/StoreMirror.js';
 import { SimStoreLink } from './SimStoreLink.js';
+import { describeState } from './describeState.js';
 import { simLayout } from './simLayout.js';
 
 const NOOP_LOG = { report: () => {}, warn: () => {}, alert: () => {} };
@@ -101,14 +96,3 @@
     return describeState(this.getVersion(), this.#evacuated, this.registry.listAll());
   }
 }
-
-/** Describes a configuration version, zones that are out of service, and targets to be used. */
-export function describeState(
-  version: number,
-  evacuated: Iterable<string>,
-  targets: readonly DirectTarget[],
-): string {
-  const used = targets.filter(({ isDraining }) => !isDraining);
-  const runs = used.map(({ id, bornMs }) => `${id}/${bornMs}`);
-  return `version ${version}; out: ${[...evacuated].sort().join()}; ${runs.sort().join(' ')}`;
-}
--- a/packages/gateway/test/support/SimWriters.ts
+++ b/packages/gateway/test/support/SimWriters.ts
@@ -1,6 +1,6 @@
-import { type DirectTarget, type RandomSource } from '@limpetbay/core';
+import type { DirectTarget, RandomSource } from '@limpetbay/core';
 import type { MemoryStore } from '@limpetbay/standins';
-import { describeState } from './SimViews.js';
+import { describeState } from './describeState.js';
 import { simLayout } from './simLayout.js';
 
 /** How often the operator compares what is stored with what was written, milliseconds. */
