--- a/packages/cli/src/commands/runAccept.ts
+++ b/packages/cli/src/commands/runAccept.ts
@@ -12,7 +12,10 @@
 import { readAcceptedDocument } from './readAcceptedDocument.js';
 import { readDocumentFile } from './readDocumentFile.js';
 
-type Confirmation = Awaited<ReturnType<typeof confirmActivation>>;
+type Activation = Awaited<ReturnType<typeof confirmActivation>> & {
+  /** Number of instances. */
+  readonly total: number;
+};
 
 const MAX_LISTED_INSTANCES = 20;
 
@@ -44,31 +47,23 @@
       context.warn(`${accepted.val.kind}: ${accepted.val.message}`);
       return ExitStatus.failed;
     }
-    const revision = accepted.val;
-    const list = await context.instanceList.fetchInstances();
-    if (list.err) {
-      context.warn(`could not check where the document is active: ${list.val.message}`);
+    base = accepted.val;
+    const { name } = document.service;
+    const activation = await waitForActivation(context, name, base);
+    if (activation.err) {
+      const { message } = activation.val;
+      context.warn(`could not check where the document is active: ${message}`);
       return ExitStatus.unconfirmed;
     }
-    const confirmation = await confirmActivation({
-      service: document.service.name,
-      revision,
-      instances: list.val,
-      clock: context.clock,
-      limitMs: context.settings.accept.confirm_ms,
-      sleep: (delayMs) => sleep(delayMs),
-      fetchReport: (address, timeoutMs) => context.relays.fetchReport(address, timeoutMs),
-    });
-    knownRevision = confirmation.newestRevision;
-    const isOverridden = await isLost(context, document.service.name, knownRevision);
+    knownRevision = activation.val.newestRevision;
+    const isOverridden = await isLost(context, name, knownRevision);
     if (!isOverridden || accepts === MAX_ACCEPTS) {
-      return reportActivation(context, list.val.length, confirmation, isOverridden);
+      return reportActivation(context, activation.val, isOverridden);
     }
     context.warn(
-      `${document.service.name}: processes have revision ${knownRevision}, which the store has ` +
-        'lost; accepting the document above it',
+      `${name}: processes have revision ${knownRevision}, which the store has lost; ` +
+        'accepting the document above it',
     );
-    base = revision;
   }
 }
 
@@ -99,6 +94,26 @@
   return Ok(revision);
 }
 
+/** Waits until the revision is active in all instances or the time limit has passed. */
+async function waitForActivation(
+  context: CommandContext,
+  service: string,
+  revision: number,
+): Promise<Result<Activation, Failure>> {
+  const list = await context.instanceList.fetchInstances();
+  if (list.err) return list;
+  const confirmation = await confirmActivation({
+    service,
+    revision,
+    instances: list.val,
+    clock: context.clock,
+    limitMs: context.settings.accept.confirm_ms,
+    sleep: (delayMs) => sleep(delayMs),
+    fetchReport: (address, timeoutMs) => context.relays.fetchReport(address, timeoutMs),
+  });
+  return Ok({ ...confirmation, total: list.val.length });
+}
+
 /** Returns whether the store has only an older revision of the document than a process. */
 async function isLost(
   context: CommandContext,
@@ -112,8 +127,7 @@
 /** Prints where the document is active. @returns the exit status */
 function reportActivation(
   context: CommandContext,
-  total: number,
-  { confirmed, lastMs, missing }: Confirmation,
+  { total, confirmed, lastMs, missing }: Activation,
   isOverridden: boolean,
 ): number {
   context.print(
--- a/packages/core/src/config/StoreSource.ts
+++ b/packages/core/src/config/StoreSource.ts
@@ -51,8 +51,11 @@
   /** Era of the last full read; null before the first one. */
   #era: Era | null = null;
 
-  /** Services that the store has lost by a restoration; they do not count as deleted. */
-  readonly #lostServices = new Set<string>();
+  /**
+   * Services that were known before the store was restored and that it has not shown since; they may
+   * be lost with it, so they do not count as deleted.
+   */
+  readonly #keptServices = new Set<string>();
 
   #stopWatch: (() => void) | null = null;
 
@@ -126,19 +129,18 @@
         ports.warn('ignored an invalid store document', { reason: decoded.val.message });
       }
     }
-    if (this.#era !== null && this.#era !== era) this.#findLostServices();
+    if (this.#era !== null && this.#era !== era) this.#keepKnownServices();
     this.#era = era;
-    for (const name of present) this.#lostServices.delete(name);
-    table.applySnapshot(documents, revision, new Set([...unreadable, ...this.#lostServices]));
+    for (const name of present) this.#keptServices.delete(name);
+    table.applySnapshot(documents, revision, new Set([...unreadable, ...this.#keptServices]));
     this.#recordConfirmation(sentAt);
   }
 
-  /** Assumes that all known services are lost, until the restored store shows them. */
-  #findLostServices(): void {
+  #keepKnownServices(): void {
     const { table, ports } = this.#options;
-    this.#lostServices.clear();
+    this.#keptServices.clear();
     for (const { name, document } of table.listDocuments()) {
-      if (document !== null) this.#lostServices.add(name);
+      if (document !== null) this.#keptServices.add(name);
     }
     ports.warn('store was restored from a copy; keeping the documents that it has lost');
   }
@@ -188,7 +190,7 @@
         if (attempt !== this.#attempt) return;
         this.#startedAt = clock.getNow();
         const decoded = decodeStoredDocument(change);
-        this.#lostServices.delete(change.key.slice(servicePrefix.length));
+        this.#keptServices.delete(change.key.slice(servicePrefix.length));
         if (decoded.ok) table.apply(decoded.val);
         else ports.warn('ignored an invalid store document', { reason: decoded.val.message });
         // Several keys may change in one revision, so resuming repeats the last one.
