Test: wait until all relays watch the store

Known red beside load: the test counted 1 or 4 watches instead of 6, because it counted as soon as every process was fresh, which the first relays suffice for.

--- a/packages/rpc/test/ConfigService.test.ts
+++ b/packages/rpc/test/ConfigService.test.ts
@@ -105,7 +105,8 @@
 
   // Guards against every process watching the store, and against deletions that relays do not pass on.
   it('delivers changes and deletions to all processes through three relays per zone', async () => {
-    expect(store.countWatches()).toBe(6);
+    // Processes are fresh through the first relays before the last ones have opened their watches.
+    await waitForCheck(() => expect(store.countWatches()).toBe(6));
     store.put(getServiceKey('canerota'), createDocument(2));
     await waitForCheck(() => expect(processes.map(getQueue)).toEqual(processes.map(() => 2)));
     store.put(getServiceKey('canerota'), null);
@@ -114,6 +115,7 @@
         expect(config.getDocument('canerota')).toMatchObject({ document: null });
       }
     });
+    expect(store.countWatches()).toBe(6);
     const report = await new RelayClient().fetchReport(processes[0]?.record.address ?? '', 2000);
     expect(report.unwrap().revisions.get('canerota')).toMatchObject({ deleted: true });
   });
