--- a/packages/gateway/test/restoredStore.test.ts
+++ b/packages/gateway/test/restoredStore.test.ts
@@ -41,6 +41,21 @@
 
 const SIMULATION_TIMEOUT_MS = 120_000;
 
+/** Expects that each entry names all others at every moment until they had time to register again. */
+async function expectAllNamed(timers: SimTimers, { entries }: SimFleet): Promise<void> {
+  for (let step = 0; step < REWRITE_MS / 100; step += 1) {
+    await timers.advance(100);
+    for (const entry of entries) expect(entry.listAddresses()).toHaveLength(entries.length);
+  }
+}
+
+/** Expects that no other entry names one that has ended. */
+function expectNotNamed({ entries }: SimFleet, ended: number): void {
+  for (const [index, entry] of entries.entries()) {
+    if (index !== ended) expect(entry.listAddresses()).not.toContain(`entry-${ended}:80`);
+  }
+}
+
 // Day "restored" of issue 24: the store comes back from a copy that lacks what it acknowledged.
 describe('entries whose store is restored from a copy', () => {
   const timers = new SimTimers();
@@ -183,10 +198,7 @@
       const copy = fleet.store.takeCopy();
       await timers.advance(CALM_MS);
       fleet.store.restore({ ...copy, entries: keepOthers(copy) });
-      for (let step = 0; step < REWRITE_MS / 100; step += 1) {
-        await timers.advance(100);
-        for (const entry of fleet.entries) expect(entry.listAddresses()).toHaveLength(8);
-      }
+      await expectAllNamed(timers, fleet);
     },
     SIMULATION_TIMEOUT_MS,
   );
@@ -202,9 +214,7 @@
       fleet.store.restore(copy);
       for (let step = 0; step < REWRITE_MS / 100; step += 1) {
         await timers.advance(100);
-        for (const [index, entry] of fleet.entries.entries()) {
-          if (index !== 3) expect(entry.listAddresses()).not.toContain('entry-3:80');
-        }
+        expectNotNamed(fleet, 3);
       }
     },
     SIMULATION_TIMEOUT_MS,
@@ -220,9 +230,7 @@
       fleet.entries[3]?.kill();
       fleet.store.restore({ ...copy, entries: keepOthers(copy) });
       await timers.advance(STABLE_MS);
-      for (const [index, entry] of fleet.entries.entries()) {
-        if (index !== 3) expect(entry.listAddresses()).not.toContain('entry-3:80');
-      }
+      expectNotNamed(fleet, 3);
     },
     SIMULATION_TIMEOUT_MS,
   );
@@ -259,10 +267,7 @@
       fleet.store.setFaults({ outage: 'down' });
       await timers.advance(OUTAGE_MS);
       fleet.store.setFaults({ outage: 'none' });
-      for (let step = 0; step < REWRITE_MS / 100; step += 1) {
-        await timers.advance(100);
-        for (const entry of fleet.entries) expect(entry.listAddresses()).toHaveLength(8);
-      }
+      await expectAllNamed(timers, fleet);
     },
     SIMULATION_TIMEOUT_MS,
   );
@@ -276,9 +281,7 @@
       await timers.advance(OUTAGE_MS);
       fleet.store.setFaults({ outage: 'none' });
       await timers.advance(STABLE_MS);
-      for (const [index, entry] of fleet.entries.entries()) {
-        if (index !== 3) expect(entry.listAddresses()).not.toContain('entry-3:80');
-      }
+      expectNotNamed(fleet, 3);
     },
     SIMULATION_TIMEOUT_MS,
   );
