Keep programs running on SIGHUP, and read their settings again

Callers saw streams cut in the middle when an operator announced new settings: no program handled SIGHUP, so its default ended each process within a millisecond, and settings were read only at the start. SIGUSR2 ended programs too, and SIGUSR1 opened the debugger of Node.js.

One table now says for all programs what each signal does, and one supervisor carries it out: SIGHUP reads the settings again, stop signals follow the start, and nothing cuts a stop short. A changed file, announced or not, is checked whole once it has settled; live settings change together, the others are logged as waiting for a restart, and a wrong, half written or missing file changes nothing. Programs hold back the signals before their other modules load; the time until Node.js itself runs remains.

--- a/packages/agent/src/process/startAgent.ts
+++ b/packages/agent/src/process/startAgent.ts
@@ -17,6 +17,7 @@
   startMetricsServer,
   waitUntil,
   type RunningProcess,
+  type SupervisedProcess,
 } from '@limpetbay/runtime';
 import { EngineClient, HttpTarget } from '@limpetbay/targets';
 import { GroupRunner } from '../group/GroupRunner.js';
@@ -31,8 +32,10 @@
   settings: AgentSettings,
   clock: Clock,
   random: RandomSource,
-): Promise<RunningProcess> {
-  const { agent: identity, platform, timing } = settings;
+  metrics = new MetricRegistry(),
+): Promise<RunningProcess & SupervisedProcess<AgentSettings>> {
+  const { agent: identity, platform } = settings;
+  let { timing } = settings;
   const logOptions = settings.log;
   const log = createLog(`agent ${identity.id}`, logOptions);
   const store = new EtcdStore({ address: platform.store, clock });
@@ -54,7 +57,6 @@
     server: server.server,
     log: createLog(`config ${identity.id}`, logOptions),
   });
-  const metrics = new MetricRegistry();
   const admission = new TargetAdmission({ clock, target: identity.target });
   admission.setZone(identity.zone);
   const ledger = new ClaimLedger({
@@ -131,6 +133,9 @@
   return {
     address: server.address,
     kill: close,
+    applySettings: (changed) => {
+      timing = changed.timing;
+    },
     stop: async () => {
       config.setLeaving();
       agent.startLeaving();
--- a/packages/cli/src/commands/createApp.ts
+++ b/packages/cli/src/commands/createApp.ts
@@ -1,7 +1,7 @@
 import { command, flag, option, positional, string, subcommands } from 'cmd-ts';
 import { EtcdStore, InstanceListClient } from '@limpetbay/platform';
 import { RelayClient } from '@limpetbay/rpc';
-import { RealClock, readSettings } from '@limpetbay/runtime';
+import { IniFormat, RealClock, readSettings } from '@limpetbay/runtime';
 import { CliSettings } from '../settings/CliSettings.js';
 import type { CommandContext } from './CommandContext.js';
 import { ExitStatus } from './ExitStatus.js';
@@ -36,7 +36,7 @@
   args: { readonly settings: string; readonly check: boolean },
   run: (context: CommandContext) => Promise<number>,
 ): Promise<number> {
-  const read = readSettings(args.settings, CliSettings);
+  const read = readSettings(args.settings, new IniFormat(CliSettings));
   if (read.err) {
     output.warn(read.val.message);
     return ExitStatus.invalid;
@@ -45,11 +45,12 @@
     output.print(`${args.settings}: valid`);
     return ExitStatus.ok;
   }
-  const { store, instances } = read.val;
+  const { settings: checked } = read.val;
+  const { store, instances } = checked;
   const clock = new RealClock();
   const context: CommandContext = {
     ...output,
-    settings: read.val,
+    settings: checked,
     clock,
     store: new EtcdStore({ address: store.address, timeoutMs: store.timeout_ms, clock }),
     instanceList: new InstanceListClient({ url: instances.url, timeoutMs: instances.timeout_ms }),
--- a/packages/core/src/retry/RetryBudget.ts
+++ b/packages/core/src/retry/RetryBudget.ts
@@ -3,9 +3,9 @@
  * receive a multiple of their load. Each entry has its own. Requests refill it, not time.
  */
 export class RetryBudget {
-  readonly #share: number;
+  #share: number;
 
-  readonly #burst: number;
+  #burst: number;
 
   #tokens: number;
 
@@ -19,6 +19,13 @@
     this.#tokens = burst;
   }
 
+  /** Changes the limits; retries that were saved up under the earlier ones stay within the new. */
+  setLimits(share: number, burst: number): void {
+    this.#share = share;
+    this.#burst = burst;
+    this.#tokens = Math.min(this.#tokens, burst);
+  }
+
   /** Adds the share of a new request. Must not be called again for its retries. */
   recordRequest(): void {
     this.#tokens = Math.min(this.#burst, this.#tokens + this.#share);
--- a/packages/dev/src/main.ts
+++ b/packages/dev/src/main.ts
@@ -1,5 +1,6 @@
+import '@limpetbay/runtime/ignoreEarlySignals';
 import { command, flag, number, option, run } from 'cmd-ts';
-import { onStopSignal } from '@limpetbay/runtime';
+import { createLog, runProcess } from '@limpetbay/runtime';
 import { DevFleet } from './fleet/DevFleet.js';
 import { defaultFleetOptions } from './fleet/defaultFleetOptions.js';
 
@@ -25,8 +26,14 @@
     if (check) return;
     const logLevel = quiet ? 'silent' : 'info';
     const fleet = new DevFleet({ ...defaultFleetOptions, port, logLevel });
-    await fleet.start();
-    onStopSignal(() => fleet.stop());
+    await runProcess({
+      log: createLog('process', { format: 'text', level: logLevel }),
+      reloader: null,
+      start: async () => {
+        await fleet.start();
+        return { stop: () => fleet.stop(), applySettings: () => {} };
+      },
+    });
     const { url } = [...fleet.entries.values()][0]!;
     process.stdout.write(
       [
--- a/packages/dev/test/processes.test.ts
+++ b/packages/dev/test/processes.test.ts
@@ -78,6 +78,16 @@
   await fleet.startAgent(Number(agent.split('-')[2]));
 });
 
+// Guards against a signal that announces new settings and ends the process, with its requests.
+it('keeps a stream whose agent and entry read their settings again on SIGHUP', async () => {
+  fleet.sendSignal('entry-a', 'SIGHUP');
+  const { answer, agent } = await streamWithSignal('reloaded', 'SIGHUP');
+  expect(answer.isComplete).toBe(true);
+  expect(answer.words).toEqual(listExpectedWords('reloaded', 60));
+  expect(fleet.isRunning('entry-a')).toBe(true);
+  expect(fleet.isRunning(agent)).toBe(true);
+});
+
 // Guards against a second run after an entry was killed between dispatch and answer.
 it('runs a keyed booking once although the entry that dispatched it was killed', async () => {
   fleet.service.behaviour = 'hang';
--- a/packages/dev/test/support/ProcessFleet.ts
+++ b/packages/dev/test/support/ProcessFleet.ts
@@ -104,6 +104,11 @@
     this.#processes.get(id)!.kill(signal);
   }
 
+  isRunning(id: string): boolean {
+    const { exitCode, signalCode } = this.#processes.get(id)!;
+    return exitCode === null && signalCode === null;
+  }
+
   /** Waits for a process to exit and returns its exit status, or null if a signal ended it. */
   async waitForExit(id: string): Promise<number | null> {
     const child = this.#processes.get(id)!;
--- a/packages/entry/src/loop/Entry.ts
+++ b/packages/entry/src/loop/Entry.ts
@@ -55,8 +55,11 @@
 
   readonly #capacity: CapacityEstimator;
 
+  #addressTtlMs: number;
+
   constructor(options: EntryOptions) {
     this.#options = options;
+    this.#addressTtlMs = options.timing.addressTtlMs;
     this.#capacity = new CapacityEstimator(options.clock);
     this.#progress = new ProgressMonitor(options.clock, options.timing.tickMs);
     this.#loop = createEventLoop<EntryEvent>({
@@ -79,9 +82,14 @@
     return () => this.#loop.push({ type: 'caller_gone', handle });
   }
 
+  /** Changes how long callers may cache the answer of `GET /v1/entries`, milliseconds. */
+  setAddressTtl(addressTtlMs: number): void {
+    this.#addressTtlMs = addressTtlMs;
+  }
+
   describeEntries(): object {
-    const { config, timing } = this.#options;
-    return describeEntries(config.listInstances(), this.#describeSelf(), timing.addressTtlMs);
+    const { config } = this.#options;
+    return describeEntries(config.listInstances(), this.#describeSelf(), this.#addressTtlMs);
   }
 
   describeHealth(): { readonly ready: boolean; readonly body: object } {
--- a/packages/entry/src/process/startEntry.ts
+++ b/packages/entry/src/process/startEntry.ts
@@ -27,8 +27,10 @@
   settings: EntrySettings,
   clock: Clock,
   random: RandomSource,
+  metrics = new MetricRegistry(),
 ): Promise<RunningEntry> {
-  const { entry: entrySettings, platform, timing } = settings;
+  const { entry: entrySettings, platform } = settings;
+  let { timing } = settings;
   const log = createLog(`entry ${entrySettings.id}`, settings.log);
   const store = new EtcdStore({ address: platform.store, clock });
   const instanceList = new InstanceListClient({ url: platform.instances });
@@ -61,7 +63,7 @@
     limiter: new WorkspaceLimiter({ clock, random }),
     connectionPool: new ConnectionPool(),
     log,
-    metrics: new MetricRegistry(),
+    metrics,
     timing: {
       tickMs: timing.tick_ms,
       progressTimeoutMs: timing.silence_ms,
@@ -92,6 +94,10 @@
     address: server.address,
     url: callers.url,
     kill: close,
+    applySettings: (changed) => {
+      timing = changed.timing;
+      entry.setAddressTtl(timing.address_ttl_ms);
+    },
     stop: async () => {
       entry.startLeaving();
       config.setLeaving();
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -22,6 +22,7 @@
 import type { RequestContext } from '../request/RequestContext.js';
 import { RequestRun } from '../request/RequestRun.js';
 import type { EntryCoreOptions } from './EntryCoreOptions.js';
+import type { GatewayLimits } from './GatewayLimits.js';
 
 /** Interval of periodic tasks: expiry, subscriptions, registration and idle connections. */
 const TICK_INTERVAL_MS = 250;
@@ -42,6 +43,8 @@
 export class EntryCore {
   readonly #options: EntryCoreOptions;
 
+  #gatewayLimits: GatewayLimits;
+
   readonly #registry: TargetRegistry;
 
   readonly #entries: EntryDirectory;
@@ -79,6 +82,7 @@
 
   constructor(options: EntryCoreOptions) {
     this.#options = options;
+    this.#gatewayLimits = options.limits;
     const { clock, random, timers, store, codec, layout, metrics, createLog } = options;
     this.#registry = new TargetRegistry(clock);
     this.#entries = new EntryDirectory(clock);
@@ -213,6 +217,12 @@
     return [...addresses];
   }
 
+  setLimits(limits: GatewayLimits): void {
+    this.#gatewayLimits = limits;
+    const { ratio, burst } = this.#computeRetryShare();
+    for (const budget of this.#budgets.values()) budget.setLimits(ratio, burst);
+  }
+
   /** Processes a request. @returns a function to call if the caller disconnects */
   acceptRequest(head: RequestHead, body: Buffer, answer: DirectAnswer): () => void {
     const run = new RequestRun(this.#requestContext, head, body, answer);
@@ -308,14 +318,20 @@
   #getBudget(service: string): RetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
-      const { retryRatio, retryBurst } = this.#options.limits;
-      const share = (retryBurst * RETRY_BUDGET_SHARE) / this.#entries.countSharingEntries();
-      budget = new RetryBudget(retryRatio * RETRY_BUDGET_SHARE, Math.max(1, share));
+      const { ratio, burst } = this.#computeRetryShare();
+      budget = new RetryBudget(ratio, burst);
       this.#budgets.set(service, budget);
     }
     return budget;
   }
 
+  /** Returns this entry's share of the retry limits, which all entries keep together. */
+  #computeRetryShare(): { readonly ratio: number; readonly burst: number } {
+    const { retryRatio, retryBurst } = this.#gatewayLimits;
+    const burst = (retryBurst * RETRY_BUDGET_SHARE) / this.#entries.countSharingEntries();
+    return { ratio: retryRatio * RETRY_BUDGET_SHARE, burst: Math.max(1, burst) };
+  }
+
   #getPool(address: string): TargetPool {
     let pool = this.#pools.get(address);
     if (pool === undefined) {
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -4,6 +4,7 @@
 import type { Log } from '@limpetbay/runtime';
 import { DirectPool, checkListener } from '@limpetbay/targets';
 import { EntryCore } from './EntryCore.js';
+import type { GatewayLimits } from './GatewayLimits.js';
 import type { GatewayOptions } from './GatewayOptions.js';
 
 /** Largest request body before the first configuration. */
@@ -25,6 +26,8 @@
 export class Gateway implements DirectHandler {
   readonly #options: GatewayOptions;
 
+  #limits: GatewayLimits;
+
   readonly #log: Log;
 
   readonly #core: EntryCore;
@@ -37,6 +40,7 @@
 
   constructor(options: GatewayOptions) {
     this.#options = options;
+    this.#limits = options.limits;
     const { clock, codec, createLog } = options;
     this.#log = createLog('entry');
     this.#core = new EntryCore({
@@ -69,6 +73,12 @@
     this.#log.report('started', { address: this.#options.self.callerAddress });
   }
 
+  /** Changes the limits of the deployment; a stop in progress keeps those with which it began. */
+  setLimits(limits: GatewayLimits): void {
+    this.#limits = limits;
+    this.#core.setLimits(limits);
+  }
+
   /** Returns whether this entry can serve callers. */
   isReady(): boolean {
     return this.#core.isReady();
@@ -93,10 +103,10 @@
     this.#lastRequestMs = startMs;
     this.#server.drain();
     this.#log.report('stopping', { requests: this.#server.countRequests() });
-    const forcedEndMs = startMs + this.#options.limits.graceMs;
+    const forcedEndMs = startMs + this.#limits.graceMs;
     const drainDeadlineMs = forcedEndMs - DRAIN_MARGIN_MS;
     this.#core.beginStop(drainDeadlineMs);
-    const addressExpiryMs = startMs + this.#options.limits.addressTtlMs;
+    const addressExpiryMs = startMs + this.#limits.addressTtlMs;
     await this.#waitUntil(forcedEndMs - CLOSE_MARGIN_MS, (nowMs) => {
       const hasNoNewRequests = nowMs - this.#lastRequestMs > NO_REQUESTS_MS;
       return this.#server.countRequests() === 0 && hasNoNewRequests && nowMs > addressExpiryMs;
--- a/packages/rankagent/src/planner/LinkPacer.ts
+++ b/packages/rankagent/src/planner/LinkPacer.ts
@@ -14,13 +14,18 @@
 export class LinkPacer {
   readonly #clock: Clock;
 
-  readonly #bytesPerMs: number;
+  #bytesPerMs = 0;
 
   /** Time at which all messages sent so far have left at the paced rate. */
   #clearMs = -Infinity;
 
   constructor(clock: Clock, linkBitsPerSecond: number) {
     this.#clock = clock;
+    this.setLinkRate(linkBitsPerSecond);
+  }
+
+  /** Changes the bandwidth of the link for the messages that are reserved from now on. */
+  setLinkRate(linkBitsPerSecond: number): void {
     this.#bytesPerMs = (LINK_FRACTION * linkBitsPerSecond) / BITS_PER_BYTE / MS_PER_SECOND;
   }
 
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -90,6 +90,8 @@
 
   readonly #budget: TrafficBudget;
 
+  readonly #pacer: LinkPacer;
+
   readonly #passTimes = new PassTimeEstimator();
 
   /** Other ranks of the group, by the address of their agent. */
@@ -155,6 +157,7 @@
     });
     this.#members = new GroupMembers(options.clock);
     this.#budget = new TrafficBudget(options.linkBitsPerSecond);
+    this.#pacer = new LinkPacer(options.clock, options.linkBitsPerSecond);
     this.#socket = options.network.openTransport({
       onMessage: (message, from) => this.#handleMessage(message, from),
       onTraffic: (direction, kind, bytes) =>
@@ -166,7 +169,7 @@
     });
     this.#orders = new OrderClient({
       clock: options.clock,
-      pacer: new LinkPacer(options.clock, options.linkBitsPerSecond),
+      pacer: this.#pacer,
       send: (message, agent) => this.#socket.send(message, [agent]),
     });
   }
@@ -184,6 +187,12 @@
     void this.#run();
   }
 
+  /** Changes the bandwidth of the link, bits per second. */
+  setLinkRate(linkBitsPerSecond: number): void {
+    this.#budget.setLinkRate(linkBitsPerSecond);
+    this.#pacer.setLinkRate(linkBitsPerSecond);
+  }
+
   stop(): void {
     this.#isStopped = true;
     this.#closeRemotes();
--- a/packages/rankagent/src/process/TrafficBudget.ts
+++ b/packages/rankagent/src/process/TrafficBudget.ts
@@ -25,10 +25,14 @@
  * numbers of ranks, experts and entries until orders wait behind them.
  */
 export class TrafficBudget {
-  readonly #bytesPerMs: number;
+  #bytesPerMs = 0;
 
   /** @param linkBitsPerSecond bandwidth of the link of an agent */
   constructor(linkBitsPerSecond: number) {
+    this.setLinkRate(linkBitsPerSecond);
+  }
+
+  setLinkRate(linkBitsPerSecond: number): void {
     this.#bytesPerMs = linkBitsPerSecond / BITS_PER_BYTE / MS_PER_SECOND;
   }
 
--- /dev/null
+++ b/packages/runtime/src/process/ProcessSupervisor.ts
@@ -0,0 +1,96 @@
+import type { EventEmitter } from 'node:events';
+import type { Log } from '../log/Log.js';
+import type { SettingsReloader } from '../settings/SettingsReloader.js';
+import { signalActions } from './signalActions.js';
+import type { SupervisedProcess } from './SupervisedProcess.js';
+
+interface ProcessSupervisorOptions<Settings> {
+  readonly log: Log;
+  /** Emits signals; the global `process` outside of tests. */
+  readonly events: EventEmitter;
+  /** Ends the process with a status. */
+  readonly exit: (status: number) => void;
+  /** Null for a program without a settings file. */
+  readonly reloader: SettingsReloader<Settings> | null;
+}
+
+const FAILURE_EXIT_STATUS = 1;
+
+/**
+ * Decides for a program what each signal does.
+ *
+ * - A stop signal stops it gracefully, after its start if that is still in progress; the process
+ *   then ends with status 0.
+ * - SIGHUP reads the settings again. It changes nothing during the start or a stop.
+ */
+export class ProcessSupervisor<Settings> {
+  readonly #options: ProcessSupervisorOptions<Settings>;
+
+  #state: 'starting' | 'running' | 'stopping' = 'starting';
+
+  #isStopRequested = false;
+
+  #running: SupervisedProcess<Settings> | null = null;
+
+  constructor(options: ProcessSupervisorOptions<Settings>) {
+    this.#options = options;
+  }
+
+  /** Handles signals from now on, and starts the program. */
+  async run(start: () => Promise<SupervisedProcess<Settings>>): Promise<void> {
+    const { events, reloader } = this.#options;
+    for (const signal of Object.keys(signalActions)) {
+      events.on(signal, () => this.#handleSignal(signal as NodeJS.Signals));
+    }
+    let running: SupervisedProcess<Settings>;
+    try {
+      running = await start();
+    } catch (error) {
+      this.#options.log.alert('could not start', { cause: describeError(error) });
+      this.#options.exit(FAILURE_EXIT_STATUS);
+      return;
+    }
+    this.#running = running;
+    this.#state = 'running';
+    if (this.#isStopRequested) await this.#stop();
+    else reloader?.start((settings) => running.applySettings(settings));
+  }
+
+  #handleSignal(signal: NodeJS.Signals): void {
+    const { log, reloader } = this.#options;
+    const action = signalActions[signal];
+    if (action === 'stop') this.#handleStopSignal(signal);
+    else if (action === 'reload' && this.#state === 'running' && reloader !== null) {
+      log.report('signal received; reading the settings again', { signal });
+      reloader.request();
+    } else log.report('signal ignored', { signal, state: this.#state });
+  }
+
+  #handleStopSignal(signal: NodeJS.Signals): void {
+    const { log } = this.#options;
+    if (this.#isStopRequested) {
+      log.report('signal ignored: a stop is in progress', { signal });
+      return;
+    }
+    this.#isStopRequested = true;
+    log.report('signal received; stopping', { signal, state: this.#state });
+    if (this.#state === 'running') void this.#stop();
+  }
+
+  async #stop(): Promise<void> {
+    this.#state = 'stopping';
+    this.#options.reloader?.stop();
+    try {
+      await this.#running?.stop();
+    } catch (error) {
+      this.#options.log.alert('graceful stop failed', { cause: describeError(error) });
+      this.#options.exit(FAILURE_EXIT_STATUS);
+      return;
+    }
+    this.#options.exit(0);
+  }
+}
+
+function describeError(error: unknown): string {
+  return error instanceof Error ? (error.stack ?? error.message) : String(error);
+}
--- /dev/null
+++ b/packages/runtime/src/process/SignalAction.ts
@@ -0,0 +1,2 @@
+/** What a program does when it receives a signal. */
+export type SignalAction = 'stop' | 'reload' | 'ignore';
--- a/packages/runtime/src/process/runDaemon.ts
+++ b/packages/runtime/src/process/runDaemon.ts
@@ -1,36 +1,41 @@
 import { command, flag, option, optional, run, string } from 'cmd-ts';
-import type { z } from 'zod';
 import type { Clock, RandomSource } from '@limpetbay/core';
 import { RealClock } from '../clock/RealClock.js';
 import { SystemRandom } from '../clock/SystemRandom.js';
+import { createLog } from '../log/createLog.js';
+import { MetricRegistry } from '../metrics/MetricRegistry.js';
+import type { LogSettings } from '../settings/LogSettings.js';
+import type { SettingsFormat } from '../settings/SettingsFormat.js';
+import { SettingsReloader } from '../settings/SettingsReloader.js';
 import { readSettings } from '../settings/readSettings.js';
-import { onStopSignal } from './onStopSignal.js';
-import type { RunningProcess } from './RunningProcess.js';
+import type { SupervisedProcess } from './SupervisedProcess.js';
+import { runProcess } from './runProcess.js';
 
 const VERSION = '0.1.0';
 /** Exit status for missing or invalid settings. */
 const USAGE_EXIT_STATUS = 2;
 
-interface DaemonOptions<Schema extends z.ZodType> {
+interface DaemonOptions<Settings> {
   /** Name of the binary, printed in its usage text and errors. */
   readonly name: string;
   readonly description: string;
-  /** Schema of the settings file. */
-  readonly schema: Schema;
+  readonly format: SettingsFormat<Settings>;
   readonly start: (
-    settings: z.infer<Schema>,
+    settings: Settings,
     clock: Clock,
     random: RandomSource,
-  ) => Promise<RunningProcess>;
+    metrics: MetricRegistry,
+  ) => Promise<SupervisedProcess<Settings>>;
 }
 
-/** Runs the command line of a daemon: reads the settings, starts it and stops it on a signal. */
-export async function runDaemon<Schema extends z.ZodType>(
-  options: DaemonOptions<Schema>,
+/** Runs the command line of a daemon: reads the settings and starts it under a supervisor. */
+export async function runDaemon<Settings extends { readonly log: LogSettings }>(
+  options: DaemonOptions<Settings>,
 ): Promise<void> {
+  const { name, description, format, start } = options;
   const cli = command({
-    name: options.name,
-    description: options.description,
+    name,
+    description,
     version: VERSION,
     args: {
       settings: option({
@@ -42,20 +47,26 @@
     },
     handler: async ({ settings: file, check }) => {
       if (file === undefined) {
-        process.stderr.write(`${options.name}: the option --settings FILE is required\n`);
+        process.stderr.write(`${name}: the option --settings FILE is required\n`);
         process.exit(USAGE_EXIT_STATUS);
       }
-      const settings = readSettings(file, options.schema);
-      if (settings.err) {
-        process.stderr.write(`${settings.val.message}\n`);
+      const loaded = readSettings(file, format);
+      if (loaded.err) {
+        process.stderr.write(`${loaded.val.message}\n`);
         process.exit(USAGE_EXIT_STATUS);
       }
       if (check) {
         process.stdout.write(`${file}: settings are valid\n`);
         return;
       }
-      const daemon = await options.start(settings.val, new RealClock(), new SystemRandom());
-      onStopSignal(() => daemon.stop());
+      const initial = loaded.val;
+      const log = createLog('process', initial.settings.log);
+      const metrics = new MetricRegistry();
+      await runProcess({
+        log,
+        reloader: new SettingsReloader({ file, format, initial, log, metrics }),
+        start: () => start(initial.settings, new RealClock(), new SystemRandom(), metrics),
+      });
     },
   });
   await run(cli, process.argv.slice(2));
--- /dev/null
+++ b/packages/runtime/src/process/runProcess.ts
@@ -0,0 +1,24 @@
+import type { Log } from '../log/Log.js';
+import type { SettingsReloader } from '../settings/SettingsReloader.js';
+import { ProcessSupervisor } from './ProcessSupervisor.js';
+import type { SupervisedProcess } from './SupervisedProcess.js';
+
+interface RunProcessOptions<Settings> {
+  readonly log: Log;
+  /** Null for a program without a settings file. */
+  readonly reloader: SettingsReloader<Settings> | null;
+  readonly start: () => Promise<SupervisedProcess<Settings>>;
+}
+
+/** Starts the program of this process under a `ProcessSupervisor`. */
+export function runProcess<Settings>({
+  start,
+  ...options
+}: RunProcessOptions<Settings>): Promise<void> {
+  const supervisor = new ProcessSupervisor({
+    ...options,
+    events: process,
+    exit: (status) => process.exit(status),
+  });
+  return supervisor.run(start);
+}
--- /dev/null
+++ b/packages/runtime/src/process/signalActions.ts
@@ -0,0 +1,17 @@
+import type { SignalAction } from './SignalAction.js';
+
+/**
+ * What each signal does, for all programs that run until they are stopped. Signals that are not
+ * listed keep the default of Node.js.
+ */
+export const signalActions: Readonly<Partial<Record<NodeJS.Signals, SignalAction>>> = {
+  SIGTERM: 'stop',
+  SIGINT: 'stop',
+  SIGQUIT: 'stop',
+  SIGHUP: 'reload',
+  // By default Node.js opens its debugger on SIGUSR1, and the others end the process.
+  SIGUSR1: 'ignore',
+  SIGUSR2: 'ignore',
+  SIGALRM: 'ignore',
+  SIGPIPE: 'ignore',
+};
--- a/packages/runtime/test/readSettings.test.ts
+++ b/packages/runtime/test/readSettings.test.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path';
 import { expect, it } from 'vitest';
 import { z } from 'zod';
-import { readSettings } from '@limpetbay/runtime';
+import { IniFormat, readSettings } from '@limpetbay/runtime';
 
 const schema = z.strictObject({
   entry: z.strictObject({ port: z.coerce.number().int().min(1).max(65_535) }),
@@ -13,7 +13,7 @@
 it('reports file, section, key and allowed range of an invalid setting', () => {
   const file = join(mkdtempSync(join(tmpdir(), 'limpetbay-')), 'entry.ini');
   writeFileSync(file, '[entry]\nport = 70000\n');
-  const result = readSettings(file, schema);
+  const result = readSettings(file, new IniFormat(schema));
   expect(result.err).toBe(true);
   expect(result.val).toMatchObject({ kind: 'invalid_setting' });
   expect((result.val as { message: string }).message).toContain(`${file}: [entry] port: `);
--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -6,6 +6,8 @@
 for (const name of readdirSync('packages')) {
   alias[`@limpetbay/${name}`] = `./packages/${name}/src/index.ts`;
 }
+alias['@limpetbay/runtime/ignoreEarlySignals'] =
+  './packages/runtime/src/process/ignoreEarlySignals.ts';
 
 /**
  * Resolves `ts-results` to its ES modules with an added default export. Its main module is UMD,
