Log uncaught errors instead of ending the process with all of its requests

One odd input whose exception reached no handler ended an entry or agent, and callers of all other requests saw their connections closed. The supervisor logs such an error with its stack, counts it (limpetbay_uncaught_errors_total) and goes on, as the event loops of the daemons do. During the start it ends the process with status 1 and one line, as a failed start or stop does.

--- a/packages/dev/src/main.ts
+++ b/packages/dev/src/main.ts
@@ -1,6 +1,6 @@
 import '@limpetbay/runtime/ignoreEarlySignals';
 import { command, flag, number, option, run } from 'cmd-ts';
-import { createLog, runProcess } from '@limpetbay/runtime';
+import { MetricRegistry, createLog, runProcess } from '@limpetbay/runtime';
 import { DevFleet } from './fleet/DevFleet.js';
 import { defaultFleetOptions } from './fleet/defaultFleetOptions.js';
 
@@ -28,6 +28,7 @@
     const fleet = new DevFleet({ ...defaultFleetOptions, port, logLevel });
     await runProcess({
       log: createLog('process', { format: 'text', level: logLevel }),
+      metrics: new MetricRegistry(),
       reloader: null,
       start: async () => {
         await fleet.start();
--- a/packages/runtime/src/process/ProcessSupervisor.ts
+++ b/packages/runtime/src/process/ProcessSupervisor.ts
@@ -1,12 +1,14 @@
 import type { EventEmitter } from 'node:events';
 import type { Log } from '../log/Log.js';
+import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { SettingsReloader } from '../settings/SettingsReloader.js';
 import { signalActions } from './signalActions.js';
 import type { SupervisedProcess } from './SupervisedProcess.js';
 
 interface ProcessSupervisorOptions<Settings> {
   readonly log: Log;
-  /** Emits signals; the global `process` outside of tests. */
+  readonly metrics: MetricRegistry;
+  /** Emits signals and uncaught errors; the global `process` outside of tests. */
   readonly events: EventEmitter;
   /** Ends the process with a status. */
   readonly exit: (status: number) => void;
@@ -17,11 +19,13 @@
 const FAILURE_EXIT_STATUS = 1;
 
 /**
- * Decides for a program what each signal does.
+ * Decides for a program what each signal does, and keeps it running after an uncaught error.
  *
  * - A stop signal stops it gracefully, after its start if that is still in progress; the process
  *   then ends with status 0.
  * - SIGHUP reads the settings again. It changes nothing during the start or a stop.
+ * - An error that reached no handler is logged and counted. The requests that it does not concern
+ *   go on; before the program has started, it ends the process with status 1.
  */
 export class ProcessSupervisor<Settings> {
   readonly #options: ProcessSupervisorOptions<Settings>;
@@ -36,12 +40,14 @@
     this.#options = options;
   }
 
-  /** Handles signals from now on, and starts the program. */
+  /** Handles signals and uncaught errors from now on, and starts the program. */
   async run(start: () => Promise<SupervisedProcess<Settings>>): Promise<void> {
     const { events, reloader } = this.#options;
     for (const signal of Object.keys(signalActions)) {
       events.on(signal, () => this.#handleSignal(signal as NodeJS.Signals));
     }
+    events.on('uncaughtException', (error: unknown) => this.#handleError(error, 'exception'));
+    events.on('unhandledRejection', (error: unknown) => this.#handleError(error, 'rejection'));
     let running: SupervisedProcess<Settings>;
     try {
       running = await start();
@@ -89,6 +95,17 @@
     }
     this.#options.exit(0);
   }
+
+  #handleError(error: unknown, kind: 'exception' | 'rejection'): void {
+    const { log, metrics, exit } = this.#options;
+    metrics.increase(`limpetbay_uncaught_errors_total{kind="${kind}"}`);
+    const isStarting = this.#state === 'starting';
+    log.alert(isStarting ? 'uncaught error during the start' : 'uncaught error; continuing', {
+      kind,
+      cause: describeError(error),
+    });
+    if (isStarting) exit(FAILURE_EXIT_STATUS);
+  }
 }
 
 function describeError(error: unknown): string {
--- a/packages/runtime/src/process/runDaemon.ts
+++ b/packages/runtime/src/process/runDaemon.ts
@@ -64,6 +64,7 @@
       const metrics = new MetricRegistry();
       await runProcess({
         log,
+        metrics,
         reloader: new SettingsReloader({ file, format, initial, log, metrics }),
         start: () => start(initial.settings, new RealClock(), new SystemRandom(), metrics),
       });
--- a/packages/runtime/src/process/runProcess.ts
+++ b/packages/runtime/src/process/runProcess.ts
@@ -1,10 +1,12 @@
 import type { Log } from '../log/Log.js';
+import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { SettingsReloader } from '../settings/SettingsReloader.js';
 import { ProcessSupervisor } from './ProcessSupervisor.js';
 import type { SupervisedProcess } from './SupervisedProcess.js';
 
 interface RunProcessOptions<Settings> {
   readonly log: Log;
+  readonly metrics: MetricRegistry;
   /** Null for a program without a settings file. */
   readonly reloader: SettingsReloader<Settings> | null;
   readonly start: () => Promise<SupervisedProcess<Settings>>;
