Keep periodic tasks running after an error in one of them

With uncaught errors logged, a process goes on, but the task that threw did not: an entry no longer expired, registered or subscribed, and an agent no longer read its rank or the list of targets. Entries schedule the next interval before they do the work of one, and the loop of an agent logs an error and continues.

--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -266,13 +266,15 @@
 
   /** Load reports arrive ten times a second; in between, waits expire and slots become free. */
   #advanceQueue(): void {
-    if (this.#requestContext.queue.count() > 0) this.#requestContext.queue.advance();
+    // Scheduled first, so that an error in one interval does not end those after it.
     this.#cancelQueueTick = this.#options.timers.schedule(QUEUE_INTERVAL_MS, () =>
       this.#advanceQueue(),
     );
+    if (this.#requestContext.queue.count() > 0) this.#requestContext.queue.advance();
   }
 
   #tick(): void {
+    this.#cancelTick = this.#options.timers.schedule(TICK_INTERVAL_MS, () => this.#tick());
     this.#registry.expire();
     this.#view.expire();
     this.#prompts.expire();
@@ -287,7 +289,6 @@
       pool.closeIdle(MAX_POOL_IDLE_MS);
       if (pool.count() === 0) this.#pools.delete(address);
     }
-    this.#cancelTick = this.#options.timers.schedule(TICK_INTERVAL_MS, () => this.#tick());
   }
 
   /** Lists the addresses of the other entries for datagrams. */
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -203,7 +203,12 @@
 
   async #run(): Promise<void> {
     while (!this.#isStopped) {
-      await this.#tick();
+      try {
+        await this.#tick();
+      } catch (error) {
+        const cause = error instanceof Error ? (error.stack ?? error.message) : String(error);
+        this.#log.alert('could not finish a round; continuing with the next', { cause });
+      }
       await new Promise<void>((resolve) => {
         const timer = setTimeout(resolve, this.#chooseTickMs());
         this.#endSleep = () => {
--- a/packages/rankagent/test/RankAgent.test.ts
+++ b/packages/rankagent/test/RankAgent.test.ts
@@ -206,6 +206,31 @@
     expect(fixture.group.stalledTicks).toBeLessThan(3);
   });
 
+  // Guards against an agent that runs on but does nothing after one error in its loop.
+  it('continues with the next round after an error in one', async () => {
+    const fixture = new RankFixture();
+    let calls = 0;
+    await startAgents(fixture, [1, 2, 3]);
+    await startAgent(fixture, 0, {
+      openRank: (address) => {
+        const rank = fixture.openRank(
+          [0, 1, 2, 3].map(getHost).indexOf(address.split(':')[0]!),
+          address,
+        );
+        return {
+          ...rank,
+          readStatus: () => {
+            calls += 1;
+            if (calls <= 3) throw new Error('odd status');
+            return rank.readStatus();
+          },
+        };
+      },
+    });
+    expect(await waitUntil(() => fixture.countHolders(0, 5) >= 3)).toBe(true);
+    expect(calls).toBeGreaterThan(3);
+  });
+
   it('continues planning after the planning agent stopped', async () => {
     const fixture = new RankFixture();
     await startAgents(fixture, [0, 1, 2, 3]);
