Keep running when the reader of the log goes away

A process whose standard output was a closed pipe ended with its next log line, with all open requests.

The test failed before and passes.

--- a/packages/runtime/src/process/runProcess.ts
+++ b/packages/runtime/src/process/runProcess.ts
@@ -17,6 +17,10 @@
   start,
   ...options
 }: RunProcessOptions<Settings>): Promise<void> {
+  // A stream whose reader has gone fails with each line; the process does not depend on its log.
+  for (const stream of [process.stdout, process.stderr]) {
+    stream.on('error', () => options.metrics.increase('limpetbay_log_write_errors_total'));
+  }
   const supervisor = new ProcessSupervisor({
     ...options,
     events: process,
--- a/packages/runtime/test/runProcess.test.ts
+++ b/packages/runtime/test/runProcess.test.ts
@@ -1,4 +1,4 @@
-import { spawn, type ChildProcess } from 'node:child_process';
+import { spawn, type ChildProcess, type StdioOptions } from 'node:child_process';
 import { afterEach, describe, expect, it } from 'vitest';
 import { waitUntil } from '@limpetbay/runtime';
 
@@ -18,18 +18,20 @@
     const script = `
       import { MetricRegistry, createLog, runProcess } from '${RUNTIME}';
       const log = createLog('process', { format: 'json', level: 'info', stream: process.stdout });
+      const metrics = new MetricRegistry();
       const keepAlive = setInterval(() => {}, 1000);
       const running = {
         stop: async () => log.report('stopped by the test'),
         applySettings: () => {},
       };
       await runProcess({
-        log, metrics: new MetricRegistry(), reloader: null,
+        log, metrics, reloader: null,
         start: async () => { ${startBody}; return running; },
       });
       log.report('serving');`;
     output = '';
-    child = spawn(process.execPath, ['--input-type=module', '-e', script]);
+    const stdio: StdioOptions = ['ignore', 'pipe', 'pipe', 'ipc'];
+    child = spawn(process.execPath, ['--input-type=module', '-e', script], { stdio });
     const addOutput = (data: Buffer): void => {
       output += data.toString('utf8');
     };
@@ -87,6 +89,28 @@
     expect(output).toContain('stopped by the test');
   });
 
+  // Guards against a reader of the log that goes away and takes the process with it.
+  it('continues after the reader of its log has gone', async () => {
+    launch(`
+      setInterval(() => log.report('routine'), 10);
+      running.stop = async () => { process.send(metrics.listCounters()); };`);
+    let counters: [string, number][] = [];
+    child.on('message', (message) => {
+      counters = message as [string, number][];
+    });
+    await waitForOutput('routine');
+    child.stdout!.destroy();
+    child.stderr!.destroy();
+    await new Promise((resolve) => {
+      setTimeout(resolve, 300);
+    });
+    expect(child.exitCode).toBeNull();
+    expect(child.signalCode).toBeNull();
+    child.kill('SIGTERM');
+    expect(await waitForEnd()).toBe(0);
+    expect(counters.map(([name]) => name)).toEqual(['limpetbay_log_write_errors_total']);
+  });
+
   // Guards against a stop that fails and leaves the process running, or reports success.
   it('ends with status 1 if its stop fails', async () => {
     launch(`running.stop = () => Promise.reject(new Error('lease not ended'))`);
