Estimate the service time of a new class by step time, not per token of short requests

Seen: callers of a busy fleet got 504 deadline_exceeded, "30000 ms are left, but the request takes about 52626 ms", for answers that take 1 to 10 s. In packages/dev/test/failures.test.ts this is the answer without words of "is not mixed up with concurrent answers" and one of the incomplete answers of "finishes its requests, gets no new ones after 3 s and returns to service". No answer was mixed up: the words of a refused answer are an empty list.

Cause: a class without finished requests was estimated in proportion to its cost. Requests for one token spend nearly all their time before the first token, so the time per token of a few of them, multiplied by 12 or 200 tokens, exceeded the deadline of 30 s. The refusal is final, and only a finished request of the class would have corrected the estimate.

Change: such a class gets the mean time of all classes, plus the step time (reported by the engine or measured) for each unit of cost above their mean cost. Without step times it gets the mean, a low estimate. A class with samples is estimated as before.

--- a/packages/core/src/admission/TargetAdmission.ts
+++ b/packages/core/src/admission/TargetAdmission.ts
@@ -212,6 +212,7 @@
       this.#restartRamp(nowMs, 'cache emptied');
     }
     this.#rampWindow.recordWaiting(status.waiting);
+    if (status.stepTimeMs > 0) this.#estimator.recordStepTime(status.stepTimeMs);
     if (status.stepTimeMs > 0 && this.#running.size > 0) {
       const ratio = this.#serviceTimes.record(STEP_TIME_CLASS, status.stepTimeMs);
       this.#rampWindow.recordServiceTime(ratio, true);
@@ -306,6 +307,7 @@
       this.#smoothServiceTime(sample.serviceTimeMs);
       this.#estimator.record(entry.timeClass, entry.cost, sample.serviceTimeMs);
       const isStep = sample.stepTimeMs > 0;
+      if (isStep) this.#estimator.recordStepTime(sample.stepTimeMs);
       const name = isStep ? STEP_TIME_CLASS : entry.timeClass;
       const ratio = this.#serviceTimes.record(
         name,
--- a/packages/core/src/overload/ServiceTimeEstimator.ts
+++ b/packages/core/src/overload/ServiceTimeEstimator.ts
@@ -22,16 +22,30 @@
   };
 }
 
-/** Estimates service times from finished requests of the same class, or else by cost. */
+/**
+ * Estimates service times from finished requests of the same class. For a class without samples it
+ * adds the step time of the additional cost to the mean of all classes: the time before the first
+ * token does not grow with the cost.
+ */
 export class ServiceTimeEstimator {
   readonly #classes = new Map<string, Estimate>();
 
   #overall: Estimate | null = null;
 
+  /** Moving average of the time of a step, milliseconds; 0 before the first sample. */
+  #stepTimeMs = 0;
+
   /** Removes all estimates, which are invalid after a restart of the target. */
   clear(): void {
     this.#classes.clear();
     this.#overall = null;
+    this.#stepTimeMs = 0;
+  }
+
+  /** Records a measured or reported step time, milliseconds. */
+  recordStepTime(stepTimeMs: number): void {
+    const weight = this.#stepTimeMs === 0 ? 1 : SAMPLE_WEIGHT;
+    this.#stepTimeMs += weight * (stepTimeMs - this.#stepTimeMs);
   }
 
   /** Records a finished request. @param name class of the request */
@@ -46,9 +60,12 @@
     );
   }
 
-  /** @returns expected service time in milliseconds, 0 before the first sample */
+  /**
+   * @returns expected service time in milliseconds, 0 before the first sample. For a class without
+   * samples it is a low estimate, because a refusal would prevent the sample that corrects it.
+   */
   estimate(name: string, cost: number): number {
-    return this.#classes.get(name)?.timeMs ?? cost * this.getTimePerCost();
+    return this.#classes.get(name)?.timeMs ?? this.#estimateByCost(cost);
   }
 
   /** @returns service time in milliseconds that few requests of the class exceed */
@@ -58,6 +75,13 @@
     return existing.timeMs + HIGH_DEVIATION_FACTOR * existing.deviationMs;
   }
 
+  #estimateByCost(cost: number): number {
+    const timePerCostMs = this.getTimePerCost();
+    if (this.#overall === null || cost <= this.#overall.cost) return cost * timePerCostMs;
+    const stepTimeMs = Math.min(this.#stepTimeMs, timePerCostMs);
+    return this.#overall.timeMs + (cost - this.#overall.cost) * stepTimeMs;
+  }
+
   /** Returns the milliseconds that one slot needs per unit of cost. */
   getTimePerCost(): number {
     return this.#overall === null ? 0 : this.#overall.timeMs / Math.max(this.#overall.cost, 1e-9);
--- a/packages/core/test/admission.test.ts
+++ b/packages/core/test/admission.test.ts
@@ -221,6 +221,33 @@
     expect(fixture.submit()).toBe('deadline_exceeded');
   });
 
+  /** Ramps the target up, then finishes requests for one token whose first token takes 400 ms. */
+  function loadShortRequests(stepTimeMs: number): void {
+    fixture.load(9000, { serviceTimeMs: 400, stepTimeMs, error: false });
+    for (let index = 0; index < 30; index += 1) {
+      const item = fixture.buildItem({ promptTokens: 10, maxTokens: 1 });
+      expect(fixture.submit(item)).toBe('start');
+      admission.finish(item, { serviceTimeMs: 400, stepTimeMs: 0, error: false });
+    }
+  }
+
+  // Guards against refusing a long request that would finish in time because short requests, which
+  // spend most of their time before the first token, took long per token.
+  it('estimates a long request of a new class by the step time, not by short requests', () => {
+    loadShortRequests(20);
+    expect(fixture.submit()).toBe('start');
+    expect(fixture.submit(fixture.buildItem({ maxTokens: 1500 }))).toBe('deadline_exceeded');
+    expect(fixture.submit(fixture.buildItem({ maxTokens: 1400 }))).toBe('start');
+  });
+
+  // Guards against a target without step times that refuses every long request, although only a
+  // finished one would correct its estimate.
+  it('starts a long request of a new class when no step time is known', () => {
+    loadShortRequests(0);
+    expect(fixture.submit()).toBe('start');
+    expect(fixture.submit(fixture.buildItem({ maxTokens: 1400 }))).toBe('start');
+  });
+
   // Guards against leaking the slot of a cancelled request, and against starting a cancelled one.
   it('frees the slot of a cancelled request and never starts a cancelled one', () => {
     const running = fixture.buildItem();
