Resume a broken stream when a target serves again, instead of breaking its answer off

Cause: the process was delayed by more than 1 s several times. Its agents had no confirmation of the configuration for 3 s, so they refused new work as isolated, as they must. The attempt of the stream got no frame in time, and the targets that were asked to resume it refused. The entry then failed the request at once, because no target was left, although the agents served again 0.3 to 0.7 s later. The caller of a started stream has nothing to repeat: a part of its answer is lost.

Change: while no target accepts new work, a started stream waits, looks for a target every 100 ms and ends at its deadline. A request whose answer has not begun is still refused at once.

--- a/packages/entry/src/loop/Entry.ts
+++ b/packages/entry/src/loop/Entry.ts
@@ -33,6 +33,9 @@
 /** Time that an agent has after the deadline to report it before the entry fails the request. */
 const DEADLINE_REPORT_GRACE_MS = 250;
 
+/** Interval at which a stream that waits to be resumed looks for a target. */
+const RESUME_INTERVAL_MS = 100;
+
 /** Routes callers' requests to agents and forwards the answers; retries failed attempts. */
 export class Entry implements CallerHandler {
   readonly #options: EntryOptions;
@@ -228,10 +231,16 @@
       ...cost,
     };
     let picked = router.pick({ ...query, tried });
-    if (picked.err && picked.val.kind === 'no_target' && run.canRetryFailedTargets) {
-      // Every target has failed once, and their stalled connections have been replaced since.
+    const isResumed = run.answer.isStarted();
+    if (picked.err && picked.val.kind === 'no_target' && (run.canRetryFailedTargets || isResumed)) {
+      // Every target has failed once, and their stalled connections have been replaced since. A
+      // target that refused a stream may serve again by now.
       picked = router.pick({ ...query, tried: new Set() });
     }
+    if (picked.err && picked.val.kind === 'no_target' && isResumed) {
+      this.#waitForTarget(run);
+      return;
+    }
     if (picked.err) {
       // The failure of the last attempt says more than that no target is left.
       const failure = this.#chooseNoTargetFailure(run, picked.val);
@@ -261,6 +270,16 @@
     run.setCancel(cancel);
   }
 
+  /**
+   * Resumes a stream later, until its deadline. Its caller has a part of the answer, so a failure
+   * now would lose it; a request without an answer is refused at once, because its caller can use
+   * another entry.
+   */
+  #waitForTarget(run: RequestRun): void {
+    this.#options.metrics.increase('limpetbay_entry_resume_waits');
+    setTimeout(() => this.#loop.push({ type: 'retry', run }), RESUME_INTERVAL_MS);
+  }
+
   #chooseNoTargetFailure(run: RequestRun, failure: Failure): Failure {
     if (failure.kind === 'no_target') return run.lastFailure ?? failure;
     if (failure.kind !== 'unknown_service') return failure;
