Let entries bind a free caller port themselves

Cause: findFreePort opened a port, closed it and handed its number to the entry. Until the entry listened on it, the system could give the port to any other socket of the machine.

Change: port 0 in caller_url stands for the port that the entry listens on, as caller_port 0 already does for the listener. The entry announces the URL and lists it after it has bound.

--- a/packages/dev/src/fleet/DevFleet.ts
+++ b/packages/dev/src/fleet/DevFleet.ts
@@ -11,7 +11,6 @@
 import { EngineGroup, InstanceListServer, PlainService, StoreServer } from '@limpetbay/standins';
 import { createDocuments } from './createDocuments.js';
 import type { DevFleetOptions } from './DevFleetOptions.js';
-import { findFreePort } from './findFreePort.js';
 
 const HOST = '127.0.0.1';
 const READY_TIMEOUT_MS = 20_000;
@@ -156,15 +155,14 @@
    * @param port caller port; 0 chooses a free port
    */
   async startEntry(id: string, zone: string, port = 0): Promise<void> {
-    const callerPort = port === 0 ? await findFreePort(HOST) : port;
     const settings = EntrySettings.parse({
       entry: {
         id,
         zone,
         address: `${HOST}:0`,
         caller_host: HOST,
-        caller_port: callerPort,
-        caller_url: `http://${HOST}:${callerPort}`,
+        caller_port: port,
+        caller_url: `http://${HOST}:${port}`,
       },
       platform: this.#buildPlatformSettings(),
       log: { level: this.#options.logLevel },
--- a/packages/dev/src/index.ts
+++ b/packages/dev/src/index.ts
@@ -2,4 +2,3 @@
 export type { DevFleetOptions } from './fleet/DevFleetOptions.js';
 export { createDocuments } from './fleet/createDocuments.js';
 export { defaultFleetOptions } from './fleet/defaultFleetOptions.js';
-export { findFreePort } from './fleet/findFreePort.js';
--- a/packages/dev/test/processes.test.ts
+++ b/packages/dev/test/processes.test.ts
@@ -3,7 +3,7 @@
 import { RealClock } from '@limpetbay/runtime';
 import { EtcdStore } from '@limpetbay/platform';
 import { encodeStoredDocument, getServiceKey } from '@limpetbay/core';
-import { createDocuments, defaultFleetOptions, findFreePort } from '@limpetbay/dev';
+import { createDocuments, defaultFleetOptions } from '@limpetbay/dev';
 import { ProcessFleet } from './support/ProcessFleet.js';
 import { listExpectedWords, sendBooking, streamChat } from './support/callers.js';
 
@@ -21,7 +21,7 @@
   store.close();
   await Promise.all([0, 1, 2, 3].map((index) => fleet.startAgent(index)));
   for (const zone of ['a', 'b']) {
-    urls.push(await fleet.startEntry(`entry-${zone}`, zone, await findFreePort('127.0.0.1')));
+    urls.push(await fleet.startEntry(`entry-${zone}`, zone));
   }
   for (let attempt = 0; attempt < 100; attempt += 1) {
     const first = await streamChat(urls[0]!, 'ready', 1);
--- a/packages/dev/test/support/ProcessFleet.ts
+++ b/packages/dev/test/support/ProcessFleet.ts
@@ -41,10 +41,14 @@
    * Starts a daemon and waits until it listens.
    *
    * @param section settings of the section that is named after `kind`
-   * @returns the address in its `started` log line
+   * @returns the fields of its `started` log line
    * @throws Error if the daemon does not start within 10 s
    */
-  async startDaemon(kind: 'entry' | 'agent', id: string, section: object): Promise<string> {
+  async startDaemon(
+    kind: 'entry' | 'agent',
+    id: string,
+    section: object,
+  ): Promise<ReadonlyMap<string, string>> {
     const file = join(this.#folder, `${id}.ini`);
     const lines = [`[${kind}]`, `id = ${id}`];
     for (const [key, value] of Object.entries(section)) lines.push(`${key} = ${value}`);
@@ -58,10 +62,11 @@
     child.stderr.on('data', (data: Buffer) => {
       this.#stderr.set(id, this.#stderr.get(id)! + data.toString('utf8'));
     });
-    const startedLine = /: started address=(\S+)/;
+    const startedLine = /: started (address=.*)\n/;
     const hasStarted = await waitUntil(() => startedLine.test(this.#stderr.get(id)!), 10_000);
     if (!hasStarted) throw new Error(`${id} did not start: ${this.#stderr.get(id)}`);
-    return startedLine.exec(this.#stderr.get(id)!)![1]!;
+    const fields = startedLine.exec(this.#stderr.get(id)!)![1]!.split(' ');
+    return new Map(fields.map((field) => field.split('=') as [string, string]));
   }
 
   /**
@@ -74,7 +79,7 @@
     const target = isModel ? `canerota-${index}` : 'bookings-0';
     const id = `agent-${target}`;
     const zone = index % 2 === 0 ? 'a' : 'b';
-    const address = await this.startDaemon('agent', id, {
+    const started = await this.startDaemon('agent', id, {
       zone,
       address: `${HOST}:0`,
       service: isModel ? 'canerota' : 'bookings',
@@ -82,19 +87,20 @@
       target,
       target_origin: isModel ? this.engines.ranks[index]!.origin : this.service.origin,
     });
+    const address = started.get('address');
     this.#addInstance({ id, role: 'agent', zone, address, target, state: 'live' });
   }
 
-  /** Starts an entry and returns its URL for callers. */
-  async startEntry(id: string, zone: string, port: number): Promise<string> {
-    const url = `http://${HOST}:${port}`;
-    const address = await this.startDaemon('entry', id, {
+  /** Starts an entry on a free port and returns its URL for callers. */
+  async startEntry(id: string, zone: string): Promise<string> {
+    const started = await this.startDaemon('entry', id, {
       zone,
       address: `${HOST}:0`,
       caller_host: HOST,
-      caller_port: port,
-      caller_url: url,
+      caller_port: 0,
+      caller_url: `http://${HOST}:0`,
     });
+    const [address, url] = [started.get('address'), started.get('callers')!];
     this.#addInstance({ id, role: 'entry', zone, address, callerUrl: url, state: 'live' });
     return url;
   }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -11,5 +11,7 @@
 export { computeCost } from './request/computeCost.js';
 export { hashPrefixes } from './request/hashPrefixes.js';
 export { EntrySettings } from './settings/EntrySettings.js';
+export { liveEntrySettings } from './settings/liveEntrySettings.js';
+export { resolveCallerUrl } from './settings/resolveCallerUrl.js';
 export { describeEntries } from './view/describeEntries.js';
 export { listRouteTargets } from './view/listRouteTargets.js';
--- a/packages/entry/src/loop/Entry.ts
+++ b/packages/entry/src/loop/Entry.ts
@@ -60,8 +60,11 @@
 
   #addressTtlMs: number;
 
+  #callerUrl: string;
+
   constructor(options: EntryOptions) {
     this.#options = options;
+    this.#callerUrl = options.callerUrl;
     this.#addressTtlMs = options.timing.addressTtlMs;
     this.#capacity = new CapacityEstimator(options.clock);
     this.#progress = new ProgressMonitor(options.clock, options.timing.tickMs);
@@ -85,6 +88,11 @@
     return () => this.#loop.push({ type: 'caller_gone', handle });
   }
 
+  /** Sets the base URL of this entry in the answer of `GET /v1/entries`. */
+  setCallerUrl(callerUrl: string): void {
+    this.#callerUrl = callerUrl;
+  }
+
   /** Changes how long callers may cache the answer of `GET /v1/entries`, milliseconds. */
   setAddressTtl(addressTtlMs: number): void {
     this.#addressTtlMs = addressTtlMs;
@@ -490,8 +498,8 @@
   }
 
   #describeSelf(): InstanceRecord {
-    const { callerUrl, id, zone } = this.#options;
+    const { id, zone } = this.#options;
     const state = this.#isLeaving ? 'leaving' : 'live';
-    return { id, role: 'entry', zone, address: '', callerUrl, state };
+    return { id, role: 'entry', zone, address: '', callerUrl: this.#callerUrl, state };
   }
 }
--- a/packages/entry/src/process/startEntry.ts
+++ b/packages/entry/src/process/startEntry.ts
@@ -13,6 +13,7 @@
 import { ConnectionPool } from '../connections/ConnectionPool.js';
 import { Entry } from '../loop/Entry.js';
 import type { EntrySettings } from '../settings/EntrySettings.js';
+import { resolveCallerUrl } from '../settings/resolveCallerUrl.js';
 import type { RunningEntry } from './RunningEntry.js';
 
 /** Time added to the callers' cache time of an address, for clock drift and slow callers. */
@@ -76,6 +77,9 @@
     maxBodyBytes: entrySettings.max_body_bytes,
     writeTimeoutMs: timing.write_timeout_ms,
   });
+  const callerUrl = resolveCallerUrl(entrySettings.caller_url, callers.url);
+  entry.setCallerUrl(callerUrl);
+  config.setCallerUrl(callerUrl);
   config.start();
   log.report('started', {
     address: server.address,
--- a/packages/entry/src/settings/EntrySettings.ts
+++ b/packages/entry/src/settings/EntrySettings.ts
@@ -11,8 +11,9 @@
     address: AddressSetting,
     /** IP to listen on for callers. */
     caller_host: z.string().default('0.0.0.0'),
+    /** 0 uses a free port. */
     caller_port: z.coerce.number().int().min(0).max(65_535),
-    /** Base URL of this entry in the answer of `GET /v1/entries`. */
+    /** Base URL of this entry in the answer of `GET /v1/entries`; see `resolveCallerUrl`. */
     caller_url: UrlSetting,
     max_body_bytes: z.coerce.number().int().min(1024).max(67_108_864).default(8_388_608),
   }),
--- a/packages/rpc/src/relay/ConfigService.ts
+++ b/packages/rpc/src/relay/ConfigService.ts
@@ -131,13 +131,14 @@
     this.#node.follower.recordContact(zone);
   }
 
+  /** Sets the base URL for callers in the announced record. */
+  setCallerUrl(callerUrl: string): void {
+    this.#announce({ callerUrl });
+  }
+
   /** Announces to relays and followers that this process is leaving. */
   setLeaving(): void {
-    this.#self = {
-      record: { ...this.#self.record, state: 'leaving' },
-      sequence: this.#self.sequence + 1,
-    };
-    this.#node.follower.setSelf(this.#self);
+    this.#announce({ state: 'leaving' });
   }
 
   /** Returns the report that the operator commands `accept` and `status` fetch. */
@@ -180,6 +181,12 @@
     else this.#options.log.warn('the configuration is not confirmed', fields);
   }
 
+  #announce(change: Partial<InstanceRecord>): void {
+    const record = { ...this.#self.record, ...change };
+    this.#self = { record, sequence: this.#self.sequence + 1 };
+    this.#node.follower.setSelf(this.#self);
+  }
+
   #handleChange(document: VersionedDocument): void {
     const { name, revision } = document;
     this.#activeSince.set(name, this.#options.clock.getNow());
