Test: accept documents against the in-memory store, without a timeout of 200 ms

Seen: "recognizes an unanswered write by its operation id" and "accepts one of two concurrent documents" failed beside a high load, because a store call took longer than 200 ms.

Cause: the tests ran a gRPC client and a store server in one event loop, with a call timeout of 200 ms so that dropped answers cost little time. On a busy machine calls that were answered ran into it too. The property under test, how accept settles an unanswered write, has no time of its own.

Change: the tests use MemoryStore with a manual clock, which drops the same answers at once. They now also check that exactly three writes are sent and that the waits between them are 500 and 1000 ms.

--- a/packages/operators/test/acceptDocument.test.ts
+++ b/packages/operators/test/acceptDocument.test.ts
@@ -1,6 +1,8 @@
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { beforeEach, describe, expect, it } from 'vitest';
 import {
+  ManualClock,
   Ok,
+  SeededRandom,
   ServiceDocument,
   fail,
   type CommitResult,
@@ -9,9 +11,7 @@
   type Store,
 } from '@limpetbay/core';
 import { acceptDocument } from '@limpetbay/operators';
-import { EtcdStore } from '@limpetbay/platform';
-import { RealClock } from '@limpetbay/runtime';
-import { StoreServer } from '@limpetbay/standins';
+import { MemoryStore } from '@limpetbay/standins';
 
 function createDocument(queue: number): ServiceDocument {
   return ServiceDocument.parse({
@@ -25,19 +25,16 @@
 }
 
 describe('acceptDocument', () => {
-  const clock = new RealClock();
-  let server: StoreServer;
-  let store: EtcdStore;
-  const sleep = async (): Promise<void> => {};
+  let store: MemoryStore;
+  let delaysMs: number[];
+  const sleep = async (delayMs: number): Promise<void> => {
+    delaysMs.push(delayMs);
+  };
+  const getRevision = async () => (await store.read('')).unwrap().revision;
 
-  beforeEach(async () => {
-    server = new StoreServer({ clock });
-    store = new EtcdStore({ address: await server.start(), clock, timeoutMs: 200 });
-  });
-
-  afterEach(async () => {
-    store.close();
-    await server.stop();
+  beforeEach(() => {
+    delaysMs = [];
+    store = new MemoryStore(new ManualClock(), new SeededRandom(1));
   });
 
   const accept = (
@@ -62,6 +59,7 @@
     const results = await Promise.all([accept(2, 'left'), accept(3, 'right')]);
     const [loser, ...others] = results.filter((result) => result.err);
     expect(others).toEqual([]);
+    expect(store.getCounts().writes).toBe(3);
     const { kind, message } = loser?.val as Failure;
     expect(kind).toBe('conflict');
     const winnerQueue = results[0]?.ok ? 2 : 3;
@@ -71,10 +69,12 @@
 
   // Guards against an unanswered write that is reported as a failure or written twice.
   it('recognizes an unanswered write by its operation id', async () => {
-    server.dropAnswers(2);
+    store.dropAnswers(2);
     const result = (await accept(1, 'mine')).unwrap();
     expect(result.revision).toBe(2);
-    expect(server.state.getRevision()).toBe(2);
+    expect(await getRevision()).toBe(2);
+    expect(store.getCounts().writes).toBe(3);
+    expect(delaysMs).toEqual([500, 1000]);
   });
 
   // Guards against reporting "not accepted" for a document that was accepted and then replaced.
@@ -101,9 +101,9 @@
 
   // Guards against reporting that nothing was written while an earlier attempt may still be written.
   it('returns store_unavailable only when certainly nothing was written', async () => {
-    server.setOutage(true);
+    store.setFaults({ outage: 'down' });
     expect((await accept(1, 'mine')).val).toMatchObject({ kind: 'store_unavailable' });
-    server.setOutage(false);
+    store.setFaults({ outage: 'none' });
     const answers: Result<CommitResult, Failure>[] = [fail('outcome_unknown', 'lost')];
     const failingStore: Store = Object.create(store, {
       read: { value: async () => Ok({ record: null, revision: 1 }) },
@@ -122,7 +122,7 @@
     });
     expect((await accept(2, 'next')).unwrap().revision).toBe(32);
     expect((await accept(3, 'based', store, 32)).unwrap().revision).toBe(33);
-    expect(server.state.getRevision()).toBe(5);
+    expect(await getRevision()).toBe(5);
   });
 
   // Guards against an edit of an outdated copy that silently reverts the change of another operator.
