Gateway: answer every request before the end of the grace period

Callers saw connections that closed without an answer when an entry stopped: a request that was sent before the stop, whose route allows it more time than is left; a stream that had waited for a target and was started in the last seconds; and a stream that was continued at another target and then cut. Targets were given more time than the process had left.

Only the arrival of a request was compared with the end of the grace period, and only for requests that arrived during the stop. The deadline of the stop now limits each request in progress, each attempt (so also the time that its target is given) and each wait: what waits and cannot finish is refused when the stop begins with 503, a stream is not started or continued without time to end, and what was sent and has no answer ends with 502 or 504, 600 ms before the process is killed.

Before, in plannedStop.test.ts with an entry process and SIGTERM: /once/, /stream/ and /single/ ended with 'socket hang up', a repeat told its target 7,092 ms of 2,102 ms left, the broken stream was continued, and a queued stream was started; now all pass. Sound before as well and kept as tests: late requests on kept connections, and 80 kept connections whose requests arrive around the moment at which they are closed.

--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -21,6 +21,7 @@
 import { SharedRates } from '../rates/SharedRates.js';
 import type { RequestContext } from '../request/RequestContext.js';
 import { RequestRun } from '../request/RequestRun.js';
+import { StopDeadline } from '../request/StopDeadline.js';
 import type { EntryCoreOptions } from './EntryCoreOptions.js';
 
 /** Interval of periodic tasks: expiry, subscriptions, registration and idle connections. */
@@ -72,9 +73,6 @@
 
   #isStopping = false;
 
-  /** When the last request must be answered, monotonic milliseconds; null until `beginStop`. */
-  #drainDeadlineMs: number | null = null;
-
   #lastSubscribeMs = -Infinity;
 
   constructor(options: EntryCoreOptions) {
@@ -159,10 +157,10 @@
         network: options.network,
         log: promptsLog,
       }),
+      stopDeadline: new StopDeadline(),
       log: createLog('request'),
       countEntries: () => this.#entries.countSharingEntries(),
       getTable: () => this.#view.getTable(),
-      getDrainDeadlineMs: () => this.#drainDeadlineMs,
       getBudget: (service) => this.#getBudget(service),
       getPool: (address) => this.#getPool(address),
     };
@@ -234,13 +232,15 @@
   }
 
   /**
-   * Withdraws the registration; requests are still served.
+   * Withdraws the registration. Requests that can finish in time are still served; the others are
+   * refused, including those that wait for a target.
    *
-   * @param drainDeadlineMs when the last request must be answered, monotonic milliseconds
+   * @param deadlineMs when the last request must be answered, monotonic milliseconds
    */
-  beginStop(drainDeadlineMs: number): void {
+  beginStop(deadlineMs: number): void {
     this.#isStopping = true;
-    this.#drainDeadlineMs = drainDeadlineMs;
+    this.#requestContext.stopDeadline.set(deadlineMs);
+    this.#requestContext.queue.advance();
     void this.#lease.stop();
   }
 
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -18,7 +18,10 @@
 /** The server closes at the latest this long before the platform kills the process. */
 const CLOSE_MARGIN_MS = 2000;
 
-/** Open requests are awaited until this long before the platform kills the process. */
+/** Every request is answered at the latest this long before the platform kills the process. */
+const ANSWER_MARGIN_MS = 600;
+
+/** Answers may be written until this long before the platform kills the process. */
 const DRAIN_MARGIN_MS = 400;
 
 /** An entry that sends the requests of its callers directly to targets. */
@@ -94,15 +97,15 @@
     this.#server.drain();
     this.#log.report('stopping', { requests: this.#server.countRequests() });
     const forcedEndMs = startMs + this.#options.limits.graceMs;
-    const drainDeadlineMs = forcedEndMs - DRAIN_MARGIN_MS;
-    this.#core.beginStop(drainDeadlineMs);
+    const answerDeadlineMs = forcedEndMs - ANSWER_MARGIN_MS;
+    this.#core.beginStop(answerDeadlineMs);
     const addressExpiryMs = startMs + this.#options.limits.addressTtlMs;
     await this.#waitUntil(forcedEndMs - CLOSE_MARGIN_MS, (nowMs) => {
       const hasNoNewRequests = nowMs - this.#lastRequestMs > NO_REQUESTS_MS;
       return this.#server.countRequests() === 0 && hasNoNewRequests && nowMs > addressExpiryMs;
     });
     this.#server.close();
-    await this.#waitUntil(drainDeadlineMs, () => this.#server.countRequests() === 0);
+    await this.#waitUntil(forcedEndMs - DRAIN_MARGIN_MS, () => this.#server.countRequests() === 0);
     this.#core.close();
     this.#socket.close();
     this.#log.report('stopped', { requests: this.#server.countRequests() });
--- a/packages/gateway/src/request/RequestContext.ts
+++ b/packages/gateway/src/request/RequestContext.ts
@@ -15,6 +15,7 @@
 import type { WireCodec } from '../ports/WireCodec.js';
 import type { SharedPromptBreaker } from '../prompts/SharedPromptBreaker.js';
 import type { TargetEndCheck } from '../prompts/TargetEndCheck.js';
+import type { StopDeadline } from './StopDeadline.js';
 
 /** Components and state of an entry that its requests share. */
 export interface RequestContext {
@@ -28,12 +29,11 @@
   readonly limits: SharedTargetLimits;
   readonly prompts: SharedPromptBreaker;
   readonly endCheck: TargetEndCheck;
+  readonly stopDeadline: StopDeadline;
   readonly metrics: MetricRegistry;
   readonly log: Log;
   /** Returns the active routes; null before the first configuration. */
   readonly getTable: () => RouteTable | null;
-  /** When all requests must be answered, monotonic milliseconds; null unless the entry stops. */
-  readonly getDrainDeadlineMs: () => number | null;
   /** Returns the number of entries that send to the same targets. */
   readonly countEntries: () => number;
   /** Returns the retry budget of a service. */
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -80,6 +80,8 @@
 
   #cancelDeadline: (() => void) | null = null;
 
+  #unsubscribeStop: (() => void) | null = null;
+
   /** When the request arrived or the caller was last sent events. */
   #progressMs: number;
 
@@ -115,14 +117,25 @@
   start(): void {
     this.#admission = this.#admit();
     if (this.#admission === null) return;
-    const { service, deadlineMs } = this.#admission;
+    const { service } = this.#admission;
     this.#context.getBudget(service.name).recordRequest();
-    this.#cancelDeadline = this.#context.timers.schedule(deadlineMs - this.#startMs, () =>
-      this.#handleDeadline(),
-    );
+    this.#unsubscribeStop = this.#context.stopDeadline.subscribe(() => this.#scheduleDeadline());
+    this.#scheduleDeadline();
     this.#startOrQueue();
   }
 
+  #scheduleDeadline(): void {
+    this.#cancelDeadline?.();
+    const leftMs = this.#getDeadlineMs() - this.#context.clock.getNow();
+    this.#cancelDeadline = this.#context.timers.schedule(leftMs, () => this.#handleDeadline());
+  }
+
+  /** When the request must be answered; before its time limit passes if the entry stops earlier. */
+  #getDeadlineMs(): number {
+    const { deadlineMs } = this.#admission as Admission;
+    return Math.min(deadlineMs, this.#context.stopDeadline.getMs());
+  }
+
   /**
    * Handles a caller that disconnected. An attempt that may not be repeated continues,
    * because the target may already be running it.
@@ -145,13 +158,7 @@
     if (table === null) return this.#refuse('not_ready', 'no configuration yet', RETRY_AFTER_MS);
     const route = table.findRoute(this.#head.host, this.#head.path);
     if (route === undefined) return this.#refuse('unknown_service', 'no route for host and path');
-    if (!this.#canFinishBeforeStop(route)) {
-      return this.#refuse(
-        'leaving',
-        'this entry is stopping; use another one',
-        STOPPING_RETRY_AFTER_MS,
-      );
-    }
+    if (!this.#canFinishBeforeStop(route)) return this.#refuseLeaving();
     const isKeyed = table.hasWorkspaces() && !route.isPublic;
     const workspace = isKeyed ? table.findWorkspace(this.#head.apiKey ?? '') : null;
     if (workspace === undefined) return this.#refuse('missing_workspace', API_KEY_REQUIRED);
@@ -175,13 +182,27 @@
   }
 
   /**
-   * Returns whether the request can finish before this entry stops; always true unless it stops.
+   * Returns whether an attempt that starts now can finish before this entry stops; always true
+   * unless it stops. A repeated request other than a stream may be tried until the stop, because
+   * its caller gets an answer then at the latest.
    */
   #canFinishBeforeStop(route: DirectRoute): boolean {
-    const drainDeadlineMs = this.#context.getDrainDeadlineMs();
-    if (drainDeadlineMs === null) return true;
-    const neededMs = route.kind === 'stream' ? MAX_STREAM_DURATION_MS : route.timeoutMs;
-    return this.#startMs + neededMs <= drainDeadlineMs;
+    const stopMs = this.#context.stopDeadline.getMs();
+    if (route.kind === 'stream') {
+      return this.#context.clock.getNow() + MAX_STREAM_DURATION_MS <= stopMs;
+    }
+    return this.#mayHaveRun || this.#startMs + route.timeoutMs <= stopMs;
+  }
+
+  #refuseLeaving(): null {
+    if (this.#mayHaveRun) {
+      return this.#refuse('outcome_unknown', 'this entry is stopping; no time for another attempt');
+    }
+    return this.#refuse(
+      'leaving',
+      'this entry is stopping; use another one',
+      STOPPING_RETRY_AFTER_MS,
+    );
   }
 
   #startOrQueue(): void {
@@ -231,8 +252,13 @@
     return Math.ceil(slots / countEntries());
   }
 
-  /** Starts an attempt if a target admits the request. @returns null if started, or the reason */
+  /**
+   * Starts an attempt if a target admits the request, or refuses it if it can no longer be served.
+   *
+   * @returns null if it no longer waits, or the reason
+   */
   #tryStart(admission: Admission): UnavailableReason | null {
+    if (!this.#canFinishBeforeStop(admission.route)) return this.#refuseLeaving();
     const decision = this.#prompt.check();
     if (decision.kind === 'blocked') {
       this.#refuseBlocked(decision);
@@ -335,7 +361,7 @@
 
   #startAttempt(admission: Admission, target: DirectTarget, reason: string): void {
     const nowMs = this.#context.clock.getNow();
-    const timeoutMs = Math.floor(admission.deadlineMs - nowMs);
+    const timeoutMs = Math.floor(this.#getDeadlineMs() - nowMs);
     const isModel = admission.service.engine !== null;
     const headers = this.#context.codec.listTargetHeaders(this.#head, {
       targetId: target.id,
@@ -434,13 +460,13 @@
   }
 
   #decideNext(outcome: AttemptOutcome): 'retry' | 'give_up' | 'no_budget' {
-    const { route, service, deadlineMs } = this.#admission as Admission;
+    const { route, service } = this.#admission as Admission;
     const decision = decideNextAttempt(route, {
       outcome,
       sentCount: this.#sentAttempts,
       unreachableCount: this.#unreachableAttempts,
       isPositionUnknown: this.#answer.isStarted() && this.#lastEventId === null,
-      remainingMs: deadlineMs - this.#context.clock.getNow(),
+      remainingMs: this.#getDeadlineMs() - this.#context.clock.getNow(),
     });
     if (decision === 'give_up' || outcome === 'unreachable') return decision;
     return this.#context.getBudget(service.name).take() ? 'retry' : 'no_budget';
@@ -534,5 +560,6 @@
   #end(): void {
     this.#hasEnded = true;
     this.#cancelDeadline?.();
+    this.#unsubscribeStop?.();
   }
 }
