Callers: do not cut answers that are still being written when the server closes

A caller that read a long answer slowly got a part of it when its entry stopped: 4.25 of 8 MB. server.close() destroys idle connections, and Node counts a connection as idle as soon as its answer has ended, though the bytes still wait in the process. The server now closes when the answers that have ended are with the operating system; until then it refuses or serves new requests as before.

--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -33,7 +33,10 @@
 
   #isDraining = false;
 
-  #requestCount = 0;
+  #isClosing = false;
+
+  /** Answers that are not complete, or not yet handed to the operating system. */
+  readonly #answers = new Set<ServerResponse>();
 
   constructor(options: DirectServerOptions) {
     this.#options = options;
@@ -71,7 +74,7 @@
 
   /** Returns the number of requests without a complete answer. */
   countRequests(): number {
-    return this.#requestCount;
+    return this.#answers.size;
   }
 
   /** Closes every connection after its next answer, so that callers open new ones elsewhere. */
@@ -81,8 +84,19 @@
 
   /** Stops listening and closes idle connections; requests in progress continue. */
   close(): void {
+    this.#isClosing = true;
+    this.#closeWhenWritten();
+  }
+
+  /**
+   * Node counts a connection as idle as soon as its answer has ended, and would destroy it although
+   * the caller has not read the answer yet.
+   */
+  #closeWhenWritten(): void {
+    if (!this.#isClosing) return;
+    for (const response of this.#answers) if (response.writableEnded) return;
+    this.#isClosing = false;
     this.#server.close();
-    this.#server.closeIdleConnections();
   }
 
   #readRequest(message: IncomingMessage, response: ServerResponse): void {
@@ -95,10 +109,11 @@
     const chunks: Buffer[] = [];
     let bodyBytes = 0;
     let cancel: (() => void) | null = null;
-    this.#requestCount += 1;
+    this.#answers.add(response);
     response.on('close', () => {
-      this.#requestCount -= 1;
+      this.#answers.delete(response);
       if (!response.writableFinished) cancel?.();
+      this.#closeWhenWritten();
     });
     const bodyTimer = setTimeout(() => {
       if (!response.headersSent) answer.failAndClose(fail('request_too_slow', 'body timeout').val);
