Gateway: refuse requests whose bodies have not arrived at the end of a stop

A caller that was still sending its body at the end of the grace period got a closed connection. Such a request has not run, so it is refused with 503 and a short Retry-After, while there is time to write the answer.

The test with an entry process and SIGTERM failed before (no answer) and passes now.

--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -22,6 +22,9 @@
 /** Timeout for the head of a request before the first configuration. */
 const DEFAULT_HEAD_TIMEOUT_MS = 10_000;
 
+/** Retry-After while the entry stops; short, because other entries are available at once. */
+const LEAVING_RETRY_AFTER_MS = 20;
+
 /** Interval at which connections are checked for the head timeout. */
 const HEAD_TIMEOUT_CHECK_INTERVAL_MS = 1000;
 
@@ -36,7 +39,10 @@
   #isClosing = false;
 
   /** Answers that are not complete, or not yet handed to the operating system. */
-  readonly #answers = new Set<ServerResponse>();
+  readonly #answers = new Map<ServerResponse, DirectAnswer>();
+
+  /** Answers to requests whose bodies have not arrived completely. */
+  readonly #incomplete = new Set<ServerResponse>();
 
   constructor(options: DirectServerOptions) {
     this.#options = options;
@@ -88,13 +94,25 @@
     this.#closeWhenWritten();
   }
 
+  /** Refuses the requests whose bodies have not arrived completely; none of them has run. */
+  refuseIncompleteRequests(): void {
+    const failure = fail(
+      'leaving',
+      'this entry is stopping; use another one',
+      LEAVING_RETRY_AFTER_MS,
+    );
+    for (const response of this.#incomplete) {
+      if (!response.headersSent) this.#answers.get(response)?.fail(failure.val);
+    }
+  }
+
   /**
    * Node counts a connection as idle as soon as its answer has ended, and would destroy it although
    * the caller has not read the answer yet.
    */
   #closeWhenWritten(): void {
     if (!this.#isClosing) return;
-    for (const response of this.#answers) if (response.writableEnded) return;
+    for (const response of this.#answers.keys()) if (response.writableEnded) return;
     this.#isClosing = false;
     this.#server.close();
   }
@@ -109,9 +127,11 @@
     const chunks: Buffer[] = [];
     let bodyBytes = 0;
     let cancel: (() => void) | null = null;
-    this.#answers.add(response);
+    this.#answers.set(response, answer);
+    this.#incomplete.add(response);
     response.on('close', () => {
       this.#answers.delete(response);
+      this.#incomplete.delete(response);
       if (!response.writableFinished) cancel?.();
       this.#closeWhenWritten();
     });
@@ -129,6 +149,7 @@
     });
     message.on('end', () => {
       clearTimeout(bodyTimer);
+      this.#incomplete.delete(response);
       if (response.headersSent || response.destroyed) return;
       cancel = this.#options.handler.acceptRequest(head, Buffer.concat(chunks), answer);
     });
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -105,6 +105,8 @@
       return this.#server.countRequests() === 0 && hasNoNewRequests && nowMs > addressExpiryMs;
     });
     this.#server.close();
+    await this.#waitUntil(answerDeadlineMs, () => this.#server.countRequests() === 0);
+    this.#server.refuseIncompleteRequests();
     await this.#waitUntil(forcedEndMs - DRAIN_MARGIN_MS, () => this.#server.countRequests() === 0);
     this.#core.close();
     this.#socket.close();
