Entry: refuse late requests of a planned stop instead of cutting them

With the store on etcd, an entry that was told to stop cut three kinds of requests: those that arrived on a kept connection after the callers' cache time, whose deadline was later than the end of the grace period; those whose bodies were still arriving; and answers that were complete but that their callers had not read yet, because only running requests were counted, not answers that wait to be written, and because closing idle connections cuts such answers.

After the callers' cache time the entry now refuses new and incomplete requests with 503 (not run, Retry-After 0), waits for all answers to be written, and only then closes. OpenAnswers is shared with the server of the other deployment.

Agents were sound: they refuse new attempts while they leave, and wait for the deadlines of the others (processes.test.ts).

--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { fail, hasValidHeaderNames, type RequestHead } from '@limpetbay/core';
+import { OpenAnswers } from '../answer/OpenAnswers.js';
 import { DirectAnswer } from './DirectAnswer.js';
 import type { DirectHandler } from './DirectHandler.js';
 
@@ -36,13 +37,10 @@
 
   #isDraining = false;
 
-  #isClosing = false;
-
-  /** Answers that are not complete, or not yet handed to the operating system. */
-  readonly #answers = new Map<ServerResponse, DirectAnswer>();
+  readonly #answers = new OpenAnswers();
 
   /** Answers to requests whose bodies have not arrived completely. */
-  readonly #incomplete = new Set<ServerResponse>();
+  readonly #incomplete = new Map<ServerResponse, DirectAnswer>();
 
   constructor(options: DirectServerOptions) {
     this.#options = options;
@@ -80,7 +78,7 @@
 
   /** Returns the number of requests without a complete answer. */
   countRequests(): number {
-    return this.#answers.size;
+    return this.#answers.count();
   }
 
   /** Closes every connection after its next answer, so that callers open new ones elsewhere. */
@@ -90,8 +88,7 @@
 
   /** Stops listening and closes idle connections; requests in progress continue. */
   close(): void {
-    this.#isClosing = true;
-    this.#closeWhenWritten();
+    this.#answers.callWhenWritten(() => this.#server.close());
   }
 
   /** Refuses the requests whose bodies have not arrived completely; none of them has run. */
@@ -101,22 +98,11 @@
       'this entry is stopping; use another one',
       LEAVING_RETRY_AFTER_MS,
     );
-    for (const response of this.#incomplete) {
-      if (!response.headersSent) this.#answers.get(response)?.fail(failure.val);
+    for (const [response, answer] of this.#incomplete) {
+      if (!response.headersSent) answer.fail(failure.val);
     }
   }
 
-  /**
-   * Node counts a connection as idle as soon as its answer has ended, and would destroy it although
-   * the caller has not read the answer yet.
-   */
-  #closeWhenWritten(): void {
-    if (!this.#isClosing) return;
-    for (const response of this.#answers.keys()) if (response.writableEnded) return;
-    this.#isClosing = false;
-    this.#server.close();
-  }
-
   #readRequest(message: IncomingMessage, response: ServerResponse): void {
     const answer = new DirectAnswer(response, () => this.#isDraining);
     if (!hasValidHeaderNames(message.rawHeaders)) {
@@ -127,13 +113,11 @@
     const chunks: Buffer[] = [];
     let bodyBytes = 0;
     let cancel: (() => void) | null = null;
-    this.#answers.set(response, answer);
-    this.#incomplete.add(response);
+    this.#answers.add(response);
+    this.#incomplete.set(response, answer);
     response.on('close', () => {
-      this.#answers.delete(response);
       this.#incomplete.delete(response);
       if (!response.writableFinished) cancel?.();
-      this.#closeWhenWritten();
     });
     const bodyTimer = setTimeout(() => {
       if (!response.headersSent) answer.failAndClose(fail('request_too_slow', 'body timeout').val);
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -1,5 +1,6 @@
 export type { CallerAnswer } from './answer/CallerAnswer.js';
 export { HttpCallerAnswer } from './answer/HttpCallerAnswer.js';
+export { OpenAnswers } from './answer/OpenAnswers.js';
 export { abortResponse } from './answer/abortResponse.js';
 export { toErrorBody } from './answer/toErrorBody.js';
 export { DirectAnswer } from './direct/DirectAnswer.js';
--- a/packages/callers/src/server/startCallerServer.ts
+++ b/packages/callers/src/server/startCallerServer.ts
@@ -1,7 +1,8 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { fail } from '@limpetbay/core';
+import { fail, type Failure, type Result } from '@limpetbay/core';
 import { HttpCallerAnswer } from '../answer/HttpCallerAnswer.js';
+import { OpenAnswers } from '../answer/OpenAnswers.js';
 import { abortResponse } from '../answer/abortResponse.js';
 import { parseRequest } from '../request/parseRequest.js';
 import type { CallerHandler } from './CallerHandler.js';
@@ -26,8 +27,18 @@
   handler: CallerHandler,
   options: CallerServerOptions,
 ): Promise<CallerServer> {
+  const answers = new OpenAnswers();
+  const incomplete = new Set<HttpCallerAnswer>();
   const server = createServer((request, response) => {
-    void serveRequest(handler, options, request, response);
+    answers.add(response);
+    const answer = new HttpCallerAnswer(response, () => handler.isLeaving());
+    if (serveEntryPath(handler, request, response, answer)) return;
+    incomplete.add(answer);
+    response.on('close', () => incomplete.delete(answer));
+    void readBody(request, options.maxBodyBytes).then((body) => {
+      incomplete.delete(answer);
+      if (!answer.isStarted()) serveRequest({ handler, options, request, response, answer, body });
+    });
   });
   server.requestTimeout = options.writeTimeoutMs;
   server.on('connection', (socket) => {
@@ -40,11 +51,14 @@
   const { port } = server.address() as AddressInfo;
   return {
     url: `http://${options.host}:${port}`,
-    drain: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
-      }),
+    countAnswers: () => answers.count(),
+    drain: () => {
+      const failure = fail('leaving', 'this entry is stopping; use another one', 0).val;
+      for (const answer of incomplete) answer.fail(failure);
+      return new Promise((resolve) => {
+        answers.callWhenWritten(() => server.close(() => resolve()));
+      });
+    },
     close: () => {
       server.close();
       server.closeAllConnections();
@@ -52,15 +66,17 @@
   };
 }
 
-async function serveRequest(
-  handler: CallerHandler,
-  options: CallerServerOptions,
-  request: IncomingMessage,
-  response: ServerResponse,
-): Promise<void> {
-  const answer = new HttpCallerAnswer(response, () => handler.isLeaving());
-  if (serveEntryPath(handler, request, response, answer)) return;
-  const body = await readBody(request, options.maxBodyBytes);
+interface ReadRequest {
+  readonly handler: CallerHandler;
+  readonly options: CallerServerOptions;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly answer: HttpCallerAnswer;
+  readonly body: Result<Uint8Array, Failure>;
+}
+
+function serveRequest(read: ReadRequest): void {
+  const { handler, options, request, response, answer, body } = read;
   if (body.err) {
     answer.fail(body.val);
     return;
--- a/packages/dev/test/support/ProcessFleet.ts
+++ b/packages/dev/test/support/ProcessFleet.ts
@@ -41,15 +41,21 @@
    * Starts a daemon and waits until it listens.
    *
    * @param section settings of the section that is named after `kind`
+   * @param graceMs longest time to finish requests in progress after a stop signal
    * @returns the address in its `started` log line
    * @throws Error if the daemon does not start within 10 s
    */
-  async startDaemon(kind: 'entry' | 'agent', id: string, section: object): Promise<string> {
+  async startDaemon(
+    kind: 'entry' | 'agent',
+    id: string,
+    section: object,
+    graceMs = 60_000,
+  ): Promise<string> {
     const file = join(this.#folder, `${id}.ini`);
     const lines = [`[${kind}]`, `id = ${id}`];
     for (const [key, value] of Object.entries(section)) lines.push(`${key} = ${value}`);
     lines.push('[platform]', `store = ${this.store.address}`, `instances = ${this.instances.url}`);
-    lines.push('[timing]', 'stop_grace_ms = 60000');
+    lines.push('[timing]', `stop_grace_ms = ${graceMs}`);
     lines.push(kind === 'agent' ? 'leave_ms = 500' : 'address_ttl_ms = 500', '');
     writeFileSync(file, lines.join('\n'));
     const child = spawn(process.execPath, [`${PACKAGES}${kind}/dist/main.js`, '--settings', file]);
@@ -86,15 +92,16 @@
   }
 
   /** Starts an entry and returns its URL for callers. */
-  async startEntry(id: string, zone: string, port: number): Promise<string> {
+  async startEntry(id: string, zone: string, port: number, graceMs?: number): Promise<string> {
     const url = `http://${HOST}:${port}`;
-    const address = await this.startDaemon('entry', id, {
+    const section = {
       zone,
       address: `${HOST}:0`,
       caller_host: HOST,
       caller_port: port,
       caller_url: url,
-    });
+    };
+    const address = await this.startDaemon('entry', id, section, graceMs);
     this.#addInstance({ id, role: 'entry', zone, address, callerUrl: url, state: 'live' });
     return url;
   }
--- a/packages/entry/src/loop/Entry.ts
+++ b/packages/entry/src/loop/Entry.ts
@@ -51,6 +51,8 @@
 
   #isLeaving = false;
 
+  #isAccepting = true;
+
   readonly #progress: ProgressMonitor;
 
   readonly #capacity: CapacityEstimator;
@@ -74,6 +76,10 @@
   }
 
   acceptRequest(request: CallerRequest, answer: CallerAnswer): () => void {
+    if (!this.#isAccepting) {
+      answer.fail(fail('leaving', 'this entry is stopping; use another one', 0).val);
+      return () => {};
+    }
     const handle = new RequestHandle();
     this.#loop.push({ type: 'request', request, answer, handle });
     return () => this.#loop.push({ type: 'caller_gone', handle });
@@ -111,6 +117,11 @@
     this.#options.log.report('leaving', { in_progress: this.#runs.size });
   }
 
+  /** Refuses all further requests, so that those in progress are the last ones. */
+  stopAccepting(): void {
+    this.#isAccepting = false;
+  }
+
   /**
    * Returns the time until every request in progress has ended by its deadline, milliseconds; 0 if
    * there is none.
--- a/packages/entry/src/process/startEntry.ts
+++ b/packages/entry/src/process/startEntry.ts
@@ -97,11 +97,12 @@
       config.setLeaving();
       // Callers may have cached this address just now, and use it until their cache time ends.
       await sleep(timing.address_ttl_ms + ADDRESS_EXPIRY_MARGIN_MS);
+      entry.stopAccepting();
       void callers.drain();
       // Every request may run until its deadline, even if that is after the grace period.
       const graceMs = Math.max(timing.stop_grace_ms, entry.getLongestTimeLeftMs());
-      const isDone = await waitUntil(() => entry.countRequests() === 0, graceMs);
-      if (!isDone) log.warn('stopped with requests in progress', { count: entry.countRequests() });
+      const isDone = await waitUntil(() => callers.countAnswers() === 0, graceMs);
+      if (!isDone) log.warn('stopped with requests in progress', { count: callers.countAnswers() });
       log.report('stopped');
       close();
     },
