Gateway: start no streams during a stop that will probably outlast it

A stopping entry took streams while 4.5 s of the grace period were left, however long streams of their route last; longer ones were cut at the end.

The test with an entry process fails without it (200 instead of 503 for a stream of 5.1 s with a grace period of 5.5 s) and passes with it.

--- a/packages/gateway/src/request/RequestContext.ts
+++ b/packages/gateway/src/request/RequestContext.ts
@@ -4,6 +4,7 @@
   RandomSource,
   RetryBudget,
   RouteTable,
+  StreamDurations,
   TargetPicker,
   TargetRegistry,
 } from '@limpetbay/core';
@@ -30,6 +31,7 @@
   readonly prompts: SharedPromptBreaker;
   readonly endCheck: TargetEndCheck;
   readonly stopDeadline: StopDeadline;
+  readonly streamDurations: StreamDurations;
   readonly metrics: MetricRegistry;
   readonly log: Log;
   /** Returns the active routes; null before the first configuration. */
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -53,8 +53,8 @@
 /** Retry-After while this entry stops; short, because other entries are available at once. */
 const STOPPING_RETRY_AFTER_MS = 20;
 
-/** Time to allow for a stream under high load. */
-const MAX_STREAM_DURATION_MS = 4500;
+/** Least time to allow for a stream; more if streams of its route recently lasted longer. */
+const MIN_STREAM_DURATION_MS = 4500;
 
 const API_KEY_REQUIRED = 'a valid API key is required';
 
@@ -93,6 +93,9 @@
 
   #sentAttempts = 0;
 
+  /** When the first attempt started, monotonic milliseconds; null before. */
+  #firstAttemptMs: number | null = null;
+
   #unreachableAttempts = 0;
 
   /** Whether a target may have run the request; no answer may then say that it did not run. */
@@ -189,7 +192,9 @@
   #canFinishBeforeStop(route: DirectRoute): boolean {
     const stopMs = this.#context.stopDeadline.getMs();
     if (route.kind === 'stream') {
-      return this.#context.clock.getNow() + MAX_STREAM_DURATION_MS <= stopMs;
+      const { clock, streamDurations } = this.#context;
+      const longestMs = Math.max(MIN_STREAM_DURATION_MS, streamDurations.getLongestMs(route.name));
+      return clock.getNow() + longestMs <= stopMs;
     }
     return this.#mayHaveRun || this.#startMs + route.timeoutMs <= stopMs;
   }
@@ -361,6 +366,7 @@
 
   #startAttempt(admission: Admission, target: DirectTarget, reason: string): void {
     const nowMs = this.#context.clock.getNow();
+    this.#firstAttemptMs ??= nowMs;
     const timeoutMs = Math.floor(this.#getDeadlineMs() - nowMs);
     const isModel = admission.service.engine !== null;
     const headers = this.#context.codec.listTargetHeaders(this.#head, {
@@ -487,8 +493,10 @@
   }
 
   #finish(target: DirectTarget, { head, body, trace }: AnsweredAttempt): void {
-    if (this.#answer.isStarted()) this.#answer.end(body);
-    else this.#answer.send(head.status, head.forwarded, body);
+    if (this.#answer.isStarted()) {
+      this.#answer.end(body);
+      this.#recordStreamDuration();
+    } else this.#answer.send(head.status, head.forwarded, body);
     this.#recordEnd(head.status, 'answered', {
       target: target.id,
       attempt: this.#sentAttempts,
@@ -496,6 +504,13 @@
     });
   }
 
+  #recordStreamDuration(): void {
+    const { clock, streamDurations } = this.#context;
+    const { route } = this.#admission as Admission;
+    if (route.kind !== 'stream' || this.#firstAttemptMs === null) return;
+    streamDurations.record(route.name, clock.getNow() - this.#firstAttemptMs);
+  }
+
   #handleDeadline(): void {
     if (this.#hasEnded) return;
     const isRunning = this.#attempt !== null;
