--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { fail, hasValidHeaderNames, type RequestHead } from '@limpetbay/core';
+import { OpenAnswers } from '../answer/OpenAnswers.js';
 import { DirectAnswer } from './DirectAnswer.js';
 import type { DirectHandler } from './DirectHandler.js';
 
@@ -22,6 +23,9 @@
 /** Timeout for the head of a request before the first configuration. */
 const DEFAULT_HEAD_TIMEOUT_MS = 10_000;
 
+/** Retry-After while the entry stops; short, because other entries are available at once. */
+const LEAVING_RETRY_AFTER_MS = 20;
+
 /** Interval at which connections are checked for the head timeout. */
 const HEAD_TIMEOUT_CHECK_INTERVAL_MS = 1000;
 
@@ -33,7 +37,10 @@
 
   #isDraining = false;
 
-  #requestCount = 0;
+  readonly #answers = new OpenAnswers();
+
+  /** Answers to requests whose bodies have not arrived completely. */
+  readonly #incomplete = new Map<ServerResponse, DirectAnswer>();
 
   constructor(options: DirectServerOptions) {
     this.#options = options;
@@ -71,7 +78,7 @@
 
   /** Returns the number of requests without a complete answer. */
   countRequests(): number {
-    return this.#requestCount;
+    return this.#answers.count();
   }
 
   /** Closes every connection after its next answer, so that callers open new ones elsewhere. */
@@ -81,8 +88,19 @@
 
   /** Stops listening and closes idle connections; requests in progress continue. */
   close(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    this.#answers.callWhenWritten(() => this.#server.close());
+  }
+
+  /** Refuses the requests whose bodies have not arrived completely; none of them has run. */
+  refuseIncompleteRequests(): void {
+    const failure = fail(
+      'leaving',
+      'this entry is stopping; use another one',
+      LEAVING_RETRY_AFTER_MS,
+    );
+    for (const [response, answer] of this.#incomplete) {
+      if (!response.headersSent) answer.fail(failure.val);
+    }
   }
 
   #readRequest(message: IncomingMessage, response: ServerResponse): void {
@@ -95,9 +113,10 @@
     const chunks: Buffer[] = [];
     let bodyBytes = 0;
     let cancel: (() => void) | null = null;
-    this.#requestCount += 1;
+    this.#answers.add(response);
+    this.#incomplete.set(response, answer);
     response.on('close', () => {
-      this.#requestCount -= 1;
+      this.#incomplete.delete(response);
       if (!response.writableFinished) cancel?.();
     });
     const bodyTimer = setTimeout(() => {
@@ -114,6 +133,7 @@
     });
     message.on('end', () => {
       clearTimeout(bodyTimer);
+      this.#incomplete.delete(response);
       if (response.headersSent || response.destroyed) return;
       cancel = this.#options.handler.acceptRequest(head, Buffer.concat(chunks), answer);
     });
