Keep requests in the queue after an error in one of them

Callers that waited for a target got no answer until their time limit: an exception of one request, such as a connection to an address that cannot be used, left the queue empty, and those behind it neither started nor were refused in time.

The queue now keeps them and passes the error on.

--- a/packages/core/src/direct/AdmissionQueue.ts
+++ b/packages/core/src/direct/AdmissionQueue.ts
@@ -56,13 +56,19 @@
     const stillWaiting: QueuedRequest[] = [];
     const blockedServices = new Set<string>();
     this.#waiting = [];
-    for (const request of waiting) {
-      if (!blockedServices.has(request.service) && request.tryStart()) continue;
-      blockedServices.add(request.service);
-      if (nowMs >= request.expiresAtMs) request.expire();
-      else stillWaiting.push(request);
+    let handled = 0;
+    try {
+      for (const request of waiting) {
+        handled += 1;
+        if (!blockedServices.has(request.service) && request.tryStart()) continue;
+        blockedServices.add(request.service);
+        if (nowMs >= request.expiresAtMs) request.expire();
+        else stillWaiting.push(request);
+      }
+    } finally {
+      // After an error in one request, those behind it still wait.
+      this.#waiting = [...stillWaiting, ...waiting.slice(handled), ...this.#waiting];
     }
-    this.#waiting = [...stillWaiting, ...this.#waiting];
   }
 
   #countWaiting(service: string): number {
