Answer requests whose handling throws

Callers of such a request got nothing: the error was logged, but no answer was sent and, before the request is admitted, no deadline runs that would end it. A stop waited for it until the end of the grace period.

Both caller servers answer it with 500 at once, or break off an answer that has begun, and pass the error on to be logged and counted.

--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -46,7 +46,10 @@
         requestTimeout: 0,
         noDelay: true,
       },
-      (message, response) => this.#readRequest(message, response),
+      (message, response) => {
+        const answer = new DirectAnswer(response, () => this.#isDraining);
+        answerErrors(answer, () => this.#readRequest(message, response, answer));
+      },
     );
   }
 
@@ -85,8 +88,7 @@
     this.#server.closeIdleConnections();
   }
 
-  #readRequest(message: IncomingMessage, response: ServerResponse): void {
-    const answer = new DirectAnswer(response, () => this.#isDraining);
+  #readRequest(message: IncomingMessage, response: ServerResponse, answer: DirectAnswer): void {
     if (!hasValidHeaderNames(message.rawHeaders)) {
       answer.failAndClose(fail('bad_request', 'a header name is not valid').val);
       return;
@@ -115,7 +117,20 @@
     message.on('end', () => {
       clearTimeout(bodyTimer);
       if (response.headersSent || response.destroyed) return;
-      cancel = this.#options.handler.acceptRequest(head, Buffer.concat(chunks), answer);
+      answerErrors(answer, () => {
+        cancel = this.#options.handler.acceptRequest(head, Buffer.concat(chunks), answer);
+      });
     });
   }
 }
+
+/** Runs a step of a request. If it throws, the caller gets 500; the error goes to the process. */
+function answerErrors(answer: DirectAnswer, run: () => void): void {
+  try {
+    run();
+  } catch (error) {
+    if (answer.isStarted()) answer.destroy();
+    else answer.failAndClose(fail('internal', 'the request could not be handled').val);
+    throw error;
+  }
+}
--- a/packages/callers/src/server/startCallerServer.ts
+++ b/packages/callers/src/server/startCallerServer.ts
@@ -27,7 +27,11 @@
   options: CallerServerOptions,
 ): Promise<CallerServer> {
   const server = createServer((request, response) => {
-    void serveRequest(handler, options, request, response);
+    const answer = new HttpCallerAnswer(response, () => handler.isLeaving());
+    void serveRequest(handler, options, request, response, answer).catch((error: unknown) => {
+      answer.fail(fail('internal', 'the request could not be handled').val);
+      throw error;
+    });
   });
   server.requestTimeout = options.writeTimeoutMs;
   server.on('connection', (socket) => {
@@ -57,8 +61,8 @@
   options: CallerServerOptions,
   request: IncomingMessage,
   response: ServerResponse,
+  answer: HttpCallerAnswer,
 ): Promise<void> {
-  const answer = new HttpCallerAnswer(response, () => handler.isLeaving());
   if (serveEntryPath(handler, request, response, answer)) return;
   const body = await readBody(request, options.maxBodyBytes);
   if (body.err) {
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -226,7 +226,12 @@
   /** Processes a request. @returns a function to call if the caller disconnects */
   acceptRequest(head: RequestHead, body: Buffer, answer: DirectAnswer): () => void {
     const run = new RequestRun(this.#requestContext, head, body, answer);
-    run.start();
+    try {
+      run.start();
+    } catch (error) {
+      run.cancel();
+      throw error;
+    }
     return () => run.cancel();
   }
 
