Follow the store after an error about one of its records

Since uncaught errors no longer end a process, an entry whose view threw on a

promise ended the read before its watch, or the watch without a word to its owner.

--- a/packages/gateway/src/feed/StoreMirror.ts
+++ b/packages/gateway/src/feed/StoreMirror.ts
@@ -93,7 +93,7 @@
     this.#setStoreUnavailable(false, 'read');
     this.#position = { era, revision };
     this.#era = era;
-    listener.onSnapshot({ records, era, isRestored });
+    this.#deliver(() => listener.onSnapshot({ records, era, isRestored }), { revision });
     this.#watch(this.#position);
   }
 
@@ -103,14 +103,32 @@
     this.#stopWatch = store.watch(prefix, from, {
       onChange: (change) => {
         this.#recordRevision(change.revision);
-        if (change.value === null) listener.onRemoval(change.key);
-        else listener.onRecord(change as StoreRecord);
+        this.#deliver(
+          () => {
+            if (change.value === null) listener.onRemoval(change.key);
+            else listener.onRecord(change as StoreRecord);
+          },
+          { key: change.key, revision: change.revision },
+        );
       },
       onProgress: (latestRevision) => this.#recordRevision(latestRevision),
       onEnd: (reason) => this.#handleWatchEnd(reason),
     });
   }
 
+  /** Hands records to the listener; an error about them does not end the mirror. */
+  #deliver(deliver: () => void, fields: Record<string, unknown>): void {
+    try {
+      deliver();
+    } catch (error) {
+      const cause = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      this.#options.log.alert('could not use store records; following the store', {
+        ...fields,
+        cause,
+      });
+    }
+  }
+
   #recordRevision(revision: Revision): void {
     this.#setStoreUnavailable(false, 'watch');
     this.#backoff.reset();
--- /dev/null
+++ b/packages/gateway/test/StoreMirror.test.ts
@@ -0,0 +1,80 @@
+import { afterEach, beforeEach, expect, it } from 'vitest';
+import { SeededRandom } from '@limpetbay/core';
+import { MemoryStore, SimTimers } from '@limpetbay/standins';
+import { StoreMirror, type MirrorListener } from '@limpetbay/gateway';
+
+const LOG = { report: () => {}, warn: () => {}, alert: () => {} };
+const WAIT_MS = 3000;
+
+let timers: SimTimers;
+let store: MemoryStore;
+let seen: string[];
+
+beforeEach(() => {
+  timers = new SimTimers();
+  timers.begin();
+  store = new MemoryStore(timers, new SeededRandom(1));
+  seen = [];
+});
+
+afterEach(() => timers.end());
+
+async function put(key: string): Promise<void> {
+  const written = store.commit({ conditions: [], writes: [{ key, value: key }] });
+  await timers.advance(100);
+  await written;
+}
+
+function startMirror(listener: Partial<MirrorListener>): StoreMirror {
+  const mirror = new StoreMirror({
+    clock: timers,
+    store,
+    prefix: '',
+    timers,
+    random: new SeededRandom(2),
+    log: LOG,
+    countMirrors: () => 1,
+    listener: {
+      onSnapshot: ({ records }) => {
+        for (const { key } of records) seen.push(key);
+      },
+      onRecord: ({ key }) => seen.push(key),
+      onRemoval: (key) => seen.push(`-${key}`),
+      onStoreAvailabilityChange: () => {},
+      ...listener,
+    },
+  });
+  mirror.start();
+  return mirror;
+}
+
+// Guards against a process that no longer follows the store after one record that it cannot use.
+it('follows the store after an error about one change', async () => {
+  const mirror = startMirror({
+    onRecord: ({ key }) => {
+      if (key === 'odd') throw new Error('odd record');
+      seen.push(key);
+    },
+  });
+  await timers.advance(WAIT_MS);
+  await put('odd');
+  await put('next');
+  await timers.advance(WAIT_MS);
+  expect(seen).toContain('next');
+  mirror.stop();
+});
+
+// Guards against a process that never follows the store because its first read had an odd record.
+it('follows the store after an error about a full read', async () => {
+  await put('odd');
+  const mirror = startMirror({
+    onSnapshot: () => {
+      throw new Error('odd record');
+    },
+  });
+  await timers.advance(WAIT_MS);
+  await put('next');
+  await timers.advance(WAIT_MS);
+  expect(seen).toContain('next');
+  mirror.stop();
+});
