Keep names of a settings file apart from objects of the program

An odd line of an INI settings file changed a running process although the file was refused: `__proto__.x=1` outside of a section set a property of all objects, after which every later check failed, and a section name used as a key threw. A key `timing.tick_ms` outside of a section counted as that of the section.

Sections are objects without a prototype, and a key without a section stays one.

--- a/packages/runtime/src/settings/IniFormat.ts
+++ b/packages/runtime/src/settings/IniFormat.ts
@@ -23,7 +23,8 @@
     const values = new Map<string, unknown>();
     for (const [section, content] of Object.entries(parse(text))) {
       if (typeof content !== 'object' || content === null) {
-        values.set(section, content);
+        // A key outside of a section has an empty one, so that it is not taken for `section.key`.
+        values.set(`.${section}`, content);
         continue;
       }
       const keys = Object.entries(content as object);
@@ -35,16 +36,18 @@
   }
 
   check(values: ReadonlyMap<string, unknown>, file: string): Result<z.infer<Schema>, Failure> {
-    const sections: Record<string, unknown> = {};
+    // Without prototypes, so that names of the file cannot reach `Object.prototype`.
+    const sections = Object.create(null) as Record<string, unknown>;
     for (const [name, value] of values) {
       const separatorIndex = name.indexOf('.');
-      if (separatorIndex < 0) {
-        sections[name] = value;
+      const section = name.slice(0, separatorIndex);
+      const key = name.slice(separatorIndex + 1);
+      if (section === '') {
+        sections[key] = value;
         continue;
       }
-      const section = (sections[name.slice(0, separatorIndex)] ??= {}) as Record<string, unknown>;
-      const key = name.slice(separatorIndex + 1);
-      if (key !== '') section[key] = value;
+      sections[section] ??= Object.create(null);
+      if (key !== '') (sections[section] as Record<string, unknown>)[key] = value;
     }
     const checked = this.#schema.safeParse(sections);
     if (checked.success) return Ok(checked.data);
