Leave SIGPIPE to Node.js, which ignores it

After the reader of the log had gone, each line that could not be written raised SIGPIPE, for which the table of signals had a listener; it logged the signal, and that line raised the next one.

Without a listener Node.js ignores the signal.

--- a/packages/runtime/src/process/signalActions.ts
+++ b/packages/runtime/src/process/signalActions.ts
@@ -9,9 +9,9 @@
   SIGINT: 'stop',
   SIGQUIT: 'stop',
   SIGHUP: 'reload',
-  // By default Node.js opens its debugger on SIGUSR1, and the others end the process.
+  // By default Node.js opens its debugger on SIGUSR1, and the others end the process. SIGPIPE is
+  // not among them: Node.js ignores it, and a listener would run for each broken connection.
   SIGUSR1: 'ignore',
   SIGUSR2: 'ignore',
   SIGALRM: 'ignore',
-  SIGPIPE: 'ignore',
 };
