Run the other periodic tasks of an entry when one of them fails each time

An error that came back in each interval, such as a subscription to an address that cannot be used, kept the tasks behind it from ever running: the entry did not register, so callers never heard of it, and kept its idle connections.

All tasks of an interval run; the first error is passed on as before.

--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -280,16 +280,34 @@
 
   #tick(): void {
     this.#cancelTick = this.#options.timers.schedule(TICK_INTERVAL_MS, () => this.#tick());
-    this.#registry.expire();
-    this.#view.expire();
-    this.#prompts.expire();
-    this.#limits.expire();
-    this.#rates.expire();
-    this.#subscribe(this.#options.clock.getNow());
-    if (!this.#isRegistered && this.isReady()) {
-      this.#isRegistered = true;
-      this.#lease.start();
+    const tasks = [
+      () => this.#registry.expire(),
+      () => this.#view.expire(),
+      () => this.#prompts.expire(),
+      () => this.#limits.expire(),
+      () => this.#rates.expire(),
+      () => this.#subscribe(this.#options.clock.getNow()),
+      () => this.#register(),
+      () => this.#closeIdlePools(),
+    ];
+    const errors: unknown[] = [];
+    for (const run of tasks) {
+      try {
+        run();
+      } catch (error) {
+        errors.push(error);
+      }
     }
+    if (errors.length > 0) throw errors[0];
+  }
+
+  #register(): void {
+    if (this.#isRegistered || !this.isReady()) return;
+    this.#isRegistered = true;
+    this.#lease.start();
+  }
+
+  #closeIdlePools(): void {
     for (const [address, pool] of this.#pools) {
       pool.closeIdle(MAX_POOL_IDLE_MS);
       if (pool.count() === 0) this.#pools.delete(address);
