Apply nothing of a settings file that is cut off

A file that was written in part and then stayed so for a second was applied: in a trial a bandwidth of 1000 became the default of 10, a retry ratio of 0.25 became 0, and a grace period of 12 s became 1 s, with which a stop cuts its requests.

A file that ends within a line, where that of the start did not, is refused, and a live setting that is missing waits for a restart like those that are not live. Two of the three new tests failed before; all pass.

--- a/packages/runtime/src/settings/SettingsReloader.ts
+++ b/packages/runtime/src/settings/SettingsReloader.ts
@@ -1,5 +1,5 @@
 import { statSync } from 'node:fs';
-import type { Failure } from '@limpetbay/core';
+import { fail, type Failure } from '@limpetbay/core';
 import type { Log } from '../log/Log.js';
 import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { LoadedSettings } from './LoadedSettings.js';
@@ -97,7 +97,11 @@
   }
 
   #load(text: string, apply: (settings: Settings) => void): void {
-    const { file, format, log, metrics } = this.#options;
+    const { file, format, initial, log, metrics } = this.#options;
+    if (initial.text.endsWith('\n') && !text.endsWith('\n')) {
+      this.#refuse(fail('invalid_setting', `${file}: the last line is not complete`).val);
+      return;
+    }
     const loaded = checkSettings(format, text, file);
     if (loaded.err) {
       this.#refuse(loaded.val);
@@ -108,10 +112,10 @@
     const waiting: SettingChange[] = [];
     for (const change of listSettingChanges(this.#values, loaded.val.values)) {
       const { name, to } = change;
-      (format.isLive(name) ? live : waiting).push(change);
-      if (!format.isLive(name)) continue;
-      if (to === null) merged.delete(name);
-      else merged.set(name, loaded.val.values.get(name));
+      // A setting that is missing may be lost with a half of the file; its default must wait.
+      const isLive = format.isLive(name) && to !== null;
+      (isLive ? live : waiting).push(change);
+      if (isLive) merged.set(name, loaded.val.values.get(name));
     }
     if (waiting.length > 0) log.warn('changed settings need a restart', { file, changes: waiting });
     if (live.length === 0) {
--- a/packages/runtime/test/SettingsReloader.test.ts
+++ b/packages/runtime/test/SettingsReloader.test.ts
@@ -21,12 +21,14 @@
 let file: string;
 let reloader: SettingsReloader<z.infer<typeof schema>>;
 let sentences: string[];
+let graceMs: number[];
 
 beforeEach(() => {
   folder = mkdtempSync(join(tmpdir(), 'limpetbay-'));
   file = join(folder, 'entry.ini');
   writeFileSync(file, TEXT);
   sentences = [];
+  graceMs = [];
   const add = (sentence: string): void => {
     sentences.push(sentence);
   };
@@ -38,7 +40,7 @@
     log: { report: add, warn: add, alert: add },
     metrics: new MetricRegistry(),
   });
-  reloader.start(() => {});
+  reloader.start(({ timing }) => graceMs.push(timing.grace_ms));
 });
 
 afterEach(() => {
@@ -46,6 +48,18 @@
   rmSync(folder, { recursive: true });
 });
 
+// Guards against half of a file whose values are applied, or whose missing values become defaults.
+it.each([
+  ['in a value', TEXT.slice(0, -4)],
+  ['in a name', TEXT.slice(0, TEXT.indexOf('ace_ms'))],
+  ['between two lines', TEXT.slice(0, TEXT.indexOf('grace_ms'))],
+])('applies nothing of a file that ends %s', async (_name, text) => {
+  writeFileSync(file, text);
+  await sleep(SETTLED_MS);
+  expect(graceMs).toEqual([]);
+  expect(sentences).toHaveLength(1);
+});
+
 // Guards against a file without content of its own, whose read stops the process.
 it('refuses a pipe', async () => {
   rmSync(file);
