--- a/packages/callers/src/server/startCallerServer.ts
+++ b/packages/callers/src/server/startCallerServer.ts
@@ -35,10 +35,16 @@
     if (serveEntryPath(handler, request, response, answer)) return;
     incomplete.add(answer);
     response.on('close', () => incomplete.delete(answer));
-    void readBody(request, options.maxBodyBytes).then((body) => {
+    const serveBody = (body: ReadRequest['body']): void => {
       incomplete.delete(answer);
       if (!answer.isStarted()) serveRequest({ handler, options, request, response, answer, body });
-    });
+    };
+    void readBody(request, options.maxBodyBytes)
+      .then(serveBody)
+      .catch((error: unknown) => {
+        answer.fail(fail('internal', 'the request could not be handled').val);
+        throw error;
+      });
   });
   server.requestTimeout = options.writeTimeoutMs;
   server.on('connection', (socket) => {
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -233,7 +233,12 @@
   /** Processes a request. @returns a function to call if the caller disconnects */
   acceptRequest(head: RequestHead, body: Buffer, answer: DirectAnswer): () => void {
     const run = new RequestRun(this.#requestContext, head, body, answer);
-    run.start();
+    try {
+      run.start();
+    } catch (error) {
+      run.cancel();
+      throw error;
+    }
     return () => run.cancel();
   }
 
@@ -284,21 +289,27 @@
   }
 
   #tick(): void {
-    tryStep(this.#log, 'periodic tasks', {}, () => this.#runTasks());
+    const tasks = {
+      'expire targets': () => this.#registry.expire(),
+      'expire the view': () => this.#view.expire(),
+      'expire suspects': () => this.#prompts.expire(),
+      'expire limits': () => this.#limits.expire(),
+      'expire shared rates': () => this.#rates.expire(),
+      subscribe: () => this.#subscribe(this.#options.clock.getNow()),
+      register: () => this.#register(),
+      'close idle connections': () => this.#closeIdlePools(),
+    };
+    for (const [step, run] of Object.entries(tasks)) tryStep(this.#log, step, {}, run);
     this.#cancelTick = this.#options.timers.schedule(TICK_INTERVAL_MS, () => this.#tick());
   }
 
-  #runTasks(): void {
-    this.#registry.expire();
-    this.#view.expire();
-    this.#prompts.expire();
-    this.#limits.expire();
-    this.#rates.expire();
-    this.#subscribe(this.#options.clock.getNow());
-    if (!this.#isRegistered && this.isReady()) {
-      this.#isRegistered = true;
-      this.#lease.start();
-    }
+  #register(): void {
+    if (this.#isRegistered || !this.isReady()) return;
+    this.#isRegistered = true;
+    this.#lease.start();
+  }
+
+  #closeIdlePools(): void {
     for (const [address, pool] of this.#pools) {
       pool.closeIdle(MAX_POOL_IDLE_MS);
       if (pool.count() === 0) this.#pools.delete(address);
