Serve callers during a stop for as long as an earlier setting told them

Callers that had been told to keep an address for 5 s found it closed 2 s after the begin of a stop, because the time was shortened just before: a stop waited for the new time only.

A stop waits until the last time that was told has passed, within the grace period as before.

--- a/packages/entry/src/process/startEntry.ts
+++ b/packages/entry/src/process/startEntry.ts
@@ -94,11 +94,14 @@
     store.close();
     void instanceList.close();
   };
+  // Until when callers may keep an address that they were told under earlier settings.
+  let earlierExpiryMs = -Infinity;
   return {
     address: server.address,
     url: callers.url,
     kill: close,
     applySettings: (changed) => {
+      earlierExpiryMs = Math.max(earlierExpiryMs, clock.getNow() + timing.address_ttl_ms);
       timing = changed.timing;
       entry.setAddressTtl(timing.address_ttl_ms);
     },
@@ -106,7 +109,8 @@
       entry.startLeaving();
       config.setLeaving();
       // Callers may have cached this address just now, and use it until their cache time ends.
-      await sleep(timing.address_ttl_ms + ADDRESS_EXPIRY_MARGIN_MS);
+      const expiryMs = Math.max(timing.address_ttl_ms, earlierExpiryMs - clock.getNow());
+      await sleep(expiryMs + ADDRESS_EXPIRY_MARGIN_MS);
       entry.stopAccepting();
       void callers.drain();
       // Every request may run until its deadline, even if that is after the grace period.
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -41,6 +41,9 @@
 
   #lastRequestMs = 0;
 
+  /** Until when callers may keep an address that they were told under earlier limits. */
+  #earlierExpiryMs = -Infinity;
+
   constructor(options: GatewayOptions) {
     this.#options = options;
     this.#limits = options.limits;
@@ -78,6 +81,8 @@
 
   /** Changes the limits of the deployment; a stop in progress keeps those with which it began. */
   setLimits(limits: GatewayLimits): void {
+    const expiryMs = this.#options.clock.getNow() + this.#limits.addressTtlMs;
+    this.#earlierExpiryMs = Math.max(this.#earlierExpiryMs, expiryMs);
     this.#limits = limits;
     this.#core.setLimits(limits);
   }
@@ -109,7 +114,7 @@
     const forcedEndMs = startMs + this.#limits.graceMs;
     const answerDeadlineMs = forcedEndMs - ANSWER_MARGIN_MS;
     this.#core.beginStop(answerDeadlineMs);
-    const addressExpiryMs = startMs + this.#limits.addressTtlMs;
+    const addressExpiryMs = Math.max(startMs + this.#limits.addressTtlMs, this.#earlierExpiryMs);
     await this.#waitUntil(forcedEndMs - CLOSE_MARGIN_MS, (nowMs) => {
       const hasNoNewRequests = nowMs - this.#lastRequestMs > NO_REQUESTS_MS;
       return this.#server.countRequests() === 0 && hasNoNewRequests && nowMs > addressExpiryMs;
