Report addresses and calls that can't be used as failed instead of throwing

A target id or workspace with a character that no header may carry threw in the event of the caller as well.

Cause: addresses were split without a check wherever they are used, and http.request throws for what it can't write.

--- a/packages/rpc/src/datagram/PeerSocket.ts
+++ b/packages/rpc/src/datagram/PeerSocket.ts
@@ -1,5 +1,5 @@
 import { createSocket, type Socket } from 'node:dgram';
-import { splitAddress } from '@limpetbay/core';
+import { parseAddress } from '@limpetbay/core';
 import { PeerMessage } from './PeerMessage.js';
 
 interface PeerSocketOptions {
@@ -9,7 +9,7 @@
   readonly onMessage: (message: PeerMessage, from: string) => void;
   /** Called for each datagram with the size of its payload in bytes. */
   readonly onTraffic?: (direction: 'in' | 'out', kind: PeerMessage['kind'], bytes: number) => void;
-  /** Called for datagrams that fail to parse and for errors of the socket. */
+  /** Called for datagrams that fail to parse, invalid addresses and errors of the socket. */
   readonly onError: (cause: string) => void;
 }
 
@@ -48,7 +48,12 @@
     if (this.#isClosed) return;
     const data = Buffer.from(JSON.stringify(message));
     for (const address of addresses) {
-      const { host, port } = splitAddress(address);
+      const parsed = parseAddress(address);
+      if (parsed.err) {
+        this.#options.onError(parsed.val.message);
+        continue;
+      }
+      const { host, port } = parsed.val;
       this.#options.onTraffic?.('out', message.kind, data.length);
       this.#socket.send(data, port, host, (error) => {
         if (error !== null) this.#options.onError(`${address}: ${error.message}`);
--- a/packages/rpc/test/PeerSocket.test.ts
+++ b/packages/rpc/test/PeerSocket.test.ts
@@ -1,3 +1,5 @@
+import { createSocket as createUdpSocket } from 'node:dgram';
+import { once } from 'node:events';
 import { describe, expect, it } from 'vitest';
 import { PeerSocket } from '../src/index.js';
 
@@ -21,4 +23,30 @@
     socket.close();
     expect(() => socket.send({ kind: 'subscribe' }, ['127.0.0.1:9'])).not.toThrow();
   });
+
+  // Guards against an address of another writer that keeps messages from all other receivers.
+  it.each(['127.0.0.1:0', '127.0.0.1:65536', '127.0.0.256:80', 'no-such-host:80', '127.0.0.1', ''])(
+    'reports the address %j and sends to the others',
+    async (odd) => {
+      const errors: string[] = [];
+      const receiver = createUdpSocket('udp4');
+      await new Promise<void>((resolve) => {
+        receiver.bind(0, '127.0.0.1', resolve);
+      });
+      const sender = new PeerSocket({
+        host: '127.0.0.1',
+        port: 0,
+        onMessage: () => {},
+        onError: (cause) => errors.push(cause),
+      });
+      await sender.start();
+      const arrival = once(receiver, 'message');
+      sender.send({ kind: 'subscribe' }, [odd, `127.0.0.1:${receiver.address().port}`]);
+      const [data] = (await arrival) as [Buffer];
+      expect(JSON.parse(data.toString())).toEqual({ kind: 'subscribe' });
+      expect(errors).toEqual([expect.stringContaining(JSON.stringify(odd))]);
+      sender.close();
+      receiver.close();
+    },
+  );
 });
--- a/packages/targets/src/direct/DirectConnection.ts
+++ b/packages/targets/src/direct/DirectConnection.ts
@@ -1,6 +1,13 @@
-import { Agent, request as openRequest, type IncomingMessage } from 'node:http';
+import { Agent, request as openRequest, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { hasValidHeaderNames, splitAddress } from '@limpetbay/core';
+import {
+  Ok,
+  fail,
+  hasValidHeaderNames,
+  parseAddress,
+  type Failure,
+  type Result,
+} from '@limpetbay/core';
 import { hasBody } from '../connection/hasBody.js';
 import { probeReset } from '../connection/probeReset.js';
 import { resetProbeMs } from '../connection/resetProbeMs.js';
@@ -29,9 +36,7 @@
  * another request.
  */
 export class DirectConnection {
-  readonly #host: string;
-
-  readonly #port: number;
+  readonly #address: ReturnType<typeof parseAddress>;
 
   readonly #events: ConnectionEvents;
 
@@ -57,9 +62,7 @@
 
   /** @param address `IP:PORT` */
   constructor(address: string, events: ConnectionEvents) {
-    const { host, port } = splitAddress(address);
-    this.#host = host;
-    this.#port = port;
+    this.#address = parseAddress(address);
     this.#events = events;
     this.#agent.on('free', (socket: Socket) => socket.on('data', this.#closeOnData));
   }
@@ -68,26 +71,29 @@
   send(call: DirectCall, listener: DirectListener): () => void {
     let isFinished = false;
     let isConnected = this.#socket !== null;
-    const fail = (message: string): void => {
+    const reportFailure = (message: string): void => {
       if (isFinished) return;
       isFinished = true;
       this.close();
       listener.onFailure(message, !isConnected);
     };
-    const request = openRequest({
-      agent: this.#agent,
-      host: this.#host,
-      port: this.#port,
-      method: call.method,
-      path: call.url,
-      headers: this.#listHeaders(call),
-    });
+    const cancel = (): void => {
+      isFinished = true;
+      this.close();
+    };
+    const opened = this.#openRequest(call);
+    if (opened.err) {
+      // Callers expect the outcome after `send` has returned.
+      setImmediate(() => reportFailure(opened.val.message));
+      return cancel;
+    }
+    const request = opened.val;
     request.on('socket', (socket) => {
       this.#watchSocket(socket);
       socket.removeListener('data', this.#closeOnData);
       if (!socket.connecting) return;
       const timer = setTimeout(
-        () => fail('the connection was not established in time'),
+        () => reportFailure('the connection was not established in time'),
         CONNECT_TIMEOUT_MS,
       );
       socket.once('connect', () => {
@@ -100,12 +106,12 @@
     request.on('error', (error) => {
       // After the last byte of an answer, other bytes or a reset only end the connection.
       if (isWhole()) this.close();
-      else fail(error.message);
+      else reportFailure(error.message);
     });
     request.on('response', (response) => {
       if (isFinished || (response.statusCode ?? 0) < MIN_FINAL_STATUS) return;
       if (!hasValidHeaderNames(response.rawHeaders)) {
-        fail('the answer has a header name that is not valid');
+        reportFailure('the answer has a header name that is not valid');
         return;
       }
       const framing = readFraming(call.method, response);
@@ -123,14 +129,33 @@
           listener.onEnd();
           if (!this.#isClosed) this.#events.onIdle();
         },
-        onFailure: fail,
+        onFailure: reportFailure,
       });
     });
     request.end(call.body ?? undefined);
-    return () => {
-      isFinished = true;
-      this.close();
-    };
+    return cancel;
+  }
+
+  /** Opens a request; fails where Node.js would throw, as for a header value that is not valid. */
+  #openRequest(call: DirectCall): Result<ClientRequest, Failure> {
+    const address = this.#address;
+    if (address.err) return address;
+    const { host, port } = address.val;
+    try {
+      const headers = listHeaders(call, `${host}:${port}`);
+      return Ok(
+        openRequest({
+          agent: this.#agent,
+          host,
+          port,
+          method: call.method,
+          path: call.url,
+          headers,
+        }),
+      );
+    } catch (error) {
+      return fail('bad_request', `the request cannot be written: ${(error as Error).message}`);
+    }
   }
 
   /** Receives the rest of an answer; its listener may be called after the end. */
@@ -172,13 +197,6 @@
     this.#events.onClosed();
   }
 
-  #listHeaders({ method, headers, body }: DirectCall): string[] {
-    const hasHost = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'host');
-    const fields = hasHost ? [...headers] : ['Host', `${this.#host}:${this.#port}`, ...headers];
-    if (body !== null || method !== 'GET') fields.push('Content-Length', String(body?.length ?? 0));
-    return fields;
-  }
-
   #watchSocket(socket: Socket): void {
     if (this.#socket === socket) return;
     this.#socket = socket;
@@ -190,6 +208,14 @@
   }
 }
 
+/** @param address `IP:PORT`, the default of the `Host` header */
+function listHeaders({ method, headers, body }: DirectCall, address: string): string[] {
+  const hasHost = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'host');
+  const fields = hasHost ? [...headers] : ['Host', address, ...headers];
+  if (body !== null || method !== 'GET') fields.push('Content-Length', String(body?.length ?? 0));
+  return fields;
+}
+
 function readFraming(
   method: string,
   { statusCode = 0, headers }: IncomingMessage,
