--- a/packages/core/src/schema/numericBounds.ts
+++ b/packages/core/src/schema/numericBounds.ts
@@ -15,6 +15,8 @@
   requests: 100_000,
   /** Requests, tokens or megabits a second, and sizes in tokens or megabytes. */
   quantity: 1_000_000_000,
+  /** Priority of a route or workspace; 0 is the most urgent. */
+  priority: 1000,
   /** Ranks of one group. */
   ranks: 4096,
   /** Layer sets of a model; map orders encode the set in one byte. */
