Add a counter and a rate-limited log line for ignored records

A record of another writer that is invalid left a line in the log each time it was written and no counter. IgnoredRecordLog counts each one in limpetbay_records_ignored_total and writes at most one line a second after a burst of 20; the line names the key, the cause and how many were left out.

--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,6 @@
 export { RealClock } from './clock/RealClock.js';
 export { SystemRandom } from './clock/SystemRandom.js';
+export { IgnoredRecordLog } from './log/IgnoredRecordLog.js';
 export type { Log } from './log/Log.js';
 export { LogLimiter } from './log/LogLimiter.js';
 export { createLog } from './log/createLog.js';
