Report invalid records of other writers and keep the others in use

What callers saw: one registration with port 65536 among sound ones threw ERR_SOCKET_BAD_PORT outside of any handler, which ends the entry. The directory named entries whose address can't be used, a record could replace the entry that it names under another key, and ignored records were not counted.

Cause: entry records, limits and prompt records had no ranges; invalid records were logged in four ways. A registration that became invalid was kept for good if a watch told it and removed at once if a full read did, so entries differed.

Change: GatewayView and SharedTargetLimits decode with the schemas of core and report what they ignore through IgnoredRecordLog. The simulated fleet uses IP:PORT addresses instead of names, as the schemas ask for; its checks are unchanged.

--- a/packages/core/src/direct/EntryDirectory.ts
+++ b/packages/core/src/direct/EntryDirectory.ts
@@ -103,14 +103,20 @@
     this.#graceEndMs = this.#clock.getNow() + graceMs;
   }
 
-  replaceAll(entries: readonly EntryRecord[]): void {
+  /**
+   * Replaces all entries by those of a full read.
+   *
+   * @param invalidNames entries whose registrations are not valid; the last valid ones hold, because
+   *   entries renew only the lease of their registrations
+   */
+  replaceAll(entries: readonly EntryRecord[], invalidNames: ReadonlySet<string> = new Set()): void {
     this.#returned.clear();
-    this.#removeAbsent(entries);
+    this.#removeAbsent([...entries.map(({ name }) => name), ...invalidNames]);
     for (const entry of entries) this.upsert(entry);
   }
 
-  #removeAbsent(entries: readonly EntryRecord[]): void {
-    const present = new Set(entries.map(({ name }) => name));
+  #removeAbsent(names: readonly string[]): void {
+    const present = new Set(names);
     for (const name of [...this.#entries.keys()]) if (!present.has(name)) this.remove(name);
   }
 
@@ -121,7 +127,7 @@
   restore(entries: readonly EntryRecord[]): void {
     const nowMs = this.#clock.getNow();
     this.#startGrace();
-    this.#removeAbsent(entries);
+    this.#removeAbsent(entries.map(({ name }) => name));
     this.#returned.clear();
     for (const entry of entries) {
       const removedAtMs = this.#removedAtMs.get(entry.name) ?? Infinity;
--- a/packages/core/src/direct/TargetRegistry.ts
+++ b/packages/core/src/direct/TargetRegistry.ts
@@ -112,11 +112,28 @@
     this.#targetsByService = null;
   }
 
-  /** Replaces all registrations by those of a full read. */
-  replaceAll(targets: readonly DirectTarget[]): void {
+  /**
+   * Keeps a target whose registration was replaced by one that is not valid until its next heartbeat
+   * is due. Its last valid registration holds meanwhile.
+   */
+  retain(id: string): void {
+    this.#returned.delete(id);
+    if (!this.#targets.has(id) || this.#lapsedUntilMs.has(id)) return;
+    this.#lapsedUntilMs.set(id, this.#clock.getNow() + LAPSE_GRACE_MS);
+  }
+
+  /**
+   * Replaces all registrations by those of a full read.
+   *
+   * @param invalidIds targets whose registrations are not valid
+   */
+  replaceAll(targets: readonly DirectTarget[], invalidIds: ReadonlySet<string> = new Set()): void {
     this.#returned.clear();
     const present = new Set(targets.map(({ id }) => id));
-    for (const id of [...this.#targets.keys()]) if (!present.has(id)) this.remove(id);
+    for (const id of [...this.#targets.keys()]) {
+      if (invalidIds.has(id)) this.retain(id);
+      else if (!present.has(id)) this.remove(id);
+    }
     for (const target of targets) this.upsert(target);
   }
 
--- a/packages/core/src/prompts/PromptRecord.ts
+++ b/packages/core/src/prompts/PromptRecord.ts
@@ -4,11 +4,14 @@
 /** Ends of targets that are stored with a prompt part; more would decide nothing. */
 const MAX_ENDS = 16;
 
+/** Names of entries are shorter, characters. */
+const MAX_NAME_LENGTH = 300;
+
 /** What entries share through the store about one prompt part. */
 export const PromptRecord = z.object({
   ends: z.array(TargetEnd).max(MAX_ENDS),
   /** Name of the entry whose request with the part is on trial; null without a trial. */
-  trial: z.string().nullable(),
+  trial: z.string().max(MAX_NAME_LENGTH).nullable(),
 });
 
 export type PromptRecord = z.infer<typeof PromptRecord>;
--- a/packages/core/test/direct/TargetRegistry.test.ts
+++ b/packages/core/test/direct/TargetRegistry.test.ts
@@ -73,4 +73,35 @@
     registry.upsert(createTarget('x', { coldLeftMs: 2000 }));
     expect(registry.isCold('x')).toBe(true);
   });
+
+  // Guards against losing a target that runs, and against keeping one that no heartbeat names again.
+  it.each(['change', 'full read'])(
+    'keeps a target whose registration became invalid with a %s until its heartbeat is overdue',
+    (kind) => {
+      const clock = new ManualClock();
+      const registry = new TargetRegistry(clock);
+      const target = createTarget('x');
+      const invalidate = (): void => {
+        if (kind === 'change') registry.retain('x');
+        else registry.replaceAll([], new Set(['x']));
+      };
+      registry.upsert(target);
+      invalidate();
+      clock.advance(2000);
+      registry.upsert(target);
+      clock.advance(60_000);
+      registry.expire();
+      expect(registry.listAll()).toEqual([target]);
+      // Writing the invalid registration again does not extend the time.
+      for (let write = 0; write < 3; write += 1) {
+        expect(registry.listAll()).toEqual([target]);
+        invalidate();
+        clock.advance(1000);
+        registry.expire();
+      }
+      expect(registry.listAll()).toEqual([]);
+      invalidate();
+      expect(registry.listAll()).toEqual([]);
+    },
+  );
 });
--- a/packages/core/test/direct/limits.test.ts
+++ b/packages/core/test/direct/limits.test.ts
@@ -86,6 +86,16 @@
     expect(directory.countSharingEntries()).toBe(1);
   });
 
+  // Guards against a directory that loses an entry that runs because its record was overwritten.
+  it('keeps an entry whose registration is no longer valid until it is removed', () => {
+    const directory = new EntryDirectory(new ManualClock());
+    directory.upsert(entry);
+    directory.replaceAll([], new Set(['e1', 'unknown']));
+    expect(directory.listEntries()).toEqual([entry]);
+    directory.replaceAll([]);
+    expect(directory.listEntries()).toEqual([]);
+  });
+
   // Guards against a directory that names a departed entry because the store is restored repeatedly.
   it('lists an entry that a restored store lacks only for the time to register again', () => {
     const clock = new ManualClock();
--- a/packages/gateway/src/feed/GatewayView.ts
+++ b/packages/gateway/src/feed/GatewayView.ts
@@ -1,6 +1,8 @@
 import {
   EntryRecord,
   RouteTable,
+  Zone,
+  decodeJson,
   type Clock,
   type DirectTarget,
   type EntryDirectory,
@@ -8,7 +10,7 @@
   type TargetPicker,
   type TargetRegistry,
 } from '@limpetbay/core';
-import type { Log } from '@limpetbay/runtime';
+import type { IgnoredRecordLog, Log } from '@limpetbay/runtime';
 import type { SharedTargetLimits } from '../limits/SharedTargetLimits.js';
 import type { SharedPromptBreaker } from '../prompts/SharedPromptBreaker.js';
 import type { MirrorListener } from './MirrorListener.js';
@@ -18,6 +20,7 @@
 interface GatewayViewOptions {
   readonly clock: Clock;
   readonly log: Log;
+  readonly ignored: IgnoredRecordLog;
   readonly layout: RecordLayout;
   readonly registry: TargetRegistry;
   readonly entries: EntryDirectory;
@@ -61,6 +64,8 @@
     const { layout, registry, entries, clock } = this.#options;
     const targets: DirectTarget[] = [];
     const entryRecords: EntryRecord[] = [];
+    const invalidTargets = new Set<string>();
+    const invalidEntries = new Set<string>();
     const promptRecords: StoreRecord[] = [];
     const limitRecords: StoreRecord[] = [];
     const evacuatedBefore = [...this.#evacuatedZones];
@@ -71,9 +76,11 @@
       if (record.key.startsWith(layout.targetPrefix)) {
         const target = this.#decodeTarget(record);
         if (target !== null) targets.push(target);
+        else invalidTargets.add(this.#readTargetId(record.key));
       } else if (record.key.startsWith(layout.entryPrefix)) {
         const entry = this.#decodeEntry(record);
         if (entry !== null) entryRecords.push(entry);
+        else invalidEntries.add(this.#readEntryName(record.key));
       } else if (record.key.startsWith(layout.promptPrefix)) promptRecords.push(record);
       else if (record.key.startsWith(layout.limitPrefix)) limitRecords.push(record);
       else this.onRecord(record);
@@ -88,8 +95,8 @@
       registry.restore(targets);
       entries.restore(entryRecords);
     } else {
-      registry.replaceAll(targets);
-      entries.replaceAll(entryRecords);
+      registry.replaceAll(targets, invalidTargets);
+      entries.replaceAll(entryRecords, invalidEntries);
     }
     this.#options.prompts.handleSnapshot({ ...snapshot, records: promptRecords });
     this.#options.limits.handleSnapshot({ ...snapshot, records: limitRecords });
@@ -111,14 +118,21 @@
     if (record.key === layout.configKey) this.#handleConfig(record);
     else if (record.key.startsWith(layout.evacuationPrefix)) {
       const zone = record.key.slice(layout.evacuationPrefix.length);
+      const checked = Zone.safeParse(zone);
+      if (!checked.success) {
+        this.#options.ignored.report('evacuation', record.key, 'does not name a zone');
+        return;
+      }
       this.#evacuatedZones.add(zone);
       this.#lostEvacuations.delete(zone);
       this.#options.log.report('zone taken out of service', { zone, revision: record.revision });
     } else if (record.key.startsWith(layout.targetPrefix)) {
       const target = this.#decodeTarget(record);
-      if (target === null) return;
-      this.#logTargetChange(target);
-      registry.upsert(target);
+      if (target === null) registry.retain(this.#readTargetId(record.key));
+      else {
+        this.#logTargetChange(target);
+        registry.upsert(target);
+      }
     } else if (record.key.startsWith(layout.entryPrefix)) {
       const entry = this.#decodeEntry(record);
       if (entry !== null) entries.upsert(entry);
@@ -137,11 +151,11 @@
       this.#lostEvacuations.delete(zone);
       log.report('zone put back into service', { zone });
     } else if (key.startsWith(layout.targetPrefix)) {
-      const id = key.slice(layout.targetPrefix.length);
+      const id = this.#readTargetId(key);
       log.report('target registration removed', { target: id });
       registry.remove(id);
     } else if (key.startsWith(layout.entryPrefix)) {
-      const name = key.slice(layout.entryPrefix.length);
+      const name = this.#readEntryName(key);
       log.report('entry registration removed', { entry: name });
       entries.remove(name);
     } else if (key.startsWith(layout.promptPrefix)) this.#options.prompts.handleRemoval(key);
@@ -168,13 +182,10 @@
   }
 
   #handleConfig(record: StoreRecord): void {
-    const { layout, log, onConfig } = this.#options;
+    const { layout, log, ignored, onConfig } = this.#options;
     const decoded = layout.decodeConfig(record.value);
     if (decoded.err) {
-      log.warn('invalid configuration ignored', {
-        revision: record.revision,
-        cause: decoded.val.message,
-      });
+      ignored.report('configuration', record.key, decoded.val.message);
       return;
     }
     const { version } = decoded.val;
@@ -190,25 +201,30 @@
     onConfig(this.#table);
   }
 
-  #decodeTarget(record: StoreRecord): DirectTarget | null {
-    const id = record.key.slice(this.#options.layout.targetPrefix.length);
-    const decoded = this.#options.layout.decodeTarget(id, record.value);
+  #decodeTarget({ key, value }: StoreRecord): DirectTarget | null {
+    const { layout, ignored } = this.#options;
+    const decoded = layout.decodeTarget(this.#readTargetId(key), value);
     if (decoded.ok) return decoded.val;
-    this.#options.log.warn('invalid target registration ignored', {
-      id,
-      cause: decoded.val.message,
-    });
+    ignored.report('target', key, decoded.val.message);
     return null;
   }
 
-  #decodeEntry(record: StoreRecord): EntryRecord | null {
-    try {
-      return EntryRecord.parse(JSON.parse(record.value));
-    } catch (error) {
-      const cause = (error as Error).message;
-      this.#options.log.warn('invalid entry registration ignored', { key: record.key, cause });
-      return null;
-    }
+  #decodeEntry({ key, value }: StoreRecord): EntryRecord | null {
+    const decoded = decodeJson(EntryRecord, value);
+    // A record under another key would replace that of the entry that it names.
+    const isOwnName = decoded.ok && decoded.val.name === this.#readEntryName(key);
+    if (isOwnName) return decoded.val;
+    const cause = decoded.err ? decoded.val.message : 'name: must be that of the key';
+    this.#options.ignored.report('entry', key, cause);
+    return null;
+  }
+
+  #readTargetId(key: string): string {
+    return key.slice(this.#options.layout.targetPrefix.length);
+  }
+
+  #readEntryName(key: string): string {
+    return key.slice(this.#options.layout.entryPrefix.length);
   }
 
   #logTargetChange(target: DirectTarget): void {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,6 +6,7 @@
 export { StoreMirror } from './feed/StoreMirror.js';
 export { computeSaveDelay } from './feed/computeSaveDelay.js';
 export { SharedTargetLimits } from './limits/SharedTargetLimits.js';
+export { StoredLimit } from './limits/StoredLimit.js';
 export type { AnswerHead } from './ports/AnswerHead.js';
 export type { AttemptHead } from './ports/AttemptHead.js';
 export type { EntryNetwork } from './ports/EntryNetwork.js';
--- a/packages/gateway/src/limits/SharedTargetLimits.ts
+++ b/packages/gateway/src/limits/SharedTargetLimits.ts
@@ -1,6 +1,6 @@
-import { z } from 'zod';
 import {
   buildRunName,
+  decodeJson,
   type Clock,
   type DirectTarget,
   type RandomSource,
@@ -9,11 +9,12 @@
   type TargetRegistry,
 } from '@limpetbay/core';
 import type { PeerMessage } from '@limpetbay/rpc';
-import type { Log } from '@limpetbay/runtime';
+import type { IgnoredRecordLog, Log } from '@limpetbay/runtime';
 import { computeSaveDelay } from '../feed/computeSaveDelay.js';
 import type { MirrorSnapshot } from '../feed/MirrorSnapshot.js';
 import type { Timers } from '../ports/Timers.js';
 import type { SharedRates } from '../rates/SharedRates.js';
+import { StoredLimit } from './StoredLimit.js';
 
 interface SharedTargetLimitsOptions {
   readonly clock: Clock;
@@ -25,6 +26,7 @@
   readonly registry: Pick<TargetRegistry, 'get'>;
   readonly rates: SharedRates;
   readonly log: Log;
+  readonly ignored: IgnoredRecordLog;
   /** Returns the place of this entry among those that save the same key; 0 is first. */
   readonly rankSelf: (key: string) => number;
   /** Sends a message to all other entries, without confirmation of delivery. */
@@ -41,8 +43,6 @@
   exhaustedUntilMs: number;
 }
 
-const StoredLimit = z.object({ targetId: z.string(), perSecond: z.number().nonnegative() });
-
 /** A limit that changes with every answer is announced at this interval. */
 const ANNOUNCE_INTERVAL_MS = 1000;
 
@@ -179,16 +179,16 @@
     for (const run of this.#limits.keys()) this.#scheduleSave(run);
   }
 
-  handleRecord({ key, value, revision }: StoreRecord): void {
+  handleRecord({ key, value }: StoreRecord): void {
     const run = this.#parseKey(key);
-    const stored = parseLimit(value);
-    if (stored === null) {
-      this.#options.log.warn('invalid record of a limit ignored', { key, revision });
+    const stored = decodeJson(StoredLimit, value);
+    if (stored.err) {
+      this.#options.ignored.report('limit', key, stored.val.message);
       return;
     }
     this.#stored.set(run, value);
     if (this.#isNewerThanStore(run)) return;
-    this.#set(run, stored.targetId, stored.perSecond, -Infinity);
+    this.#set(run, stored.val.targetId, stored.val.perSecond, -Infinity);
   }
 
   handleRemoval(key: string): void {
@@ -330,11 +330,3 @@
     return key.slice(this.#options.prefix.length);
   }
 }
-
-function parseLimit(value: string): z.infer<typeof StoredLimit> | null {
-  try {
-    return StoredLimit.parse(JSON.parse(value));
-  } catch {
-    return null;
-  }
-}
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -11,6 +11,7 @@
   type RouteTable,
 } from '@limpetbay/core';
 import { decodeLoads, type PeerMessage } from '@limpetbay/rpc';
+import { IgnoredRecordLog } from '@limpetbay/runtime';
 import { EntryLease } from '../feed/EntryLease.js';
 import { GatewayView } from '../feed/GatewayView.js';
 import { StoreMirror } from '../feed/StoreMirror.js';
@@ -105,6 +106,7 @@
       registry: this.#registry,
       rates: this.#rates,
       log: limitsLog,
+      ignored: new IgnoredRecordLog({ clock, log: limitsLog, metrics, component: 'limits' }),
       rankSelf,
       sendToEntries,
     });
@@ -132,9 +134,11 @@
       rankSelf,
       sendToEntries,
     });
+    const viewLog = createLog('view');
     this.#view = new GatewayView({
       clock,
-      log: createLog('view'),
+      log: viewLog,
+      ignored: new IgnoredRecordLog({ clock, log: viewLog, metrics, component: 'view' }),
       layout,
       registry: this.#registry,
       entries: this.#entries,
--- a/packages/gateway/test/SharedTargetLimits.test.ts
+++ b/packages/gateway/test/SharedTargetLimits.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { ManualClock, SeededRandom, type DirectTarget } from '@limpetbay/core';
 import type { PeerMessage } from '@limpetbay/rpc';
-import type { Log } from '@limpetbay/runtime';
+import { IgnoredRecordLog, MetricRegistry, type Log } from '@limpetbay/runtime';
 import { MemoryStore } from '@limpetbay/standins';
 import { SharedTargetLimits } from '../src/index.js';
 
@@ -43,6 +43,12 @@
       registry: { get: () => TARGET },
       rates: {} as never,
       log: NOOP_LOG,
+      ignored: new IgnoredRecordLog({
+        clock,
+        log: NOOP_LOG,
+        metrics: new MetricRegistry(),
+        component: 'limits',
+      }),
       rankSelf: () => 0,
       sendToEntries: (message) => messages.push(message),
     });
--- a/packages/gateway/test/restoredStore.test.ts
+++ b/packages/gateway/test/restoredStore.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { SimTimers } from '@limpetbay/standins';
+import { buildSimAddress } from './support/buildSimAddress.js';
 import { SimFleet } from './support/SimFleet.js';
 import { simLayout } from './support/simLayout.js';
 
@@ -52,7 +53,8 @@
 /** Expects that no other entry names one that has ended. */
 function expectNotNamed({ entries }: SimFleet, ended: number): void {
   for (const [index, entry] of entries.entries()) {
-    if (index !== ended) expect(entry.listAddresses()).not.toContain(`entry-${ended}:80`);
+    if (index === ended) continue;
+    expect(entry.listAddresses()).not.toContain(buildSimAddress(`entry-${ended}`, 80));
   }
 }
 
--- a/packages/gateway/test/support/SimEntry.ts
+++ b/packages/gateway/test/support/SimEntry.ts
@@ -5,6 +5,7 @@
 import { RealTimers, type EntryNetwork } from '../../src/index.js';
 import { EntryCore } from '../../src/process/EntryCore.js';
 import { simCodec } from './simCodec.js';
+import { buildSimAddress } from './buildSimAddress.js';
 import { simLayout } from './simLayout.js';
 import { SimStoreLink } from './SimStoreLink.js';
 
@@ -64,7 +65,7 @@
       store: this.link,
       codec: simCodec,
       layout: simLayout,
-      self: { name, callerAddress: `${name}:80`, peerAddress, zone: 'a' },
+      self: { name, callerAddress: buildSimAddress(name, 80), peerAddress, zone: 'a' },
       limits: LIMITS,
       metrics: new MetricRegistry(),
       createLog: () => NOOP_LOG,
--- a/packages/gateway/test/support/SimFleet.ts
+++ b/packages/gateway/test/support/SimFleet.ts
@@ -10,6 +10,7 @@
 import { MemoryStore } from '@limpetbay/standins';
 import type { EntryNetwork } from '../../src/index.js';
 import { SimEntry } from './SimEntry.js';
+import { buildSimAddress } from './buildSimAddress.js';
 import { simLayout } from './simLayout.js';
 import { SimTarget } from './SimTarget.js';
 
@@ -45,6 +46,8 @@
 /** The registration of a target that ended remains for this time. */
 const REGISTRATION_MS = 3600;
 
+const PEER_PORT = 7340;
+
 const PEER_DELAY_MS = 1;
 
 /** Share of the datagrams between entries that are lost. */
@@ -155,7 +158,7 @@
       random: this.random,
       store: this.store,
       name,
-      peerAddress: `${name}:7340`,
+      peerAddress: buildSimAddress(name, PEER_PORT),
       network: this.#createNetwork(name),
     });
     this.entries[index] = entry;
@@ -219,7 +222,7 @@
   }
 
   #createNetwork(entry: string): EntryNetwork {
-    const peerAddress = `${entry}:7340`;
+    const peerAddress = buildSimAddress(entry, PEER_PORT);
     return {
       openPool: (address) => ({
         send: (call, listener) => {
--- a/packages/gateway/test/support/SimView.ts
+++ b/packages/gateway/test/support/SimView.ts
@@ -1,4 +1,5 @@
 import { EntryDirectory, TargetRegistry, type Clock, type RandomSource } from '@limpetbay/core';
+import { IgnoredRecordLog, MetricRegistry } from '@limpetbay/runtime';
 import type { MemoryStore } from '@limpetbay/standins';
 import { RealTimers } from '../../src/index.js';
 import { GatewayView } from '../../src/feed/GatewayView.js';
@@ -37,6 +38,12 @@
     this.#view = new GatewayView({
       clock,
       log: NOOP_LOG,
+      ignored: new IgnoredRecordLog({
+        clock,
+        log: NOOP_LOG,
+        metrics: new MetricRegistry(),
+        component: 'view',
+      }),
       layout: simLayout,
       registry: this.registry,
       entries: new EntryDirectory(clock),
--- a/packages/gateway/test/support/SimWriters.ts
+++ b/packages/gateway/test/support/SimWriters.ts
@@ -1,6 +1,7 @@
 import type { DirectTarget, RandomSource } from '@limpetbay/core';
 import type { MemoryStore } from '@limpetbay/standins';
 import { describeState } from './describeState.js';
+import { buildSimAddress } from './buildSimAddress.js';
 import { simLayout } from './simLayout.js';
 
 /** How often the operator compares what is stored with what was written, milliseconds. */
@@ -63,7 +64,7 @@
     this.#targets.set(id, {
       id,
       service: 's',
-      address: `${id}:80`,
+      address: buildSimAddress(id, 80),
       zone: 'a',
       capacity: 4,
       isDraining: false,
--- a/packages/runtime/test/IgnoredRecordLog.test.ts
+++ b/packages/runtime/test/IgnoredRecordLog.test.ts
@@ -20,8 +20,9 @@
         { record: 'target', key: 'servers/i-1', cause: 'address: must be IP:PORT' },
       ],
     ]);
-    for (let count = 1; count < 500; count += 1)
-      ignored.report('target', 'servers/i-1', 'not JSON');
+    for (let count = 1; count < 500; count += 1) {
+ ignored.report('target', 'servers/i-1', 'not JSON');
+}
     expect(lines).toHaveLength(20);
     nowMs = 1000;
     ignored.report('limit', 'limits/i-1@1', 'not JSON');
--- a/packages/targets/test/oddAddresses.test.ts
+++ b/packages/targets/test/oddAddresses.test.ts
@@ -3,7 +3,7 @@
 import dns from 'node:dns';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { RealClock } from '@limpetbay/runtime';
-import { DirectPool, checkListener, requestJson } from '../src/index.js';
+import { DirectPool, checkListener, requestJson, type DirectCall } from '../src/index.js';
 
 const ODD_ADDRESSES = [
   '127.0.0.1:0',
@@ -16,7 +16,7 @@
   '',
 ];
 
-const CALL = { method: 'GET', url: '/', headers: [], body: null, maxIdleMs: 0 };
+const CALL: DirectCall = { method: 'GET', url: '/', headers: [], body: null, maxIdleMs: 0 };
 
 interface Outcome {
   readonly message: string;
@@ -26,7 +26,7 @@
 /** Sends a call. @returns its failure, and whether it was told before `send` returned */
 function sendCall(
   address: string,
-  call: Partial<typeof CALL> & { headers?: string[] },
+  call: Partial<DirectCall>,
 ): Promise<Outcome & { readonly isEarly: boolean; readonly open: number }> {
   const pool = new DirectPool(address, new RealClock());
   return new Promise((resolve, reject) => {
