--- a/packages/targets/src/direct/requestJson.ts
+++ b/packages/targets/src/direct/requestJson.ts
@@ -1,4 +1,4 @@
-import { Ok, fail, type Failure, type Result } from '@limpetbay/core';
+import { Ok, fail, parseJson, type Failure, type Result } from '@limpetbay/core';
 import type { DirectPool } from './DirectPool.js';
 
 interface JsonRequest {
@@ -68,12 +68,7 @@
   bytes: Buffer,
 ): Result<JsonAnswer, Failure> {
   if (bytes.length === 0) return Ok({ ...head, body: undefined });
-  try {
-    return Ok({ ...head, body: JSON.parse(bytes.toString()) as unknown });
-  } catch (error) {
-    return fail(
-      'outcome_unknown',
-      `${url}: the answer is not valid JSON: ${(error as Error).message}`,
-    );
-  }
+  const body = parseJson(bytes.toString());
+  if (body.ok) return Ok({ ...head, body: body.val });
+  return fail('outcome_unknown', `${url}: the answer is ${body.val.message}`);
 }
