Keep following the store after an exception

What callers saw: nothing yet. An exception while a record was applied ended the polls of the watch, and one in a full read, in the renewal of the lease or in the periodic tasks was the last of its loop: the entry would have served an old list, or lost its registration, until it was restarted.

Cause: each loop scheduled its next step at the end of the previous one, and nothing awaited the promise.

Change: the steps run through tryStep and tryAsyncStep, which log the step, the key and the cause at level error; the next step follows as after any failure.

--- a/packages/gateway/src/feed/EntryLease.ts
+++ b/packages/gateway/src/feed/EntryLease.ts
@@ -1,5 +1,5 @@
 import type { EntryRecord, RandomSource, Store } from '@limpetbay/core';
-import type { Log } from '@limpetbay/runtime';
+import { tryAsyncStep, type Log } from '@limpetbay/runtime';
 import type { Timers } from '../ports/Timers.js';
 
 interface EntryLeaseOptions {
@@ -61,7 +61,10 @@
   }
 
   async #maintain(): Promise<void> {
-    const hasSucceeded = this.#lease === null ? await this.#register() : await this.#renew();
+    let hasSucceeded = false;
+    await tryAsyncStep(this.#options.log, 'keep the registration', async () => {
+      hasSucceeded = this.#lease === null ? await this.#register() : await this.#renew();
+    });
     if (this.#isStopped) return;
     this.#cancelTimer = this.#options.timers.schedule(
       hasSucceeded ? RENEW_INTERVAL_MS : RETRY_DELAY_MS,
--- a/packages/gateway/src/feed/StoreMirror.ts
+++ b/packages/gateway/src/feed/StoreMirror.ts
@@ -8,7 +8,7 @@
   type StorePosition,
   type StoreRecord,
 } from '@limpetbay/core';
-import type { Log } from '@limpetbay/runtime';
+import { tryAsyncStep, tryStep, type Log } from '@limpetbay/runtime';
 import type { Timers } from '../ports/Timers.js';
 import type { MirrorListener } from './MirrorListener.js';
 
@@ -69,7 +69,7 @@
   }
 
   start(): void {
-    void this.#readAll();
+    void this.#startRead();
   }
 
   stop(): void {
@@ -77,6 +77,13 @@
     this.#stopWatch?.();
   }
 
+  async #startRead(): Promise<void> {
+    const hasEnded = await tryAsyncStep(this.#options.log, 'read the store', () => this.#readAll());
+    if (hasEnded || this.#isStopped) return;
+    this.#position = null;
+    this.#scheduleRetry();
+  }
+
   async #readAll(): Promise<void> {
     const { clock, store, prefix, listener } = this.#options;
     const read = await store.readPrefix(prefix);
@@ -98,13 +105,15 @@
   }
 
   #watch({ era, revision }: StorePosition): void {
-    const { store, prefix, listener } = this.#options;
+    const { store, prefix, listener, log } = this.#options;
     const from = { era, revision: Revision.parse(revision + 1) };
     this.#stopWatch = store.watch(prefix, from, {
       onChange: (change) => {
         this.#recordRevision(change.revision);
-        if (change.value === null) listener.onRemoval(change.key);
-        else listener.onRecord(change as StoreRecord);
+        tryStep(log, 'apply a record', { key: change.key }, () => {
+          if (change.value === null) listener.onRemoval(change.key);
+          else listener.onRecord(change as StoreRecord);
+        });
       },
       onProgress: (latestRevision) => this.#recordRevision(latestRevision),
       onEnd: (reason) => this.#handleWatchEnd(reason),
@@ -141,7 +150,7 @@
   #scheduleRetry(delayMs = this.#backoff.next()): void {
     this.#options.timers.schedule(delayMs, () => {
       if (this.#isStopped) return;
-      if (this.#position === null) void this.#readAll();
+      if (this.#position === null) void this.#startRead();
       else this.#watch(this.#position);
     });
   }
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -11,7 +11,7 @@
   type RouteTable,
 } from '@limpetbay/core';
 import { decodeLoads, type PeerMessage } from '@limpetbay/rpc';
-import { IgnoredRecordLog } from '@limpetbay/runtime';
+import { IgnoredRecordLog, tryStep, type Log } from '@limpetbay/runtime';
 import { EntryLease } from '../feed/EntryLease.js';
 import { GatewayView } from '../feed/GatewayView.js';
 import { StoreMirror } from '../feed/StoreMirror.js';
@@ -43,6 +43,8 @@
 export class EntryCore {
   readonly #options: EntryCoreOptions;
 
+  readonly #log: Log;
+
   readonly #registry: TargetRegistry;
 
   readonly #entries: EntryDirectory;
@@ -171,6 +173,7 @@
       getPool: (address) => this.#getPool(address),
     };
     const log = createLog('store');
+    this.#log = createLog('entry');
     this.#mirror = new StoreMirror({
       clock,
       store,
@@ -260,13 +263,20 @@
 
   /** Load reports arrive ten times a second; in between, waits expire and slots become free. */
   #advanceQueue(): void {
-    if (this.#requestContext.queue.count() > 0) this.#requestContext.queue.advance();
+    tryStep(this.#log, 'advance the queue', {}, () => {
+      if (this.#requestContext.queue.count() > 0) this.#requestContext.queue.advance();
+    });
     this.#cancelQueueTick = this.#options.timers.schedule(QUEUE_INTERVAL_MS, () =>
       this.#advanceQueue(),
     );
   }
 
   #tick(): void {
+    tryStep(this.#log, 'periodic tasks', {}, () => this.#runTasks());
+    this.#cancelTick = this.#options.timers.schedule(TICK_INTERVAL_MS, () => this.#tick());
+  }
+
+  #runTasks(): void {
     this.#registry.expire();
     this.#view.expire();
     this.#prompts.expire();
@@ -281,7 +291,6 @@
       pool.closeIdle(MAX_POOL_IDLE_MS);
       if (pool.count() === 0) this.#pools.delete(address);
     }
-    this.#cancelTick = this.#options.timers.schedule(TICK_INTERVAL_MS, () => this.#tick());
   }
 
   /** Lists the addresses of the other entries for datagrams. */
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -5,6 +5,8 @@
 export { LogLimiter } from './log/LogLimiter.js';
 export { createLog } from './log/createLog.js';
 export { formatFields } from './log/formatFields.js';
+export { tryAsyncStep } from './log/tryAsyncStep.js';
+export { tryStep } from './log/tryStep.js';
 export { MetricRegistry } from './metrics/MetricRegistry.js';
 export { startCounterLog } from './metrics/startCounterLog.js';
 export { startMetricsServer } from './metrics/startMetricsServer.js';
--- a/packages/runtime/test/IgnoredRecordLog.test.ts
+++ b/packages/runtime/test/IgnoredRecordLog.test.ts
@@ -21,8 +21,8 @@
       ],
     ]);
     for (let count = 1; count < 500; count += 1) {
- ignored.report('target', 'servers/i-1', 'not JSON');
-}
+      ignored.report('target', 'servers/i-1', 'not JSON');
+    }
     expect(lines).toHaveLength(20);
     nowMs = 1000;
     ignored.report('limit', 'limits/i-1@1', 'not JSON');
