Check the addresses and numbers of datagrams at the socket

What callers saw: nothing yet. A datagram with a huge rank, size or time, or a status with port 65536, passed its schema: the address reached encodeLoads and the clients of other ranks, a size of 9e15 kept the planner in one loop, a scale of 1e300 made the demand infinite, a wait of 1e300 ms kept a target out of use. An exception while a datagram was handled ended the process.

Cause: PeerMessage and the schemas that it contains had types without ranges.

Change: they use the addresses, counts, times and bounds of core; a rank lies below the size of its group. PeerSocket reports invalid datagrams with their sender, which entries and agents count and log like other ignored records, and reports a fault of the handler as an error.

--- a/packages/core/src/barrierswitch/RankOrder.ts
+++ b/packages/core/src/barrierswitch/RankOrder.ts
@@ -1,7 +1,14 @@
 import { z } from 'zod';
+import { Counter } from '../schema/Counter.js';
+import { numericBounds } from '../schema/numericBounds.js';
 
-const Version = z.number().int().positive();
-const Step = z.number().int().nonnegative();
+const Version = Counter.positive();
+
+const Expert = z.number().int().nonnegative().max(numericBounds.experts);
+
+const ExpertSets = z
+  .array(z.array(z.array(Expert).max(numericBounds.experts)).max(numericBounds.ranks))
+  .max(numericBounds.expertSets);
 
 /**
  * An order to one rank of a lock-step group; all are idempotent.
@@ -17,12 +24,12 @@
     operation: z.literal('prepare'),
     version: Version,
     /** The experts that each rank holds, by layer set, then by rank. */
-    sets: z.array(z.array(z.array(z.number().int().nonnegative()))),
+    sets: ExpertSets,
   }),
-  z.object({ operation: z.literal('arm'), version: Version, step: Step }),
+  z.object({ operation: z.literal('arm'), version: Version, step: Counter }),
   z.object({ operation: z.literal('disarm'), version: Version }),
-  z.object({ operation: z.literal('hold'), step: Step }),
-  z.object({ operation: z.literal('go'), step: Step }),
+  z.object({ operation: z.literal('hold'), step: Counter }),
+  z.object({ operation: z.literal('go'), step: Counter }),
 ]);
 
 export type RankOrder = z.infer<typeof RankOrder>;
--- a/packages/core/src/direct/RankLoad.ts
+++ b/packages/core/src/direct/RankLoad.ts
@@ -1,12 +1,14 @@
 import { z } from 'zod';
+import { Address } from '../ids/Address.js';
+import { RequestCount } from '../schema/RequestCount.js';
 
 /** Load of one rank of a group, as reported to the entries. */
 export const RankLoad = z.object({
-  /** `IP:PORT` of the rank. */
-  address: z.string(),
+  /** Address of the rank. */
+  address: Address,
   /** Requests in the batch, and requests that wait for a slot in it. */
-  active: z.number().int().nonnegative(),
-  queued: z.number().int().nonnegative(),
+  active: RequestCount,
+  queued: RequestCount,
 });
 
 export type RankLoad = z.infer<typeof RankLoad>;
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -1,7 +1,7 @@
 import { DirectServer, type DirectAnswer, type DirectHandler } from '@limpetbay/callers';
 import { splitAddress, type RequestHead } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
-import type { Log } from '@limpetbay/runtime';
+import { IgnoredRecordLog, type Log } from '@limpetbay/runtime';
 import { DirectPool, checkListener } from '@limpetbay/targets';
 import { EntryCore } from './EntryCore.js';
 import type { GatewayOptions } from './GatewayOptions.js';
@@ -37,8 +37,9 @@
 
   constructor(options: GatewayOptions) {
     this.#options = options;
-    const { clock, codec, createLog } = options;
+    const { clock, codec, metrics, createLog } = options;
     this.#log = createLog('entry');
+    const ignored = new IgnoredRecordLog({ clock, log: this.#log, metrics, component: 'entry' });
     this.#core = new EntryCore({
       ...options,
       network: {
@@ -52,6 +53,7 @@
     this.#socket = new PeerSocket({
       ...splitAddress(options.self.peerAddress),
       onMessage: (message, from) => this.#core.handlePeerMessage(message, from),
+      onInvalid: (address, cause) => ignored.report('datagram', address, cause),
       onError: (cause) => this.#log.warn('datagram failed', { cause }),
     });
     this.#server = new DirectServer({
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -6,7 +6,7 @@
   type RankStatus,
 } from '@limpetbay/core';
 import { decodeUnits, encodeLoads, encodeUnits, type PeerMessage } from '@limpetbay/rpc';
-import type { Log } from '@limpetbay/runtime';
+import { IgnoredRecordLog, type Log } from '@limpetbay/runtime';
 import { CallQueue } from '../planner/CallQueue.js';
 import { LinkPacer } from '../planner/LinkPacer.js';
 import { MapPlanner } from '../planner/MapPlanner.js';
@@ -146,6 +146,8 @@
   constructor(options: RankAgentOptions) {
     this.#options = options;
     this.#log = options.createLog('agent');
+    const { clock, metrics } = options;
+    const ignored = new IgnoredRecordLog({ clock, log: this.#log, metrics, component: 'agent' });
     this.#rank = options.openRank(options.rankAddress);
     this.#executor = new OrderExecutor({
       rank: this.#rank,
@@ -162,6 +164,7 @@
           `limpetbay_datagram_bytes_total{direction="${direction}",kind="${kind}"}`,
           bytes,
         ),
+      onInvalid: (address, cause) => ignored.report('datagram', address, cause),
       onError: (cause) => this.#log.warn('datagram failed', { cause }),
     });
     this.#orders = new OrderClient({
--- a/packages/rankagent/test/RankAgent.test.ts
+++ b/packages/rankagent/test/RankAgent.test.ts
@@ -261,6 +261,7 @@
         const { isOpen } = message.report;
         for (const { address } of decodeLoads(message.ranks)) states.set(address, isOpen);
       },
+      onInvalid: () => {},
       onError: () => {},
     });
     await subscriber.start();
--- a/packages/rankagent/test/support/SimDeployment.ts
+++ b/packages/rankagent/test/support/SimDeployment.ts
@@ -116,6 +116,7 @@
         this.reportTimesMs.push(this.#clock.getNow());
       },
       onTraffic: () => {},
+      onInvalid: () => {},
       onError: () => {},
     });
     const subscribe = (): void => {
--- a/packages/rpc/src/datagram/PeerMessage.ts
+++ b/packages/rpc/src/datagram/PeerMessage.ts
@@ -1,8 +1,12 @@
 import { z } from 'zod';
 import {
+  Counter,
+  DurationMs,
   GroupReport,
   MapOrder,
   OrderAnswer,
+  Quantity,
+  RankNumber,
   RankOrder,
   RankStatus,
   TargetEnd,
@@ -21,30 +25,30 @@
   z.object({
     kind: z.literal('counts'),
     group: z.string(),
-    epoch: z.number().int(),
-    rank: z.number().int().nonnegative(),
+    epoch: Counter,
+    rank: RankNumber,
     /** Number of choices that one unit in `units` represents. */
-    scale: z.number().positive(),
+    scale: Quantity.positive(),
     /** Base64 of one byte per count, one set after another. */
     units: z.string(),
   }),
   /** Order of a planner for the rank that the receiver manages; the answer repeats `id`. */
   z.object({
     kind: z.literal('order'),
-    id: z.number().int(),
-    epoch: z.number().int(),
+    id: Counter,
+    epoch: Counter,
     order: RankOrder,
   }),
   /** Like `order`, to prepare a map that is described by its difference from an earlier one. */
   z.object({
     kind: z.literal('map_order'),
-    id: z.number().int(),
-    epoch: z.number().int(),
+    id: Counter,
+    epoch: Counter,
     order: MapOrder,
   }),
   z.object({
     kind: z.literal('answer'),
-    id: z.number().int(),
+    id: Counter,
     /** `unknown_base`: the receiver cannot derive the map and needs the whole one. */
     answer: OrderAnswer.or(z.literal('unknown_base')),
   }),
@@ -68,21 +72,21 @@
     target: z.string(),
     targetId: z.string(),
     /** Requests a second from all entries together. */
-    perSecond: z.number().nonnegative().nullable(),
+    perSecond: Quantity.nullable(),
   }),
   /** Asks the receiver for one request out of a rate that it keeps; the answer repeats `id`. */
   z.object({
     kind: z.literal('rate_request'),
-    id: z.number().int(),
+    id: Counter,
     /** Name of the rate. */
     key: z.string(),
-    perSecond: z.number().nonnegative(),
+    perSecond: Quantity,
   }),
   z.object({
     kind: z.literal('rate_answer'),
-    id: z.number().int(),
+    id: Counter,
     isGranted: z.boolean(),
-    retryAfterMs: z.number().nonnegative(),
+    retryAfterMs: DurationMs,
   }),
 ]);
 
--- a/packages/rpc/src/datagram/PeerSocket.ts
+++ b/packages/rpc/src/datagram/PeerSocket.ts
@@ -1,5 +1,5 @@
 import { createSocket, type Socket } from 'node:dgram';
-import { parseAddress } from '@limpetbay/core';
+import { decodeJson, parseAddress } from '@limpetbay/core';
 import { PeerMessage } from './PeerMessage.js';
 
 interface PeerSocketOptions {
@@ -9,7 +9,12 @@
   readonly onMessage: (message: PeerMessage, from: string) => void;
   /** Called for each datagram with the size of its payload in bytes. */
   readonly onTraffic?: (direction: 'in' | 'out', kind: PeerMessage['kind'], bytes: number) => void;
-  /** Called for datagrams that fail to parse, invalid addresses and errors of the socket. */
+  /**
+   * Called for a datagram that does not match the schema, with its sender, and for a receiver whose
+   * address is not valid.
+   */
+  readonly onInvalid: (address: string, cause: string) => void;
+  /** Called for errors of the socket and faults of `onMessage`. */
   readonly onError: (cause: string) => void;
 }
 
@@ -50,7 +55,7 @@
     for (const address of addresses) {
       const parsed = parseAddress(address);
       if (parsed.err) {
-        this.#options.onError(parsed.val.message);
+        this.#options.onInvalid(address, parsed.val.message);
         continue;
       }
       const { host, port } = parsed.val;
@@ -68,14 +73,17 @@
   }
 
   #handleDatagram(data: Buffer, from: string): void {
-    let message: PeerMessage;
+    const message = decodeJson(PeerMessage, data.toString());
+    if (message.err) {
+      this.#options.onInvalid(from, message.val.message);
+      return;
+    }
+    const { kind } = message.val;
+    this.#options.onTraffic?.('in', kind, data.length);
     try {
-      message = PeerMessage.parse(JSON.parse(data.toString()));
+      this.#options.onMessage(message.val, from);
     } catch (error) {
-      this.#options.onError(`${from}: ${(error as Error).message}`);
-      return;
+      this.#options.onError(`${kind} of ${from}: ${(error as Error).message}`);
     }
-    this.#options.onTraffic?.('in', message.kind, data.length);
-    this.#options.onMessage(message, from);
   }
 }
--- a/packages/rpc/test/PeerSocket.test.ts
+++ b/packages/rpc/test/PeerSocket.test.ts
@@ -4,7 +4,13 @@
 import { PeerSocket } from '../src/index.js';
 
 function createSocket(port: number): PeerSocket {
-  return new PeerSocket({ host: '127.0.0.1', port, onMessage: () => {}, onError: () => {} });
+  return new PeerSocket({
+    host: '127.0.0.1',
+    port,
+    onMessage: () => {},
+    onInvalid: () => {},
+    onError: () => {},
+  });
 }
 
 describe('PeerSocket', () => {
@@ -28,7 +34,7 @@
   it.each(['127.0.0.1:0', '127.0.0.1:65536', '127.0.0.256:80', 'no-such-host:80', '127.0.0.1', ''])(
     'reports the address %j and sends to the others',
     async (odd) => {
-      const errors: string[] = [];
+      const invalid: [string, string][] = [];
       const receiver = createUdpSocket('udp4');
       await new Promise<void>((resolve) => {
         receiver.bind(0, '127.0.0.1', resolve);
@@ -37,14 +43,15 @@
         host: '127.0.0.1',
         port: 0,
         onMessage: () => {},
-        onError: (cause) => errors.push(cause),
+        onInvalid: (address, cause) => invalid.push([address, cause]),
+        onError: () => {},
       });
       await sender.start();
       const arrival = once(receiver, 'message');
       sender.send({ kind: 'subscribe' }, [odd, `127.0.0.1:${receiver.address().port}`]);
       const [data] = (await arrival) as [Buffer];
       expect(JSON.parse(data.toString())).toEqual({ kind: 'subscribe' });
-      expect(errors).toEqual([expect.stringContaining(JSON.stringify(odd))]);
+      expect(invalid).toEqual([[odd, expect.stringContaining(JSON.stringify(odd))]]);
       sender.close();
       receiver.close();
     },
