Check instances and documents of the etcd deployment like other records

What callers saw: nothing yet. A document with a least revision that is no revision, or an answer of another agent that is not JSON, threw out of a promise or a callback; the address of an instance could be any text, which gRPC clients were opened with; deeply nested documents were parsed.

Change: revisions, epochs, incarnations, addresses (HOST:PORT) and the JSON of documents, map records and agents are checked with the schemas of core.

--- a/packages/core/src/ids/Epoch.ts
+++ b/packages/core/src/ids/Epoch.ts
@@ -1,6 +1,7 @@
-import { z } from 'zod';
+import type { z } from 'zod';
+import { Counter } from '../schema/Counter.js';
 
 /** The fencing number of a lease holder; increases with every new holder. */
-export const Epoch = z.number().int().nonnegative().brand<'Epoch'>();
+export const Epoch = Counter.brand<'Epoch'>();
 
 export type Epoch = z.infer<typeof Epoch>;
--- a/packages/core/src/ids/Incarnation.ts
+++ b/packages/core/src/ids/Incarnation.ts
@@ -1,6 +1,7 @@
-import { z } from 'zod';
+import type { z } from 'zod';
+import { Counter } from '../schema/Counter.js';
 
 /** The incarnation number of a target; increases with every start of the target or its agent. */
-export const Incarnation = z.number().int().nonnegative().brand<'Incarnation'>();
+export const Incarnation = Counter.brand<'Incarnation'>();
 
 export type Incarnation = z.infer<typeof Incarnation>;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -148,6 +148,7 @@
 export { planReplicas } from './experts/planReplicas.js';
 export { Address } from './ids/Address.js';
 export { Epoch } from './ids/Epoch.js';
+export { HostAddress } from './ids/HostAddress.js';
 export { Incarnation } from './ids/Incarnation.js';
 export { InstanceId } from './ids/InstanceId.js';
 export { RequestId } from './ids/RequestId.js';
--- a/packages/core/src/membership/InstanceRecord.ts
+++ b/packages/core/src/membership/InstanceRecord.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { HostAddress } from '../ids/HostAddress.js';
 import { InstanceId } from '../ids/InstanceId.js';
 import { TargetId } from '../ids/TargetId.js';
 import { Zone } from '../ids/Zone.js';
@@ -8,8 +9,8 @@
   id: InstanceId,
   role: z.enum(['entry', 'agent']),
   zone: Zone,
-  /** `IP:PORT` of the process's gRPC server. */
-  address: z.string(),
+  /** Address of the process's gRPC server. */
+  address: HostAddress,
   /** Base URL for callers; entries only. */
   callerUrl: z.string().optional(),
   /** The target that the agent serves; agents only. */
--- a/packages/core/src/schema/numericBounds.ts
+++ b/packages/core/src/schema/numericBounds.ts
@@ -17,6 +17,7 @@
   quantity: 1_000_000_000,
   /** Priority of a route or workspace; 0 is the most urgent. */
   priority: 1000,
+  port: 65_535,
   /** Ranks of one group. */
   ranks: 4096,
   /** Layer sets of a model; map orders encode the set in one byte. */
--- a/packages/rpc/src/group/GroupClient.ts
+++ b/packages/rpc/src/group/GroupClient.ts
@@ -4,6 +4,7 @@
   PrepareReply,
   PromiseReply,
   RecoveryReply,
+  decodeJson,
   fail,
   type Failure,
   type GroupPeers,
@@ -33,12 +34,12 @@
 
   async prepare(rank: number, request: PrepareRequest): Promise<Result<PrepareReply, Failure>> {
     const reply = await this.#call('Prepare', rank, request);
-    return reply.ok ? Ok(PrepareReply.parse(JSON.parse(reply.val))) : reply;
+    return reply.ok ? decodeJson(PrepareReply, reply.val) : reply;
   }
 
   async promise(rank: number, record: MapRecord): Promise<Result<PromiseReply, Failure>> {
     const reply = await this.#call('Promise', rank, record);
-    return reply.ok ? Ok(PromiseReply.parse(JSON.parse(reply.val))) : reply;
+    return reply.ok ? decodeJson(PromiseReply, reply.val) : reply;
   }
 
   async sendDecision(rank: number, record: MapRecord): Promise<Result<void, Failure>> {
@@ -51,7 +52,7 @@
     recoveringRank: RecoveryRequest,
   ): Promise<Result<RecoveryReply, Failure>> {
     const reply = await this.#call('Ask', rank, recoveringRank);
-    return reply.ok ? Ok(RecoveryReply.parse(JSON.parse(reply.val))) : reply;
+    return reply.ok ? decodeJson(RecoveryReply, reply.val) : reply;
   }
 
   close(): void {
--- a/packages/rpc/src/relay/decodeRelayEvent.ts
+++ b/packages/rpc/src/relay/decodeRelayEvent.ts
@@ -1,6 +1,8 @@
 import {
   InstanceId,
+  Ok,
   VersionedDocument,
+  parseJson,
   type AnnouncedInstance,
   type RelayEvent,
 } from '@limpetbay/core';
@@ -11,13 +13,9 @@
   message: NonNullable<RelayMessages['RelayEvent']['document']>,
 ): RelayEvent | null {
   const { json, ...rest } = message;
-  let document: unknown = null;
-  try {
-    if (json !== '') document = JSON.parse(json);
-  } catch {
-    return null;
-  }
-  const parsed = VersionedDocument.safeParse({ ...rest, document });
+  const document = json === '' ? Ok(null) : parseJson(json);
+  if (document.err) return null;
+  const parsed = VersionedDocument.safeParse({ ...rest, document: document.val });
   return parsed.success ? { kind: 'document', document: parsed.data } : null;
 }
 
