--- a/packages/core/src/barrierswitch/RankOrder.ts
+++ b/packages/core/src/barrierswitch/RankOrder.ts
@@ -1,7 +1,9 @@
 import { z } from 'zod';
+import { Counter } from '../schema/Counter.js';
+import { numericBounds } from '../schema/numericBounds.js';
+import { ExpertList } from './ExpertList.js';
 
-const Version = z.number().int().positive();
-const Step = z.number().int().nonnegative();
+const Version = Counter.positive();
 
 /**
  * An order to one rank of a lock-step group; all are idempotent.
@@ -17,12 +19,12 @@
     operation: z.literal('prepare'),
     version: Version,
     /** The experts that each rank holds, by layer set, then by rank. */
-    sets: z.array(z.array(z.array(z.number().int().nonnegative()))),
+    sets: z.array(z.array(ExpertList).max(numericBounds.ranks)).max(numericBounds.expertSets),
   }),
-  z.object({ operation: z.literal('arm'), version: Version, step: Step }),
+  z.object({ operation: z.literal('arm'), version: Version, step: Counter }),
   z.object({ operation: z.literal('disarm'), version: Version }),
-  z.object({ operation: z.literal('hold'), step: Step }),
-  z.object({ operation: z.literal('go'), step: Step }),
+  z.object({ operation: z.literal('hold'), step: Counter }),
+  z.object({ operation: z.literal('go'), step: Counter }),
 ]);
 
 export type RankOrder = z.infer<typeof RankOrder>;
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -6,7 +6,7 @@
   type RankStatus,
 } from '@limpetbay/core';
 import { decodeUnits, encodeLoads, encodeUnits, type PeerMessage } from '@limpetbay/rpc';
-import type { Log } from '@limpetbay/runtime';
+import { IgnoredRecordLog, tryAsyncStep, type Log } from '@limpetbay/runtime';
 import { CallQueue } from '../planner/CallQueue.js';
 import { LinkPacer } from '../planner/LinkPacer.js';
 import { MapPlanner } from '../planner/MapPlanner.js';
@@ -148,6 +148,8 @@
   constructor(options: RankAgentOptions) {
     this.#options = options;
     this.#log = options.createLog('agent');
+    const { clock, metrics } = options;
+    const ignored = new IgnoredRecordLog({ clock, log: this.#log, metrics, component: 'agent' });
     this.#rank = options.openRank(options.rankAddress);
     this.#executor = new OrderExecutor({
       rank: this.#rank,
@@ -165,6 +167,7 @@
           `limpetbay_datagram_bytes_total{direction="${direction}",kind="${kind}"}`,
           bytes,
         ),
+      onInvalid: (address, cause) => ignored.report('datagram', address, cause),
       onError: (cause) => this.#log.warn('datagram failed', { cause }),
     });
     this.#orders = new OrderClient({
@@ -203,12 +206,7 @@
 
   async #run(): Promise<void> {
     while (!this.#isStopped) {
-      try {
-        await this.#tick();
-      } catch (error) {
-        const cause = error instanceof Error ? (error.stack ?? error.message) : String(error);
-        this.#log.alert('could not finish a round; continuing with the next', { cause });
-      }
+      await tryAsyncStep(this.#log, 'read the rank', () => this.#tick());
       await new Promise<void>((resolve) => {
         const timer = setTimeout(resolve, this.#chooseTickMs());
         this.#endSleep = () => {
@@ -236,11 +234,11 @@
       : FIRST_TARGETS_INTERVAL_MS;
     if (nowMs - this.#lastTargetsReadMs >= intervalMs) {
       this.#lastTargetsReadMs = nowMs;
-      void this.#readTargets();
+      void tryAsyncStep(this.#log, 'read the targets', () => this.#readTargets());
     }
     if (nowMs >= this.#nextModelReadMs) {
       this.#nextModelReadMs = nowMs + FIRST_MODEL_INTERVAL_MS;
-      void this.#readModel();
+      void tryAsyncStep(this.#log, 'read the engine model', () => this.#readModel());
     }
     const planner = this.#members.electPlanner(status.rank);
     this.#sendStatus(status, planner, nowMs);
@@ -557,8 +555,14 @@
       return;
     }
     if (message.kind === 'answer') this.#orders.handleAnswer(message.id, message.answer);
-    if (message.kind === 'order') void this.#executeOrder(message, from);
-    if (message.kind === 'map_order') void this.#executeMapOrder(message, from);
+    if (message.kind === 'order') {
+      void tryAsyncStep(this.#log, 'execute an order', () => this.#executeOrder(message, from));
+    }
+    if (message.kind === 'map_order') {
+      void tryAsyncStep(this.#log, 'execute a map order', () =>
+        this.#executeMapOrder(message, from),
+      );
+    }
     if (this.#status === null) return;
     if (message.kind === 'status') {
       const { status } = message;
