--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -4,6 +4,7 @@
   ColdLimiter,
   EntryDirectory,
   RetryBudget,
+  StreamDurations,
   TargetPicker,
   TargetRegistry,
   splitAddress,
@@ -11,6 +12,7 @@
   type RouteTable,
 } from '@limpetbay/core';
 import { decodeLoads, type PeerMessage } from '@limpetbay/rpc';
+import { IgnoredRecordLog, tryStep, type Log } from '@limpetbay/runtime';
 import { EntryLease } from '../feed/EntryLease.js';
 import { GatewayView } from '../feed/GatewayView.js';
 import { StoreMirror } from '../feed/StoreMirror.js';
@@ -21,6 +23,7 @@
 import { SharedRates } from '../rates/SharedRates.js';
 import type { RequestContext } from '../request/RequestContext.js';
 import { RequestRun } from '../request/RequestRun.js';
+import { StopDeadline } from '../request/StopDeadline.js';
 import type { EntryCoreOptions } from './EntryCoreOptions.js';
 import type { GatewayLimits } from './GatewayLimits.js';
 
@@ -45,6 +48,8 @@
 
   #gatewayLimits: GatewayLimits;
 
+  readonly #log: Log;
+
   readonly #registry: TargetRegistry;
 
   readonly #entries: EntryDirectory;
@@ -75,9 +80,6 @@
 
   #isStopping = false;
 
-  /** When the last request must be answered, monotonic milliseconds; null until `beginStop`. */
-  #drainDeadlineMs: number | null = null;
-
   #lastSubscribeMs = -Infinity;
 
   constructor(options: EntryCoreOptions) {
@@ -109,6 +111,7 @@
       registry: this.#registry,
       rates: this.#rates,
       log: limitsLog,
+      ignored: new IgnoredRecordLog({ clock, log: limitsLog, metrics, component: 'limits' }),
       rankSelf,
       sendToEntries,
     });
@@ -136,9 +139,11 @@
       rankSelf,
       sendToEntries,
     });
+    const viewLog = createLog('view');
     this.#view = new GatewayView({
       clock,
-      log: createLog('view'),
+      log: viewLog,
+      ignored: new IgnoredRecordLog({ clock, log: viewLog, metrics, component: 'view' }),
       layout,
       registry: this.#registry,
       entries: this.#entries,
@@ -163,14 +168,16 @@
         network: options.network,
         log: promptsLog,
       }),
+      stopDeadline: new StopDeadline(),
+      streamDurations: new StreamDurations(clock),
       log: createLog('request'),
       countEntries: () => this.#entries.countSharingEntries(),
       getTable: () => this.#view.getTable(),
-      getDrainDeadlineMs: () => this.#drainDeadlineMs,
       getBudget: (service) => this.#getBudget(service),
       getPool: (address) => this.#getPool(address),
     };
     const log = createLog('store');
+    this.#log = createLog('entry');
     this.#mirror = new StoreMirror({
       clock,
       store,
@@ -244,13 +251,15 @@
   }
 
   /**
-   * Withdraws the registration; requests are still served.
+   * Withdraws the registration. Requests that can finish in time are still served; the others are
+   * refused, including those that wait for a target.
    *
-   * @param drainDeadlineMs when the last request must be answered, monotonic milliseconds
+   * @param deadlineMs when the last request must be answered, monotonic milliseconds
    */
-  beginStop(drainDeadlineMs: number): void {
+  beginStop(deadlineMs: number): void {
     this.#isStopping = true;
-    this.#drainDeadlineMs = drainDeadlineMs;
+    this.#requestContext.stopDeadline.set(deadlineMs);
+    this.#requestContext.queue.advance();
     void this.#lease.stop();
   }
 
@@ -266,15 +275,20 @@
 
   /** Load reports arrive ten times a second; in between, waits expire and slots become free. */
   #advanceQueue(): void {
-    // Scheduled first, so that an error in one interval does not end those after it.
+    tryStep(this.#log, 'advance the queue', {}, () => {
+      if (this.#requestContext.queue.count() > 0) this.#requestContext.queue.advance();
+    });
     this.#cancelQueueTick = this.#options.timers.schedule(QUEUE_INTERVAL_MS, () =>
       this.#advanceQueue(),
     );
-    if (this.#requestContext.queue.count() > 0) this.#requestContext.queue.advance();
   }
 
   #tick(): void {
+    tryStep(this.#log, 'periodic tasks', {}, () => this.#runTasks());
     this.#cancelTick = this.#options.timers.schedule(TICK_INTERVAL_MS, () => this.#tick());
+  }
+
+  #runTasks(): void {
     this.#registry.expire();
     this.#view.expire();
     this.#prompts.expire();
