Respect targets that state that they leave or want no requests for a time

Targets state in all answers that they leave (Server-Leaving: 1), and may add Retry-After to a 503 with which they turn a request away. Nothing read either: a leaving target got requests until the store named it as draining, for good while the store was away; one that asked for a pause got the next request at once, and callers were told 0.2 to 2.2 s whatever the targets had said.

TargetHolds keeps both by run of a target, apart from the store. A leaving target gets only what no other can take, and nothing drain_ms after its first such answer, until a new run appears. A target that backs off gets nothing in that time; if all do, a request waits if that still meets the objective, else it is refused with 429 and the time that is left. A rejected request goes to another target as before. Nothing is sent to other entries: a leaving target still serves for drain_ms, and Retry-After is meant for one machine. parameters.drain_ms joins the settings, which may change while a process runs.

Both headers share the class, so they land together.

--- a/packages/core/src/direct/DirectAnswerHead.ts
+++ b/packages/core/src/direct/DirectAnswerHead.ts
@@ -9,4 +9,8 @@
   readonly isNotRun: boolean;
   /** Whether another target now uses this address. */
   readonly isMisdirected: boolean;
+  /** Whether the target states that it leaves and wants no further requests. */
+  readonly isLeaving: boolean;
+  /** How long a target that turns requests away wants no others, milliseconds; null if unstated. */
+  readonly retryAfterMs: number | null;
 }
--- a/packages/core/src/direct/TargetPicker.ts
+++ b/packages/core/src/direct/TargetPicker.ts
@@ -6,6 +6,7 @@
 import type { PickResult } from './PickResult.js';
 import type { GroupReport } from './GroupReport.js';
 import { GroupStates } from './GroupStates.js';
+import type { TargetHolds } from './TargetHolds.js';
 import type { TargetRegistry } from './TargetRegistry.js';
 import { TargetStats } from './TargetStats.js';
 
@@ -22,6 +23,8 @@
   readonly coldLimiter: ColdLimiter;
   /** Limits that targets named. */
   readonly limits: TargetLimits;
+  /** Targets that asked for no further requests. */
+  readonly holds: TargetHolds;
   /** Returns the number of entries that send to the same targets. */
   readonly countEntries: () => number;
 }
@@ -104,6 +107,18 @@
   /** Chooses a target for a request and counts it against the rate of a cold one. */
   pick(request: PickRequest): PickResult {
     const usable = this.#listUsable(request);
+    const { holds } = this.#options;
+    if (holds.count() === 0) return this.#pickFrom(usable, request);
+    const open = usable.filter((target) => holds.getState(target) === 'open');
+    const picked = this.#pickFrom(open, request);
+    if (picked.target !== null) return picked;
+    const leaving = usable.filter((target) => holds.getState(target) === 'last_resort');
+    if (leaving.length > 0) return this.#pickFrom(leaving, request);
+    const isBackingOff = usable.some((target) => holds.getState(target) === 'backing_off');
+    return isBackingOff && open.length === 0 ? { target: null, reason: 'target_backoff' } : picked;
+  }
+
+  #pickFrom(usable: readonly DirectTarget[], request: PickRequest): PickResult {
     const hasGroups = (request.service.engine?.experts ?? null) !== null;
     const open = usable.filter(({ address }) => this.#groups.isOpen(address, hasGroups));
     if (open.length === 0) {
--- a/packages/core/src/direct/chooseStartWait.ts
+++ b/packages/core/src/direct/chooseStartWait.ts
@@ -16,15 +16,20 @@
  *
  * @param sinceProgressMs time since the arrival or the last event to the caller, milliseconds
  * @param isRepeat whether an earlier attempt of the request failed
+ * @param backoffMs time until a target takes requests again, if all back off
  */
 export function chooseStartWait(
   route: DirectRoute,
   reason: UnavailableReason,
   sinceProgressMs: number,
   isRepeat: boolean,
+  backoffMs = Infinity,
 ): StartWait {
   // A failed attempt may have used up the objective; its retry still gets a short wait.
   const startSlackMs = computeStartSlackMs(route, isRepeat ? 0 : sinceProgressMs);
+  if (reason === 'target_backoff') {
+    return { startSlackMs, maxWaitMs: backoffMs < startSlackMs ? startSlackMs : 0 };
+  }
   if (route.kind !== 'stream') return { startSlackMs, maxWaitMs: 0 };
   if (reason === 'overloaded' || reason === 'target_limited') {
     return { startSlackMs, maxWaitMs: startSlackMs };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -99,6 +99,7 @@
 export type { RequestHead } from './direct/RequestHead.js';
 export { RouteTable } from './direct/RouteTable.js';
 export { StreamDurations } from './direct/StreamDurations.js';
+export { TargetHolds } from './direct/TargetHolds.js';
 export { TargetPicker } from './direct/TargetPicker.js';
 export { TargetRegistry } from './direct/TargetRegistry.js';
 export { TargetStats } from './direct/TargetStats.js';
--- a/packages/core/test/direct/decideAnswer.test.ts
+++ b/packages/core/test/direct/decideAnswer.test.ts
@@ -26,6 +26,8 @@
     isSigned: true,
     isNotRun: false,
     isMisdirected: head?.status === 421,
+    isLeaving: false,
+    retryAfterMs: null,
   };
   const decision: AnswerDecision = decideAnswer(
     {
--- a/packages/core/test/direct/support/RankGroupFixture.ts
+++ b/packages/core/test/direct/support/RankGroupFixture.ts
@@ -1,6 +1,7 @@
 import {
   ColdLimiter,
   SeededRandom,
+  TargetHolds,
   TargetPicker,
   TargetRegistry,
   type Clock,
@@ -64,6 +65,7 @@
       random: new SeededRandom(seed),
       registry,
       limits: { isLimited: () => false, hasCapacity: () => true },
+      holds: new TargetHolds({ clock: this.#clock, getDrainMs: () => 2000 }),
       coldLimiter: new ColdLimiter({
         clock: this.#clock,
         ownName: 'e0',
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -5,8 +5,10 @@
   EntryDirectory,
   RetryBudget,
   StreamDurations,
+  TargetHolds,
   TargetPicker,
   TargetRegistry,
+  buildRunName,
   splitAddress,
   type RequestHead,
   type RouteTable,
@@ -51,6 +53,8 @@
 
   readonly #entries: EntryDirectory;
 
+  readonly #holds: TargetHolds;
+
   readonly #view: GatewayView;
 
   readonly #requestContext: RequestContext;
@@ -111,6 +115,7 @@
       rankSelf,
       sendToEntries,
     });
+    this.#holds = new TargetHolds({ clock, getDrainMs: () => this.#gatewayLimits.drainMs });
     const picker = new TargetPicker({
       clock,
       random,
@@ -121,6 +126,7 @@
         entries: this.#entries,
       }),
       limits: this.#limits,
+      holds: this.#holds,
       countEntries: () => this.#entries.countSharingEntries(),
     });
     this.#prompts = new SharedPromptBreaker({
@@ -156,6 +162,7 @@
       picker,
       queue: new AdmissionQueue(clock),
       limits: this.#limits,
+      holds: this.#holds,
       prompts: this.#prompts,
       endCheck: new TargetEndCheck({
         clock,
@@ -281,6 +288,7 @@
     this.#view.expire();
     this.#prompts.expire();
     this.#limits.expire();
+    this.#holds.expire(new Set(this.#registry.listAll().map(buildRunName)));
     this.#rates.expire();
     this.#subscribe(this.#options.clock.getNow());
     if (!this.#isRegistered && this.isReady()) {
--- a/packages/gateway/src/process/GatewayLimits.ts
+++ b/packages/gateway/src/process/GatewayLimits.ts
@@ -6,6 +6,8 @@
   readonly retryBurst: number;
   /** Time from the stop signal to the forced end of the process, milliseconds. */
   readonly graceMs: number;
+  /** Time after which a target that states that it leaves gets no requests, milliseconds. */
+  readonly drainMs: number;
   /** How long callers cache the list of addresses, milliseconds. */
   readonly addressTtlMs: number;
 }
--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -121,10 +121,23 @@
     this.#head = head;
     this.#transport = transport;
     this.#meaning = evaluateHead(awaited, head, transport.isFirst);
+    if (this.#meaning !== 'foreign') this.#recordHold(head);
     if (this.#meaning === 'foreign') this.#abandon();
     else context.limits.handleAnswer(target, head.rateLimit, this.#startMs);
   }
 
+  #recordHold(head: AnswerHead): void {
+    const { context, target } = this.#options;
+    if (!context.holds.handleAnswer(target, head)) return;
+    const { status, isLeaving, retryAfterMs } = head;
+    context.log.report('target wants no further requests', {
+      target: target.id,
+      status,
+      isLeaving,
+      retryAfterMs,
+    });
+  }
+
   #handleData(data: Buffer): void {
     if (this.#hasEnded) return;
     if (this.#head === null || this.#meaning !== 'events') {
--- a/packages/gateway/src/request/RequestContext.ts
+++ b/packages/gateway/src/request/RequestContext.ts
@@ -4,6 +4,7 @@
   RandomSource,
   RetryBudget,
   RouteTable,
+  TargetHolds,
   StreamDurations,
   TargetPicker,
   TargetRegistry,
@@ -28,6 +29,7 @@
   readonly picker: TargetPicker;
   readonly queue: AdmissionQueue;
   readonly limits: SharedTargetLimits;
+  readonly holds: TargetHolds;
   readonly prompts: SharedPromptBreaker;
   readonly endCheck: TargetEndCheck;
   readonly stopDeadline: StopDeadline;
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -50,6 +50,9 @@
 /** Retry-After of failures that are probably over after a short wait. */
 const RETRY_AFTER_MS = 200;
 
+/** Spread of the retries of callers that were refused while all targets back off. */
+const MAX_BACKOFF_SPREAD_MS = 500;
+
 /** Retry-After while this entry stops; short, because other entries are available at once. */
 const STOPPING_RETRY_AFTER_MS = 20;
 
@@ -216,7 +219,13 @@
     if (reason === null) return;
     const { route, service, priority } = admission;
     const noProgressMs = this.#context.clock.getNow() - this.#progressMs;
-    const waitLimits = chooseStartWait(route, reason, noProgressMs, this.#sentAttempts > 0);
+    const waitLimits = chooseStartWait(
+      route,
+      reason,
+      noProgressMs,
+      this.#sentAttempts > 0,
+      this.#getBackoffMs(service) ?? Infinity,
+    );
     if (waitLimits.maxWaitMs === 0) {
       this.#refuseWithoutTarget(admission, reason);
       return;
@@ -237,7 +246,11 @@
         if (this.#hasEnded) return true;
         const currentReason = this.#tryStart(admission);
         lastReason = currentReason ?? lastReason;
-        return currentReason === null;
+        if (currentReason !== 'target_backoff') return currentReason === null;
+        const backoffMs = this.#getBackoffMs(service) ?? Infinity;
+        if (backoffMs < waitLimits.maxWaitMs) return false;
+        this.#refuseWithoutTarget(admission, currentReason);
+        return true;
       },
       expire: () => {
         if (!this.#hasEnded) this.#refuseWithoutTarget(admission, lastReason);
@@ -257,6 +270,17 @@
     return Math.ceil(slots / countEntries());
   }
 
+  /** Returns when a target takes requests again, if all back off; null otherwise. */
+  #getBackoffMs({ name }: DirectService): number | null {
+    return this.#context.holds.getBackoffMs(this.#context.registry.listTargets(name));
+  }
+
+  /** Returns whether a chosen target still takes requests, after a wait for a grant. */
+  #isStillUsable(target: DirectTarget): boolean {
+    const state = this.#context.holds.getState(target);
+    return state === 'open' || state === 'last_resort';
+  }
+
   /**
    * Starts an attempt if a target admits the request, or refuses it if it can no longer be served.
    *
@@ -312,6 +336,7 @@
     this.#askingSinceMs = null;
     const decision = this.#prompt.check();
     if (decision.kind === 'blocked') this.#refuseBlocked(decision);
+    else if (!this.#isStillUsable(target)) this.#startOrQueue();
     else if (decision.kind === 'trial') void this.#startTrial(admission, target, decision.parts);
     else this.#startAttempt(admission, target, reason);
   }
@@ -324,7 +349,10 @@
   ): Promise<void> {
     const isGranted = await this.#prompt.acquireTrial(parts);
     if (this.#hasEnded) this.#prompt.endTrial();
-    else if (isGranted) {
+    else if (isGranted && !this.#isStillUsable(target)) {
+      this.#prompt.endTrial();
+      this.#startOrQueue();
+    } else if (isGranted) {
       this.#startAttempt(admission, target, 'trial of suspected prompt parts');
     } else {
       const [part = ''] = parts;
@@ -355,15 +383,23 @@
       this.#refuse('overloaded', message, waitMs);
       return;
     }
+    if (reason === 'target_backoff') {
+      this.#refuse('overloaded', message, this.#chooseRetryAfter(admission, 'busy'));
+      return;
+    }
     const isUnavailable = reason === 'no_target' || reason === 'not_formed';
-    const waitMs = chooseRetryAfter(
-      admission.route,
-      isUnavailable ? 'away' : 'busy',
-      this.#context.random,
-    );
+    const waitMs = this.#chooseRetryAfter(admission, isUnavailable ? 'away' : 'busy');
     this.#refuse(isUnavailable ? 'no_target' : reason, message, waitMs);
   }
 
+  /** Chooses when a refused caller should retry; if all targets back off, not before one is back. */
+  #chooseRetryAfter({ route, service }: Admission, cause: 'busy' | 'away'): number {
+    const { random } = this.#context;
+    const backoffMs = this.#getBackoffMs(service);
+    if (backoffMs === null) return chooseRetryAfter(route, cause, random);
+    return backoffMs + random.next() * Math.min(backoffMs / 2, MAX_BACKOFF_SPREAD_MS);
+  }
+
   #startAttempt(admission: Admission, target: DirectTarget, reason: string): void {
     const nowMs = this.#context.clock.getNow();
     this.#firstAttemptMs ??= nowMs;
@@ -486,8 +522,7 @@
       this.#recordEnd(head.status, next);
     } else if (ifLast === 'outcome_unknown') this.#refuse('outcome_unknown', cause);
     else {
-      const { route } = this.#admission as Admission;
-      const waitMs = chooseRetryAfter(route, 'away', this.#context.random);
+      const waitMs = this.#chooseRetryAfter(this.#admission as Admission, 'away');
       this.#refuse(outcome === 'unreachable' ? 'no_target' : 'overloaded', cause, waitMs);
     }
   }
--- a/packages/gateway/test/support/SimEntry.ts
+++ b/packages/gateway/test/support/SimEntry.ts
@@ -30,7 +30,13 @@
 
 const MS_PER_SECOND = 1000;
 
-const LIMITS = { retryRatio: 0.2, retryBurst: 92, graceMs: 8000, addressTtlMs: 5000 };
+const LIMITS = {
+  retryRatio: 0.2,
+  retryBurst: 92,
+  graceMs: 8000,
+  drainMs: 2000,
+  addressTtlMs: 5000,
+};
 
 /** One entry process of a simulated fleet. */
 export class SimEntry {
--- a/packages/gateway/test/support/simCodec.ts
+++ b/packages/gateway/test/support/simCodec.ts
@@ -26,6 +26,8 @@
     isNotRun: status === 503,
     rateLimit: headers[LIMIT_HEADER] === undefined ? null : Number(headers[LIMIT_HEADER]),
     isMisdirected: false,
+    isLeaving: false,
+    retryAfterMs: null,
     forwarded: [],
   }),
   listOwnHeaders: () => [],
