--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -14,6 +14,7 @@
   type RouteTable,
 } from '@limpetbay/core';
 import { decodeLoads, type PeerMessage } from '@limpetbay/rpc';
+import { IgnoredRecordLog, tryStep, type Log } from '@limpetbay/runtime';
 import { EntryLease } from '../feed/EntryLease.js';
 import { GatewayView } from '../feed/GatewayView.js';
 import { StoreMirror } from '../feed/StoreMirror.js';
@@ -49,6 +50,8 @@
 
   #gatewayLimits: GatewayLimits;
 
+  readonly #log: Log;
+
   readonly #registry: TargetRegistry;
 
   readonly #entries: EntryDirectory;
@@ -112,6 +115,7 @@
       registry: this.#registry,
       rates: this.#rates,
       log: limitsLog,
+      ignored: new IgnoredRecordLog({ clock, log: limitsLog, metrics, component: 'limits' }),
       rankSelf,
       sendToEntries,
     });
@@ -141,9 +145,11 @@
       rankSelf,
       sendToEntries,
     });
+    const viewLog = createLog('view');
     this.#view = new GatewayView({
       clock,
-      log: createLog('view'),
+      log: viewLog,
+      ignored: new IgnoredRecordLog({ clock, log: viewLog, metrics, component: 'view' }),
       layout,
       registry: this.#registry,
       entries: this.#entries,
@@ -178,6 +184,7 @@
       getPool: (address) => this.#getPool(address),
     };
     const log = createLog('store');
+    this.#log = createLog('entry');
     this.#mirror = new StoreMirror({
       clock,
       store,
@@ -275,15 +282,20 @@
 
   /** Load reports arrive ten times a second; in between, waits expire and slots become free. */
   #advanceQueue(): void {
-    // Scheduled first, so that an error in one interval does not end those after it.
+    tryStep(this.#log, 'advance the queue', {}, () => {
+      if (this.#requestContext.queue.count() > 0) this.#requestContext.queue.advance();
+    });
     this.#cancelQueueTick = this.#options.timers.schedule(QUEUE_INTERVAL_MS, () =>
       this.#advanceQueue(),
     );
-    if (this.#requestContext.queue.count() > 0) this.#requestContext.queue.advance();
   }
 
   #tick(): void {
+    tryStep(this.#log, 'periodic tasks', {}, () => this.#runTasks());
     this.#cancelTick = this.#options.timers.schedule(TICK_INTERVAL_MS, () => this.#tick());
+  }
+
+  #runTasks(): void {
     this.#registry.expire();
     this.#view.expire();
     this.#prompts.expire();
