--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -5,8 +5,10 @@
   EntryDirectory,
   RetryBudget,
   StreamDurations,
+  TargetHolds,
   TargetPicker,
   TargetRegistry,
+  buildRunName,
   splitAddress,
   type RequestHead,
   type RouteTable,
@@ -54,6 +56,8 @@
 
   readonly #entries: EntryDirectory;
 
+  readonly #holds: TargetHolds;
+
   readonly #view: GatewayView;
 
   readonly #requestContext: RequestContext;
@@ -115,6 +119,7 @@
       rankSelf,
       sendToEntries,
     });
+    this.#holds = new TargetHolds({ clock, getDrainMs: () => this.#gatewayLimits.drainMs });
     const picker = new TargetPicker({
       clock,
       random,
@@ -125,6 +130,7 @@
         entries: this.#entries,
       }),
       limits: this.#limits,
+      holds: this.#holds,
       countEntries: () => this.#entries.countSharingEntries(),
     });
     this.#prompts = new SharedPromptBreaker({
@@ -162,6 +168,7 @@
       picker,
       queue: new AdmissionQueue(clock),
       limits: this.#limits,
+      holds: this.#holds,
       prompts: this.#prompts,
       endCheck: new TargetEndCheck({
         clock,
@@ -294,6 +301,8 @@
       'expire the view': () => this.#view.expire(),
       'expire suspects': () => this.#prompts.expire(),
       'expire limits': () => this.#limits.expire(),
+      'expire target holds': () =>
+        this.#holds.expire(new Set(this.#registry.listAll().map(buildRunName))),
       'expire shared rates': () => this.#rates.expire(),
       subscribe: () => this.#subscribe(this.#options.clock.getNow()),
       register: () => this.#register(),
