Log a fingerprint of requests whose attempts fail

Nothing in the logs tells whether the requests that broke off at the ends of targets are repetitions of one request or several requests with a common prompt part. It is computed for failed attempts only.

--- a/packages/core/src/direct/RequestHead.ts
+++ b/packages/core/src/direct/RequestHead.ts
@@ -9,6 +9,8 @@
   readonly path: string;
   readonly host: string;
   readonly apiKey: string | null;
+  /** IP address of the caller; null where an API key identifies it. */
+  readonly callerAddress: string | null;
   /** How long the caller waits, from the arrival, milliseconds; null where not stated. */
   readonly timeoutMs: number | null;
   /** Id of the event after which the caller resumes a broken stream; null for a new request. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -249,4 +249,5 @@
 export type { StoreRecord } from './store/StoreRecord.js';
 export type { StoreTransaction } from './store/StoreTransaction.js';
 export type { StoreWatchListener } from './store/StoreWatchListener.js';
+export { computeFingerprint } from './suspects/computeFingerprint.js';
 export type { Result } from 'ts-results';
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -2,6 +2,7 @@
   chooseRetryAfter,
   chooseService,
   chooseStartWait,
+  computeFingerprint,
   computeStartSlackMs,
   decideNextAttempt,
   fail,
@@ -425,6 +426,7 @@
       progress: result.progress,
       ...result.trace,
       hasBegun: this.#answer.isStarted(),
+      fingerprint: this.#computeFingerprint(),
       parts: this.#head.promptParts,
       ms: this.#getElapsedMs(),
       next,
@@ -527,6 +529,16 @@
     this.#end();
   }
 
+  /** Computes what identifies the repetitions of this request by its caller. */
+  #computeFingerprint(): string {
+    const { method, host, url, apiKey, callerAddress } = this.#head;
+    const workspace = this.#admission?.workspace ?? null;
+    let caller = `address ${callerAddress ?? 'unknown'}`;
+    if (workspace !== null) caller = `workspace ${workspace}`;
+    else if (apiKey !== null) caller = `key ${apiKey}`;
+    return computeFingerprint({ method, host, url, caller, body: this.#body });
+  }
+
   #getElapsedMs(): number {
     return Math.round(this.#context.clock.getNow() - this.#startMs);
   }
--- a/packages/gateway/test/crashingPrompts.test.ts
+++ b/packages/gateway/test/crashingPrompts.test.ts
@@ -76,7 +76,7 @@
 
   /** Returns when the crashing part ended its last target that counts, milliseconds. */
   function getFifthEndMs(): number {
-    const ends = fleet.ends.filter(({ part }) => part === CRASHING_PART);
+    const ends = fleet.ends.filter(({ cause }) => cause === CRASHING_PART);
     return ends[Math.min(MAX_ENDS, ends.length) - 1]?.atMs ?? Infinity;
   }
 
--- a/packages/gateway/test/support/SimEntry.ts
+++ b/packages/gateway/test/support/SimEntry.ts
@@ -96,7 +96,7 @@
   }
 
   /** Sends a request as a caller would. */
-  call(head: RequestHead): Promise<SimOutcome> {
+  call(head: RequestHead, body: Buffer): Promise<SimOutcome> {
     const startMs = this.#clock.getNow();
     return new Promise((resolve) => {
       let status = 0;
@@ -121,7 +121,7 @@
       };
       let cancel = (): void => {};
       const answer = new DirectAnswer(response as never, () => false);
-      const cancelRun = this.#core.acceptRequest(head, Buffer.alloc(0), answer);
+      const cancelRun = this.#core.acceptRequest(head, body, answer);
       cancel = () => {
         cancelRun();
         finish(false);
--- a/packages/gateway/test/support/SimFleet.ts
+++ b/packages/gateway/test/support/SimFleet.ts
@@ -24,6 +24,7 @@
 interface SimRequest {
   readonly id: string;
   readonly parts: readonly string[];
+  readonly body: string;
   readonly sentMs: number;
   readonly outcome: Awaited<ReturnType<SimEntry['call']>>;
 }
@@ -31,8 +32,8 @@
 interface TargetEnd {
   readonly atMs: number;
   readonly target: string;
-  /** The prompt part that caused it; null where there was another cause. */
-  readonly part: string | null;
+  /** The prompt part or body that caused it; null where there was another cause. */
+  readonly cause: string | null;
 }
 
 const STORE_TICK_MS = 4;
@@ -77,9 +78,19 @@
   isResumable: false,
 };
 
+const UNSAFE_ROUTE: DirectRoute = {
+  ...SINGLE_ROUTE,
+  name: 'unsafe',
+  prefix: '/c/',
+  kind: 'unsafe',
+  maxAttempts: 1,
+};
+
+const ROUTES = { stream: ROUTE, single: SINGLE_ROUTE, unsafe: UNSAFE_ROUTE } as const;
+
 const CONFIG: DirectConfig = {
   version: 1,
-  routes: [ROUTE, SINGLE_ROUTE],
+  routes: Object.values(ROUTES),
   services: [{ name: 's', maxConnections: 300, coldPerSecond: 0, engine: null }],
   workspaces: null,
   idleTimeoutMs: 10_000,
@@ -89,7 +100,8 @@
 
 /**
  * Entries that share a store and the targets of one service, without a network and under one clock,
- * which must be the time of the timers. Targets end when they begin an answer on a crashing part.
+ * which must be the time of the timers. Targets end when they begin an answer on a crashing part or
+ * body.
  */
 export class SimFleet {
   readonly store: MemoryStore;
@@ -98,6 +110,8 @@
 
   readonly crashingParts = new Set<string>();
 
+  readonly crashingBodies = new Set<string>();
+
   readonly entries: SimEntry[] = [];
 
   readonly arrivals: Arrival[] = [];
@@ -186,26 +200,30 @@
    *
    * @param parts shared parts of its prompt
    * @param callerTimeoutMs how long the caller waits; Infinity for the time limit of the route
+   * @param same what requests that are repeated have in common; else the body is the request's own
    */
   async send(
     parts: readonly string[],
-    kind: 'stream' | 'single' = 'stream',
+    kind: keyof typeof ROUTES = 'stream',
     callerTimeoutMs = Infinity,
+    same: { readonly body?: string; readonly apiKey?: string } = {},
   ): Promise<void> {
-    const route = kind === 'stream' ? ROUTE : SINGLE_ROUTE;
+    const route = ROUTES[kind];
     const { prefix } = route;
     const timeoutMs = Math.min(route.timeoutMs, callerTimeoutMs);
     const ready = this.entries.filter((entry) => entry.isReady());
     const entry = ready[Math.floor(this.random.next() * ready.length)];
     if (entry === undefined) return;
     this.#lastId += 1;
+    const body = same.body ?? `body ${this.#lastId}`;
     const head: RequestHead = {
       id: `request-${this.#lastId}`,
       method: 'POST',
       url: `${prefix}x`,
       path: `${prefix}x`,
       host: ROUTE.host,
-      apiKey: null,
+      apiKey: same.apiKey ?? 'key',
+      callerAddress: null,
       timeoutMs,
       lastEventId: null,
       promptTokens: 700,
@@ -214,8 +232,8 @@
       forwarded: [],
     };
     const sentMs = this.#clock.getNow();
-    const outcome = await entry.call(head);
-    this.requests.push({ id: head.id, parts, sentMs, outcome });
+    const outcome = await entry.call(head, Buffer.from(body));
+    this.requests.push({ id: head.id, parts, body, sentMs, outcome });
   }
 
   #createNetwork(entry: string): EntryNetwork {
@@ -259,9 +277,10 @@
       id,
       address,
       crashingParts: this.crashingParts,
+      crashingBodies: this.crashingBodies,
       onArrival: (arrival) => this.arrivals.push(arrival),
-      onEnd: (_target, part) => {
-        this.ends.push({ atMs: this.#clock.getNow(), target: id, part });
+      onEnd: (_target, cause) => {
+        this.ends.push({ atMs: this.#clock.getNow(), target: id, cause });
         setTimeout(() => void this.#startTarget(index, run + 1), RESTART_MS);
         setTimeout(() => void this.#remove(`${simLayout.targetPrefix}${id}`), REGISTRATION_MS);
       },
--- a/packages/gateway/test/support/SimTarget.ts
+++ b/packages/gateway/test/support/SimTarget.ts
@@ -8,6 +8,7 @@
   readonly entry: string;
   readonly target: string;
   readonly requestId: string;
+  readonly body: string;
   readonly parts: readonly string[];
   /** Whether an event of the answer was sent. */
   hasBegun: boolean;
@@ -19,8 +20,10 @@
   readonly address: string;
   /** Prompt parts on which the target ends when it begins an answer. */
   readonly crashingParts: ReadonlySet<string>;
+  /** Bodies on which the target ends when it begins the request. */
+  readonly crashingBodies: ReadonlySet<string>;
   readonly onArrival: (arrival: SimArrival) => void;
-  readonly onEnd: (target: SimTarget, part: string | null) => void;
+  readonly onEnd: (target: SimTarget, cause: string | null) => void;
 }
 
 interface RunningCall {
@@ -43,7 +46,7 @@
 /** Paths whose answers are streams; others are one body. */
 const STREAM_PREFIX = '/a/';
 
-/** A target that streams answers, and ends when it begins one on a crashing part. */
+/** A target that streams answers, and ends when it begins one on a crashing part or body. */
 export class SimTarget {
   readonly id: string;
 
@@ -83,11 +86,11 @@
     };
   }
 
-  /** Ends the target, which resets its connections. @param part that caused it, if one did */
-  end(part: string | null = null): void {
+  /** Ends the target, which resets its connections. @param cause part or body that caused it */
+  end(cause: string | null = null): void {
     if (this.#hasEnded) return;
     this.#hasEnded = true;
-    this.#options.onEnd(this, part);
+    this.#options.onEnd(this, cause);
     for (const running of [...this.#calls]) {
       this.#deliver(running, () => {
         this.#open.delete(running);
@@ -104,21 +107,29 @@
       return;
     }
     this.#calls.add(running);
-    const { clock, onArrival, crashingParts } = this.#options;
+    const { clock, onArrival, crashingParts, crashingBodies } = this.#options;
     const [, requestId = '', , partText = '', , lastEventId = '0'] = call.headers;
     const parts = partText.split(',');
+    const body = call.body?.toString() ?? '';
+    const isStream = call.url.startsWith(STREAM_PREFIX);
     const arrival: SimArrival = {
       atMs: clock.getNow(),
       sentMs,
       entry,
       target: this.id,
       requestId,
+      body,
       parts,
       hasBegun: false,
     };
     onArrival(arrival);
     setTimeout(() => {
       if (!this.#calls.has(running)) return;
+      if (!isStream && crashingBodies.has(body)) {
+        // A service sends the head with the body, so its caller sees nothing of the answer.
+        this.end(body);
+        return;
+      }
       const limit = this.limit === null ? {} : { limit: String(this.limit) };
       this.#deliver(running, () =>
         running.listener.onHead(200, { id: requestId, ...limit }, TRANSPORT),
@@ -127,7 +138,8 @@
         if (!this.#calls.has(running)) return;
         const crashingPart = parts.find((part) => crashingParts.has(part));
         if (crashingPart !== undefined) this.end(crashingPart);
-        else if (!call.url.startsWith(STREAM_PREFIX)) this.#finish(running);
+        else if (crashingBodies.has(body)) this.end(body);
+        else if (!isStream) this.#finish(running);
         else {
           arrival.hasBegun = true;
           this.#sendEvent(running, Number(lastEventId) + 1);
