--- a/packages/gateway/test/crashingRequests.test.ts
+++ b/packages/gateway/test/crashingRequests.test.ts
@@ -262,6 +262,29 @@
     SIMULATION_TIMEOUT_MS,
   );
 
+  // Guards against a store call or many datagrams for each request that an ordinary end breaks off.
+  it(
+    'costs no store calls when targets of 410 entries end for other reasons',
+    async () => {
+      await createFleet(410, 32);
+      repeat(SOUND_INTERVAL_MS / 5, () => void fleet.send(SHARED_PARTS, 'single'));
+      await timers.advance(CALM_MS);
+      const countWrites = (): number => {
+        let writes = 0;
+        for (const { link } of fleet.entries) writes += link.writes;
+        return writes;
+      };
+      const writesBefore = countWrites();
+      const messagesBefore = fleet.peerMessages;
+      fleet.endTargets(4);
+      await timers.advance(SERIES_MS / 2);
+      expect(fleet.ends).toHaveLength(4);
+      expect(countWrites() - writesBefore).toBe(0);
+      expect(fleet.peerMessages - messagesBefore).toBeLessThanOrEqual(20 * 410);
+    },
+    SIMULATION_TIMEOUT_MS,
+  );
+
   // Guards against costs that grow with the square of the entries.
   it(
     'costs each of 410 entries as many store calls and datagrams as a crashing prompt',
