--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,9 +1,12 @@
 export { RealClock } from './clock/RealClock.js';
 export { SystemRandom } from './clock/SystemRandom.js';
+export { IgnoredRecordLog } from './log/IgnoredRecordLog.js';
 export type { Log } from './log/Log.js';
 export { LogLimiter } from './log/LogLimiter.js';
 export { createLog } from './log/createLog.js';
 export { formatFields } from './log/formatFields.js';
+export { tryAsyncStep } from './log/tryAsyncStep.js';
+export { tryStep } from './log/tryStep.js';
 export { MetricRegistry } from './metrics/MetricRegistry.js';
 export { startCounterLog } from './metrics/startCounterLog.js';
 export { startMetricsServer } from './metrics/startMetricsServer.js';
