--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { fail, hasValidHeaderNames, type RequestHead } from '@limpetbay/core';
+import { OpenAnswers } from '../answer/OpenAnswers.js';
 import { DirectAnswer } from './DirectAnswer.js';
 import type { DirectHandler } from './DirectHandler.js';
 
@@ -22,6 +23,9 @@
 /** Timeout for the head of a request before the first configuration. */
 const DEFAULT_HEAD_TIMEOUT_MS = 10_000;
 
+/** Retry-After while the entry stops; short, because other entries are available at once. */
+const LEAVING_RETRY_AFTER_MS = 20;
+
 /** Interval at which connections are checked for the head timeout. */
 const HEAD_TIMEOUT_CHECK_INTERVAL_MS = 1000;
 
@@ -33,7 +37,10 @@
 
   #isDraining = false;
 
-  #requestCount = 0;
+  readonly #answers = new OpenAnswers();
+
+  /** Answers to requests whose bodies have not arrived completely. */
+  readonly #incomplete = new Map<ServerResponse, DirectAnswer>();
 
   constructor(options: DirectServerOptions) {
     this.#options = options;
@@ -46,7 +53,10 @@
         requestTimeout: 0,
         noDelay: true,
       },
-      (message, response) => this.#readRequest(message, response),
+      (message, response) => {
+        const answer = new DirectAnswer(response, () => this.#isDraining);
+        answerErrors(answer, () => this.#readRequest(message, response, answer));
+      },
     );
   }
 
@@ -71,7 +81,7 @@
 
   /** Returns the number of requests without a complete answer. */
   countRequests(): number {
-    return this.#requestCount;
+    return this.#answers.count();
   }
 
   /** Closes every connection after its next answer, so that callers open new ones elsewhere. */
@@ -81,12 +91,22 @@
 
   /** Stops listening and closes idle connections; requests in progress continue. */
   close(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    this.#answers.callWhenWritten(() => this.#server.close());
+  }
+
+  /** Refuses the requests whose bodies have not arrived completely; none of them has run. */
+  refuseIncompleteRequests(): void {
+    const failure = fail(
+      'leaving',
+      'this entry is stopping; use another one',
+      LEAVING_RETRY_AFTER_MS,
+    );
+    for (const [response, answer] of this.#incomplete) {
+      if (!response.headersSent) answer.fail(failure.val);
+    }
   }
 
-  #readRequest(message: IncomingMessage, response: ServerResponse): void {
-    const answer = new DirectAnswer(response, () => this.#isDraining);
+  #readRequest(message: IncomingMessage, response: ServerResponse, answer: DirectAnswer): void {
     if (!hasValidHeaderNames(message.rawHeaders)) {
       answer.failAndClose(fail('bad_request', 'a header name is not valid').val);
       return;
@@ -95,9 +115,10 @@
     const chunks: Buffer[] = [];
     let bodyBytes = 0;
     let cancel: (() => void) | null = null;
-    this.#requestCount += 1;
+    this.#answers.add(response);
+    this.#incomplete.set(response, answer);
     response.on('close', () => {
-      this.#requestCount -= 1;
+      this.#incomplete.delete(response);
       if (!response.writableFinished) cancel?.();
     });
     const bodyTimer = setTimeout(() => {
@@ -114,8 +135,22 @@
     });
     message.on('end', () => {
       clearTimeout(bodyTimer);
+      this.#incomplete.delete(response);
       if (response.headersSent || response.destroyed) return;
-      cancel = this.#options.handler.acceptRequest(head, Buffer.concat(chunks), answer);
+      answerErrors(answer, () => {
+        cancel = this.#options.handler.acceptRequest(head, Buffer.concat(chunks), answer);
+      });
     });
   }
 }
+
+/** Runs a step of a request. If it throws, the caller gets 500; the error goes to the process. */
+function answerErrors(answer: DirectAnswer, run: () => void): void {
+  try {
+    run();
+  } catch (error) {
+    if (answer.isStarted()) answer.destroy();
+    else answer.failAndClose(fail('internal', 'the request could not be handled').val);
+    throw error;
+  }
+}
--- a/packages/dev/test/support/ProcessFleet.ts
+++ b/packages/dev/test/support/ProcessFleet.ts
@@ -41,6 +41,7 @@
    * Starts a daemon and waits until it listens.
    *
    * @param section settings of the section that is named after `kind`
+   * @param graceMs longest time to finish requests in progress after a stop signal
    * @returns the fields of its `started` log line
    * @throws Error if the daemon does not start within 10 s
    */
@@ -48,12 +49,13 @@
     kind: 'entry' | 'agent',
     id: string,
     section: object,
+    graceMs = 60_000,
   ): Promise<ReadonlyMap<string, string>> {
     const file = join(this.#folder, `${id}.ini`);
     const lines = [`[${kind}]`, `id = ${id}`];
     for (const [key, value] of Object.entries(section)) lines.push(`${key} = ${value}`);
     lines.push('[platform]', `store = ${this.store.address}`, `instances = ${this.instances.url}`);
-    lines.push('[timing]', 'stop_grace_ms = 60000');
+    lines.push('[timing]', `stop_grace_ms = ${graceMs}`);
     lines.push(kind === 'agent' ? 'leave_ms = 500' : 'address_ttl_ms = 500', '');
     writeFileSync(file, lines.join('\n'));
     const child = spawn(process.execPath, [`${PACKAGES}${kind}/dist/main.js`, '--settings', file]);
@@ -92,14 +94,15 @@
   }
 
   /** Starts an entry on a free port and returns its URL for callers. */
-  async startEntry(id: string, zone: string): Promise<string> {
-    const started = await this.startDaemon('entry', id, {
+  async startEntry(id: string, zone: string, graceMs?: number): Promise<string> {
+    const section = {
       zone,
       address: `${HOST}:0`,
       caller_host: HOST,
       caller_port: 0,
       caller_url: `http://${HOST}:0`,
-    });
+    };
+    const started = await this.startDaemon('entry', id, section, graceMs);
     const [address, url] = [started.get('address'), started.get('callers')!];
     this.#addInstance({ id, role: 'entry', zone, address, callerUrl: url, state: 'live' });
     return url;
--- a/packages/gateway/src/feed/StoreMirror.ts
+++ b/packages/gateway/src/feed/StoreMirror.ts
@@ -85,7 +85,7 @@
   }
 
   async #readAll(): Promise<void> {
-    const { clock, store, prefix, listener } = this.#options;
+    const { clock, store, prefix, listener, log } = this.#options;
     const read = await store.readPrefix(prefix);
     if (this.#isStopped) return;
     if (read.err) {
@@ -100,7 +100,9 @@
     this.#setStoreUnavailable(false, 'read');
     this.#position = { era, revision };
     this.#era = era;
-    listener.onSnapshot({ records, era, isRestored });
+    tryStep(log, 'apply a full read', { revision }, () =>
+      listener.onSnapshot({ records, era, isRestored }),
+    );
     this.#watch(this.#position);
   }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -27,6 +27,7 @@
 export { AttemptRun } from './request/AttemptRun.js';
 export type { RequestContext } from './request/RequestContext.js';
 export { RequestRun } from './request/RequestRun.js';
+export { StopDeadline } from './request/StopDeadline.js';
 export { SharedSuspectBreaker } from './suspects/SharedSuspectBreaker.js';
 export { SuspectTracker } from './suspects/SuspectTracker.js';
 export { TargetEndCheck } from './suspects/TargetEndCheck.js';
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -4,6 +4,7 @@
   ColdLimiter,
   EntryDirectory,
   RetryBudget,
+  StreamDurations,
   TargetPicker,
   TargetRegistry,
   splitAddress,
@@ -22,6 +23,7 @@
 import { SharedRates } from '../rates/SharedRates.js';
 import type { RequestContext } from '../request/RequestContext.js';
 import { RequestRun } from '../request/RequestRun.js';
+import { StopDeadline } from '../request/StopDeadline.js';
 import type { EntryCoreOptions } from './EntryCoreOptions.js';
 import type { GatewayLimits } from './GatewayLimits.js';
 
@@ -78,9 +80,6 @@
 
   #isStopping = false;
 
-  /** When the last request must be answered, monotonic milliseconds; null until `beginStop`. */
-  #drainDeadlineMs: number | null = null;
-
   #lastSubscribeMs = -Infinity;
 
   constructor(options: EntryCoreOptions) {
@@ -169,10 +168,11 @@
         network: options.network,
         log: suspectsLog,
       }),
+      stopDeadline: new StopDeadline(),
+      streamDurations: new StreamDurations(clock),
       log: createLog('request'),
       countEntries: () => this.#entries.countSharingEntries(),
       getTable: () => this.#view.getTable(),
-      getDrainDeadlineMs: () => this.#drainDeadlineMs,
       getBudget: (service) => this.#getBudget(service),
       getPool: (address) => this.#getPool(address),
     };
@@ -233,7 +233,12 @@
   /** Processes a request. @returns a function to call if the caller disconnects */
   acceptRequest(head: RequestHead, body: Buffer, answer: DirectAnswer): () => void {
     const run = new RequestRun(this.#requestContext, head, body, answer);
-    run.start();
+    try {
+      run.start();
+    } catch (error) {
+      run.cancel();
+      throw error;
+    }
     return () => run.cancel();
   }
 
@@ -251,13 +256,15 @@
   }
 
   /**
-   * Withdraws the registration; requests are still served.
+   * Withdraws the registration. Requests that can finish in time are still served; the others are
+   * refused, including those that wait for a target.
    *
-   * @param drainDeadlineMs when the last request must be answered, monotonic milliseconds
+   * @param deadlineMs when the last request must be answered, monotonic milliseconds
    */
-  beginStop(drainDeadlineMs: number): void {
+  beginStop(deadlineMs: number): void {
     this.#isStopping = true;
-    this.#drainDeadlineMs = drainDeadlineMs;
+    this.#requestContext.stopDeadline.set(deadlineMs);
+    this.#requestContext.queue.advance();
     void this.#lease.stop();
   }
 
@@ -282,21 +289,27 @@
   }
 
   #tick(): void {
-    tryStep(this.#log, 'periodic tasks', {}, () => this.#runTasks());
+    const tasks = {
+      'expire targets': () => this.#registry.expire(),
+      'expire the view': () => this.#view.expire(),
+      'expire suspects': () => this.#suspects.expire(),
+      'expire limits': () => this.#limits.expire(),
+      'expire shared rates': () => this.#rates.expire(),
+      subscribe: () => this.#subscribe(this.#options.clock.getNow()),
+      register: () => this.#register(),
+      'close idle connections': () => this.#closeIdlePools(),
+    };
+    for (const [step, run] of Object.entries(tasks)) tryStep(this.#log, step, {}, run);
     this.#cancelTick = this.#options.timers.schedule(TICK_INTERVAL_MS, () => this.#tick());
   }
 
-  #runTasks(): void {
-    this.#registry.expire();
-    this.#view.expire();
-    this.#suspects.expire();
-    this.#limits.expire();
-    this.#rates.expire();
-    this.#subscribe(this.#options.clock.getNow());
-    if (!this.#isRegistered && this.isReady()) {
-      this.#isRegistered = true;
-      this.#lease.start();
-    }
+  #register(): void {
+    if (this.#isRegistered || !this.isReady()) return;
+    this.#isRegistered = true;
+    this.#lease.start();
+  }
+
+  #closeIdlePools(): void {
     for (const [address, pool] of this.#pools) {
       pool.closeIdle(MAX_POOL_IDLE_MS);
       if (pool.count() === 0) this.#pools.delete(address);
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -19,7 +19,10 @@
 /** The server closes at the latest this long before the platform kills the process. */
 const CLOSE_MARGIN_MS = 2000;
 
-/** Open requests are awaited until this long before the platform kills the process. */
+/** Every request is answered at the latest this long before the platform kills the process. */
+const ANSWER_MARGIN_MS = 600;
+
+/** Answers may be written until this long before the platform kills the process. */
 const DRAIN_MARGIN_MS = 400;
 
 /** An entry that sends the requests of its callers directly to targets. */
@@ -38,6 +41,9 @@
 
   #lastRequestMs = 0;
 
+  /** Until when callers may keep an address that they were told under earlier limits. */
+  #earlierExpiryMs = -Infinity;
+
   constructor(options: GatewayOptions) {
     this.#options = options;
     this.#limits = options.limits;
@@ -75,6 +81,8 @@
 
   /** Changes the limits of the deployment; a stop in progress keeps those with which it began. */
   setLimits(limits: GatewayLimits): void {
+    const expiryMs = this.#options.clock.getNow() + this.#limits.addressTtlMs;
+    this.#earlierExpiryMs = Math.max(this.#earlierExpiryMs, expiryMs);
     this.#limits = limits;
     this.#core.setLimits(limits);
   }
@@ -104,15 +112,17 @@
     this.#server.drain();
     this.#log.report('stopping', { requests: this.#server.countRequests() });
     const forcedEndMs = startMs + this.#limits.graceMs;
-    const drainDeadlineMs = forcedEndMs - DRAIN_MARGIN_MS;
-    this.#core.beginStop(drainDeadlineMs);
-    const addressExpiryMs = startMs + this.#limits.addressTtlMs;
+    const answerDeadlineMs = forcedEndMs - ANSWER_MARGIN_MS;
+    this.#core.beginStop(answerDeadlineMs);
+    const addressExpiryMs = Math.max(startMs + this.#limits.addressTtlMs, this.#earlierExpiryMs);
     await this.#waitUntil(forcedEndMs - CLOSE_MARGIN_MS, (nowMs) => {
       const hasNoNewRequests = nowMs - this.#lastRequestMs > NO_REQUESTS_MS;
       return this.#server.countRequests() === 0 && hasNoNewRequests && nowMs > addressExpiryMs;
     });
     this.#server.close();
-    await this.#waitUntil(drainDeadlineMs, () => this.#server.countRequests() === 0);
+    await this.#waitUntil(answerDeadlineMs, () => this.#server.countRequests() === 0);
+    this.#server.refuseIncompleteRequests();
+    await this.#waitUntil(forcedEndMs - DRAIN_MARGIN_MS, () => this.#server.countRequests() === 0);
     this.#core.close();
     this.#socket.close();
     this.#log.report('stopped', { requests: this.#server.countRequests() });
