Keep an event loop running when its error handler throws, and report settings once applied

Changed settings were logged as applied before they were; an exception in between left a version that was not in force.

--- a/packages/runtime/src/process/PushSource.ts
+++ b/packages/runtime/src/process/PushSource.ts
@@ -28,9 +28,12 @@
     this.#pending.push(event);
     if (this.#isPropagating) return;
     this.#isPropagating = true;
-    for (let next = this.#pending.shift(); next !== undefined; next = this.#pending.shift()) {
-      this.#sink?.event(this.#scheduler!.now(), next);
+    try {
+      for (let next = this.#pending.shift(); next !== undefined; next = this.#pending.shift()) {
+        this.#sink?.event(this.#scheduler!.now(), next);
+      }
+    } finally {
+      this.#isPropagating = false;
     }
-    this.#isPropagating = false;
   }
 }
--- a/packages/runtime/src/settings/SettingsReloader.ts
+++ b/packages/runtime/src/settings/SettingsReloader.ts
@@ -127,11 +127,11 @@
       this.#refuse(settings.val);
       return;
     }
+    apply(settings.val);
     this.#values = merged;
     this.#version += 1;
     metrics.increase('limpetbay_settings_reloads_total{result="applied"}');
     log.report('settings applied', { file, version: this.#version, changes: live });
-    apply(settings.val);
   }
 
   #reportUnchanged(): void {
