Do not block requests with recent answers because many targets ended at once

Each end of the outage counted as one more proof and doubled the block.

A request that was answered within the last minute is put on trial, not blocked; an end during its trial takes that back. A block doubles with an end after an earlier one ran out, not with each target of the same outage.

--- a/packages/core/src/suspects/SoundSuspects.ts
+++ b/packages/core/src/suspects/SoundSuspects.ts
@@ -30,6 +30,10 @@
     return begunAtMs !== undefined && this.#clock.getNow() - begunAtMs <= RETENTION_MS;
   }
 
+  remove(id: string): void {
+    this.#begunAtMs.delete(id);
+  }
+
   count(): number {
     return this.#begunAtMs.size;
   }
--- a/packages/core/src/suspects/Suspect.ts
+++ b/packages/core/src/suspects/Suspect.ts
@@ -9,6 +9,8 @@
   readonly ends: Map<string, TargetEnd>;
   /** When this entry learned of the last end, monotonic milliseconds. */
   lastEndMs: number;
+  /** Blocks that had run out when the suspect ended another target. */
+  doublings: number;
   /** Ends that speak against this suspect rather than against another one of the same requests. */
   count: number;
   /** Entry whose request is on trial; null without a trial. */
--- a/packages/core/src/suspects/SuspectBreaker.ts
+++ b/packages/core/src/suspects/SuspectBreaker.ts
@@ -22,7 +22,7 @@
 /** Ends from which on the store holds a suspect; an ordinary crash makes many with one end. */
 const MIN_STORED_ENDS = 2;
 
-/** How long a suspect is blocked at first; doubles with each further end. */
+/** How long a suspect is blocked at first; doubles with each end after a block ran out. */
 const BASE_BLOCK_MS = 30_000;
 
 const MAX_BLOCK_DOUBLINGS = 7;
@@ -203,7 +203,7 @@
     const nowMs = this.#options.clock.getNow();
     const expired: string[] = [];
     for (const suspect of this.#suspects.values()) {
-      const blockMs = computeBlockMs(this.#computeSeverity(suspect));
+      const blockMs = this.#computeBlockMs(suspect);
       const untilMs = suspect.lastEndMs + blockMs + RETENTION_MS;
       if (nowMs > untilMs) expired.push(suspect.id);
     }
@@ -212,18 +212,24 @@
 
   /**
    * Returns how many ends a suspect is treated as having. That one request meets the ends of two
-   * targets by chance is less likely than for a part of many; unless it is sent all the time, which
-   * its recent answers show.
+   * targets by chance is less likely than for a part of many. A request that was answered recently
+   * is only put on trial: one that is sent all the time meets the ends of all targets of an outage.
    */
   #computeSeverity({ id, count }: Suspect): number {
-    const isUnanswered = isFingerprint(id) && !this.#soundRequests.has(id);
-    return isUnanswered && count > 0 ? count + 1 : count;
+    if (!isFingerprint(id) || count === 0) return count;
+    return this.#soundRequests.has(id) ? Math.min(count, TRIAL_ENDS) : count + 1;
+  }
+
+  /** Returns for how long a suspect is blocked after its last end, milliseconds. */
+  #computeBlockMs(suspect: Suspect): number {
+    if (this.#computeSeverity(suspect) < BLOCK_ENDS) return 0;
+    return BASE_BLOCK_MS * 2 ** Math.min(MAX_BLOCK_DOUBLINGS, suspect.doublings);
   }
 
   #computeBlockedMs(suspect: Suspect): number {
     const { lastEndMs, trial, trialSinceMs } = suspect;
     const nowMs = this.#options.clock.getNow();
-    const blockedMs = lastEndMs + computeBlockMs(this.#computeSeverity(suspect)) - nowMs;
+    const blockedMs = lastEndMs + this.#computeBlockMs(suspect) - nowMs;
     if (blockedMs > 0) return blockedMs;
     return trial !== null && nowMs - trialSinceMs < MAX_TRIAL_MS ? TRIAL_RETRY_AFTER_MS : 0;
   }
@@ -234,6 +240,12 @@
     const known = suspect.ends.get(end.target);
     if (known !== undefined && (known.hadHead || !end.hadHead)) return false;
     if (known === undefined && suspect.ends.size >= MAX_ENDS_PER_SUSPECT) return false;
+    // Targets that end together are one sign, however many they are.
+    const blockMs = this.#computeBlockMs(suspect);
+    const hasRunOut = blockMs > 0 && this.#options.clock.getNow() > suspect.lastEndMs + blockMs;
+    if (known === undefined && hasRunOut) suspect.doublings += 1;
+    // On trial the request was the only one of its kind, so earlier answers no longer speak for it.
+    if (known === undefined && suspect.trial !== null) this.#soundRequests.remove(id);
     suspect.ends.set(end.target, end);
     suspect.lastEndMs = this.#options.clock.getNow();
     suspect.isUnsaved = true;
@@ -248,6 +260,7 @@
       id,
       ends: new Map(),
       lastEndMs: this.#options.clock.getNow(),
+      doublings: 0,
       count: 0,
       trial: null,
       trialSinceMs: 0,
@@ -305,11 +318,6 @@
   return revision !== 0 || ends.size >= MIN_STORED_ENDS;
 }
 
-function computeBlockMs(ends: number): number {
-  if (ends < BLOCK_ENDS) return 0;
-  return BASE_BLOCK_MS * 2 ** Math.min(MAX_BLOCK_DOUBLINGS, ends - BLOCK_ENDS);
-}
-
 /**
  * Returns whether a cause with ends of the same targets explains the ends of a suspect. A single
  * request that ended all targets that a prompt part ended is the more specific cause.
