--- a/review/3/case.js
+++ b/review/3/case.js
@@ -1,89 +1,104 @@
 import { buildConfig } from '../lib/buildConfig.js';
-import { buildRegistration } from '../lib/buildRegistration.js';
 import { callEntry } from '../lib/callEntry.js';
-import { createProxy } from '../lib/createProxy.js';
 import { createStore } from '../lib/createStore.js';
-import { createWorker } from '../lib/createWorker.js';
+import { CrashingWorker } from '../lib/CrashingWorker.js';
 import { runCase } from '../lib/runCase.js';
 import { sleep } from '../lib/sleep.js';
 
-/** Bounds of the small deployments, milliseconds. */
-const CONFIG_APPLY_MS = 2000;
 const STABLE_WINDOW_MS = 3000;
 
-/** Pause of a client between two requests, milliseconds. */
-const PAUSE_MS = 50;
+/** Crashes after which the rule counts, and requests that it then allows. */
+const CRASHES = 5;
+const MAX_REQUESTS = 3;
 
-/** Channels to the store that have carried nothing for so long are lost, milliseconds. */
-const IDLE_MS = 2000;
+/** Prompt part that crashes workers, and one that does not. */
+const DEADLY_PART = 'dead01';
+const SOUND_PART = '50f701';
 
-const SETTLE_MS = 1500;
-const BEFORE_LOSS_MS = 2600;
-const AFTER_TOUCH_MS = 300;
-const AFTER_CHANGE_MS = 9000;
+/** Events of an answer that a worker writes before it crashes. */
+const EVENTS_BEFORE_CRASH = Number(process.env.EVENTS ?? 2);
+
+const NOTE_MS = 1000;
+const CLIENTS = 6;
+const PAUSE_MS = 300;
+const BEFORE_MS = 3000;
+const RUN_MS = 40_000;
 
 async function run(deployment, isTroubled) {
-  const ranById = new Map();
   const store = await createStore(deployment.assignHost());
-  const proxy = await createProxy(deployment.assignHost(), store.address);
-  for (const id of ['worker-1', 'worker-2', 'worker-3']) {
-    const worker = await createWorker({
+  const crashMs = [];
+  const deadlyRuns = [];
+  for (const id of ['worker-1', 'worker-2', 'worker-3', 'worker-4']) {
+    const worker = new CrashingWorker({
       host: deployment.assignHost(),
       id,
-      onRun: (request) => ranById.set(request.id, performance.now()),
+      store,
+      part: DEADLY_PART,
+      eventsBeforeCrash: EVENTS_BEFORE_CRASH,
+      onRun: ({ id: requestId, isDeadly }) => {
+        if (!isDeadly) return;
+        deadlyRuns.push({ id: requestId, ms: performance.now() });
+        deployment.record(`${id}: begins ${requestId}, which has the deadly part`);
+      },
+      onCrash: () => {
+        crashMs.push(performance.now());
+        deployment.record(`${id}: crash ${crashMs.length}`);
+      },
     });
-    store.put(`servers/${id}`, buildRegistration(worker.address));
+    await worker.start();
   }
   store.put('op/config', buildConfig(1));
   const addresses = [];
   for (const name of ['front-1', 'front-2']) {
-    const entry = await deployment.startMachine('entry', name, proxy);
+    const entry = await deployment.startMachine('entry', name, store);
     await deployment.waitUntilReady(entry);
     addresses.push(`${entry.host}:${entry.ports.front}`);
   }
-  let isOver = false;
-  const answers = [];
-  const lookUp = async (address) => {
-    while (!isOver) {
-      answers.push({ address, ...(await callEntry({ address, path: '/lookup/a', key: 'key-2' })) });
-      await sleep(PAUSE_MS);
+
+  const endMs = performance.now() + BEFORE_MS + RUN_MS;
+  let notes = 0;
+  const takeNote = async (address, part) => {
+    notes += 1;
+    const own = (0xabc000 + notes).toString(16);
+    return callEntry({
+      address,
+      path: '/note/a',
+      method: 'POST',
+      limitMs: 8000,
+      headers: { 'X-Limpetbay-Prompt-Prefix': `${part}:40,${own}:600` },
+    });
+  };
+  const sound = [];
+  const clients = Array.from({ length: CLIENTS }, async (_, client) => {
+    while (performance.now() < endMs) {
+      sound.push(await takeNote(addresses[client % addresses.length], SOUND_PART));
+      await sleep(PAUSE_MS * (0.5 + Math.random()));
     }
+  });
+  await sleep(BEFORE_MS);
+  const pending = [];
+  const sentMs = new Map();
+  const takeDeadlyNote = async (address) => {
+    const startMs = performance.now();
+    const { id, outcome, status } = await takeNote(address, isTroubled ? DEADLY_PART : SOUND_PART);
+    sentMs.set(id, startMs);
+    deployment.record(`note ${id}: ${outcome} ${status ?? ''}`);
   };
-  const clients = addresses.map((address) => lookUp(address));
-  await sleep(SETTLE_MS);
-
-  const withBoth = [{ name: 'tenant-1', api_keys: ['key-1', 'key-2'] }];
-  const withoutSecond = [{ name: 'tenant-1', api_keys: ['key-1'] }];
-  store.put('op/config', buildConfig(4, { tenants: withBoth }));
-  deployment.record('operator: version 4 acknowledged');
-  await sleep(BEFORE_LOSS_MS);
-  if (isTroubled) {
-    const { silent, working } = proxy.silenceIdle(IDLE_MS);
-    deployment.record(`${silent} channels to the store went silent, ${working} work on`);
+  for (let sent = 0; performance.now() < endMs; sent += 1) {
+    pending.push(takeDeadlyNote(addresses[sent % addresses.length]));
+    await sleep(NOTE_MS);
   }
-  await sleep(STABLE_WINDOW_MS + AFTER_TOUCH_MS);
-  store.put('op/config', buildConfig(7, { tenants: withoutSecond }));
-  const ackMs = performance.now();
-  deployment.record('operator: version 7 without key-2 acknowledged');
-  await sleep(AFTER_CHANGE_MS);
-  isOver = true;
-  await Promise.all(clients);
+  await Promise.all([...clients, ...pending]);
   store.close();
-  proxy.close();
-
-  const late = answers.filter(({ startMs }) => startMs > ackMs + CONFIG_APPLY_MS);
-  const broken = late.filter(({ id, status }) => ranById.has(id) || status === 200);
-  for (const address of addresses) {
-    const own = broken.filter((answer) => answer.address === address);
-    const lastMs = Math.max(0, ...own.map(({ startMs }) => startMs - ackMs));
-    deployment.record(
-      `${address}: ${own.length} requests with key-2 that were sent later than ` +
-        `${CONFIG_APPLY_MS} ms after the ack ran, the last ${Math.round(lastMs)} ms after it`,
-    );
-  }
+  const fromMs = (crashMs[CRASHES - 1] ?? Infinity) + STABLE_WINDOW_MS;
+  const late = deadlyRuns.filter(({ ms }) => ms > fromMs);
+  const cut = sound.filter(({ outcome }) => outcome !== 'answered');
   return {
-    isBroken: broken.length > 0,
-    summary: `${broken.length} of ${late.length} requests with a dropped key ran`,
+    isBroken: late.length > MAX_REQUESTS,
+    summary:
+      `${crashMs.length} crashes; ${late.length} requests with the deadly part reached workers ` +
+      `later than ${STABLE_WINDOW_MS} ms after the fifth (${MAX_REQUESTS} allowed); ` +
+      `${cut.length} of ${sound.length} sound streams were cut`,
   };
 }
 
--- a/review/lib/Deployment.js
+++ b/review/lib/Deployment.js
@@ -1,8 +1,9 @@
 import { spawn } from 'node:child_process';
 import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { findPort } from './findPort.js';
+import { sleep } from './sleep.js';
 
 const ROOT = new URL('../../', import.meta.url).pathname;
 const METRICS_PORT = 9464;
@@ -11,23 +12,6 @@
 /** Time before which the machine's processes are not asked again, milliseconds. */
 const POLL_MS = 50;
 
-function sleep(ms) {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
-function findPort(host) {
-  return new Promise((resolve, reject) => {
-    const server = createServer();
-    server.once('error', reject);
-    server.listen(0, host, () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
-    });
-  });
-}
-
 /** Reads the command of a role from the deploy file. */
 function readCommand(role) {
   const text = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8');
@@ -73,9 +57,9 @@
     appendFileSync(this.#recordFile, `${seconds.padStart(8)} ${text}\n`);
   }
 
-  /** Starts an entry or an agent. @param fields settings besides the common ones */
+  /** Starts an entry or an agent. @param fields settings that differ from the common ones */
   async startMachine(role, name, store, fields = {}) {
-    const host = this.assignHost();
+    const host = fields.ip ?? this.assignHost();
     this.peerPort ??= await findPort(host);
     const ports = {
       front: await findPort(host),
--- a/review/lib/callEntry.js
+++ b/review/lib/callEntry.js
@@ -6,7 +6,7 @@
  * Sends a request to an entry as a client does.
  *
  * @param options `address` (`IP:PORT`), `path`, `method`, `key`, `limitMs` (time limit of the
- *   client), `agent` (of a kept channel; without it the channel is new)
+ *   client), `headers` (further ones), `agent` (of a kept channel; without it the channel is new)
  * @returns id, status (null without an answer), body, `isKept` (whether the channel had answered an
  *   earlier request), `outcome` (`answered`, `cut`, `gave up`) and times in milliseconds
  */
@@ -39,6 +39,7 @@
         'X-Limpetbay-Request-Deadline': String(limitMs),
         Authorization: `Bearer ${key}`,
         ...(method === 'POST' ? { 'Content-Length': '0' } : {}),
+        ...options.headers,
       },
     });
     let timer = null;
