--- a/review/3/case.js
+++ b/review/3/case.js
@@ -18,6 +18,12 @@
 /** Events of an answer that a worker writes before it crashes. */
 const EVENTS_BEFORE_CRASH = Number(process.env.EVENTS ?? 2);
 
+/**
+ * With `SAME_REQUEST=1` the same request comes again and again, and what crashes workers is its own
+ * part, which no other request shares.
+ */
+const isSameRequest = process.env.SAME_REQUEST === '1';
+
 const NOTE_MS = 1000;
 const CLIENTS = 6;
 const PAUSE_MS = 300;
@@ -60,12 +66,13 @@
   const takeNote = async (address, part) => {
     notes += 1;
     const own = (0xabc000 + notes).toString(16);
+    const isAlone = isSameRequest && part === DEADLY_PART;
     return callEntry({
       address,
       path: '/note/a',
       method: 'POST',
       limitMs: 8000,
-      headers: { 'X-Limpetbay-Prompt-Prefix': `${part}:40,${own}:600` },
+      headers: { 'X-Limpetbay-Prompt-Prefix': isAlone ? `${part}:40` : `${part}:40,${own}:600` },
     });
   };
   const sound = [];
