Collect bodies at the cost of their bytes, and read large ones in turn

Cause: a body was an array of chunks with a limit on its bytes. A chunk costs about a hundred bytes of heap and some microseconds however small it is, and nothing limited the sum of all bodies. The same array took the bodies of callers and the JSON answers of the store, of ranks and of agents, the latter without any limit.

Change: `BodyBuffer` copies chunks into blocks; `BodyBudget` limits all incomplete bodies of an entry together and drops the largest; `receiveBody` takes what arrived together in one piece and reads one large body in a turn of the event loop; `DirectConnection` limits the framing of an answer; `requestJson` has a limit on the answer.

Test: `endlessAnswers.test.ts`, an entry with the heap of the deploy file. On the code before, bodies in chunks of one byte ended the process or failed lookups, on an `unsafe` and on a `safe` route, and as the body of a caller; the four tests pass now.

--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -1,5 +1,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { fail, hasValidHeaderNames, type RequestHead } from '@limpetbay/core';
+import {
+  BodyBuffer,
+  fail,
+  hasValidHeaderNames,
+  type BodyBudget,
+  type RequestHead,
+} from '@limpetbay/core';
+import { receiveBody } from '@limpetbay/runtime';
 import { OpenAnswers } from '../answer/OpenAnswers.js';
 import { DirectAnswer } from './DirectAnswer.js';
 import type { DirectHandler } from './DirectHandler.js';
@@ -12,6 +19,8 @@
   readonly readHead: (message: IncomingMessage) => RequestHead;
   /** Returns the largest body that is accepted, bytes. */
   readonly getMaxBodyBytes: () => number;
+  /** Limits the memory of all incomplete bodies. */
+  readonly bodyBudget: BodyBudget;
 }
 
 /** Largest request head; above the limit of any configuration. */
@@ -26,6 +35,9 @@
 /** Retry-After while the entry stops; short, because other entries are available at once. */
 const LEAVING_RETRY_AFTER_MS = 20;
 
+/** Retry-After of a request whose body had no space among those of others. */
+const NO_SPACE_RETRY_AFTER_MS = 500;
+
 /** Interval at which connections are checked for the head timeout. */
 const HEAD_TIMEOUT_CHECK_INTERVAL_MS = 1000;
 
@@ -112,33 +124,38 @@
       return;
     }
     const head = this.#options.readHead(message);
-    const chunks: Buffer[] = [];
-    let bodyBytes = 0;
+    const body = new BodyBuffer({
+      maxBytes: this.#options.getMaxBodyBytes(),
+      budget: this.#options.bodyBudget,
+      onEvicted: () => refuse('overloaded', 'too many bodies arrive', NO_SPACE_RETRY_AFTER_MS),
+    });
+    const refuse = (...reason: Parameters<typeof fail>): void => {
+      body.clear();
+      if (!response.headersSent) answer.fail(fail(...reason).val);
+    };
     let cancel: (() => void) | null = null;
     this.#answers.add(response);
     this.#incomplete.set(response, answer);
     response.on('close', () => {
       this.#incomplete.delete(response);
+      body.clear();
       if (!response.writableFinished) cancel?.();
     });
     const bodyTimer = setTimeout(() => {
       if (!response.headersSent) answer.failAndClose(fail('request_too_slow', 'body timeout').val);
     }, this.#server.keepAliveTimeout);
     message.on('close', () => clearTimeout(bodyTimer));
-    message.on('data', (chunk: Buffer) => {
+    receiveBody(message, (chunk) => {
       bodyTimer.refresh();
-      bodyBytes += chunk.length;
-      if (bodyBytes <= this.#options.getMaxBodyBytes()) chunks.push(chunk);
-      else if (!response.headersSent) {
-        answer.fail(fail('body_too_large', 'the body exceeds the size limit').val);
-      }
+      if (response.headersSent || response.destroyed) return;
+      if (!body.append(chunk)) refuse('body_too_large', 'the body exceeds the size limit');
     });
     message.on('end', () => {
       clearTimeout(bodyTimer);
       this.#incomplete.delete(response);
       if (response.headersSent || response.destroyed) return;
       answerErrors(answer, () => {
-        cancel = this.#options.handler.acceptRequest(head, Buffer.concat(chunks), answer);
+        cancel = this.#options.handler.acceptRequest(head, body.take(), answer);
       });
     });
   }
--- a/packages/callers/src/server/readBody.ts
+++ b/packages/callers/src/server/readBody.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import { Ok, fail, type Failure, type Result } from '@limpetbay/core';
+import { BodyBuffer, Ok, fail, type Failure, type Result } from '@limpetbay/core';
 
 /**
  * Reads the complete body of a request.
@@ -14,18 +14,15 @@
   if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
     return fail('body_too_large', `the body exceeds the limit of ${maxBytes} bytes`);
   }
-  const parts: Buffer[] = [];
-  let sizeBytes = 0;
+  const body = new BodyBuffer({ maxBytes });
   try {
     for await (const part of request as AsyncIterable<Buffer>) {
-      sizeBytes += part.length;
-      if (sizeBytes > maxBytes) {
+      if (!body.append(part)) {
         return fail('body_too_large', `the body exceeds the limit of ${maxBytes} bytes`);
       }
-      parts.push(part);
     }
   } catch {
     return fail('cancelled', 'the caller disconnected while sending the body');
   }
-  return Ok(Buffer.concat(parts));
+  return Ok(body.take());
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,6 +34,8 @@
 export { applyMapDelta } from './barrierswitch/applyMapDelta.js';
 export { createInitialMap } from './barrierswitch/createInitialMap.js';
 export { diffMaps } from './barrierswitch/diffMaps.js';
+export { BodyBudget } from './body/BodyBudget.js';
+export { BodyBuffer } from './body/BodyBuffer.js';
 export { AttemptLog } from './claims/AttemptLog.js';
 export { BatchWriter } from './claims/BatchWriter.js';
 export type { Claim } from './claims/Claim.js';
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -179,6 +179,7 @@
       registry: this.#registry,
       picker,
       queue: new AdmissionQueue(clock),
+      bodyBudget: options.bodyBudget,
       limits: this.#limits,
       holds: this.#holds,
       suspects: this.#suspects,
--- a/packages/gateway/src/process/EntryCoreOptions.ts
+++ b/packages/gateway/src/process/EntryCoreOptions.ts
@@ -1,10 +1,12 @@
-import type { RouteTable } from '@limpetbay/core';
+import type { BodyBudget, RouteTable } from '@limpetbay/core';
 import type { EntryNetwork } from '../ports/EntryNetwork.js';
 import type { GatewayOptions } from './GatewayOptions.js';
 
 /** Dependencies and settings of an `EntryCore`. */
 export interface EntryCoreOptions extends GatewayOptions {
   readonly network: EntryNetwork;
+  /** Limits the memory of all bodies that are being received. */
+  readonly bodyBudget: BodyBudget;
   /** Called when another configuration becomes active. */
   readonly onConfig: (table: RouteTable) => void;
 }
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -1,5 +1,5 @@
 import { DirectServer, type DirectAnswer, type DirectHandler } from '@limpetbay/callers';
-import { splitAddress, type RequestHead } from '@limpetbay/core';
+import { BodyBudget, splitAddress, type RequestHead } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
 import { IgnoredRecordLog, type Log } from '@limpetbay/runtime';
 import { DirectPool, checkListener } from '@limpetbay/targets';
@@ -10,6 +10,9 @@
 /** Largest request body before the first configuration. */
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
+/** Memory of all bodies that are being received, from callers and targets, bytes. */
+const MAX_INCOMPLETE_BODY_BYTES = 67_108_864;
+
 /** Interval at which a stopping entry checks whether it may continue to stop. */
 const STOP_POLL_INTERVAL_MS = 100;
 
@@ -49,6 +52,7 @@
     this.#limits = options.limits;
     const { clock, codec, metrics, createLog } = options;
     this.#log = createLog('entry');
+    const bodyBudget = new BodyBudget(MAX_INCOMPLETE_BODY_BYTES);
     const ignored = new IgnoredRecordLog({ clock, log: this.#log, metrics, component: 'entry' });
     this.#core = new EntryCore({
       ...options,
@@ -57,6 +61,7 @@
         checkListener,
         sendToPeers: (message, addresses) => this.#socket.send(message, addresses),
       },
+      bodyBudget,
       onConfig: ({ config }) =>
         this.#server.setTimeouts(config.idleTimeoutMs, config.headTimeoutMs),
     });
@@ -71,6 +76,7 @@
       handler: this,
       readHead: (message) => codec.readRequest(message),
       getMaxBodyBytes: () => this.#core.getTable()?.config.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+      bodyBudget,
     });
   }
 
--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -1,4 +1,5 @@
 import {
+  BodyBuffer,
   EventSplitter,
   decideAnswer,
   evaluateHead,
@@ -70,7 +71,7 @@
 
   #firstEventId: string | null = null;
 
-  #chunks: Buffer[] = [];
+  readonly #body: BodyBuffer;
 
   #bodyBytes = 0;
 
@@ -86,6 +87,11 @@
     this.#options = options;
     this.#splitter = new EventSplitter(options.awaited.resumedAfter);
     this.#startMs = options.context.clock.getNow();
+    this.#body = new BodyBuffer({
+      maxBytes: MAX_BODY_BYTES,
+      budget: options.context.bodyBudget,
+      onEvicted: () => this.#abandon('the bodies of all answers take too much memory'),
+    });
   }
 
   start(): void {
@@ -141,9 +147,7 @@
   #handleData(data: Buffer): void {
     if (this.#hasEnded) return;
     if (this.#head === null || this.#meaning !== 'events') {
-      this.#bodyBytes += data.length;
-      if (this.#bodyBytes <= MAX_BODY_BYTES) this.#chunks.push(data);
-      else this.#abandon(`the body is longer than ${MAX_BODY_BYTES} bytes`);
+      this.#collectBody(data);
       return;
     }
     const events = this.#splitter.push(data);
@@ -163,8 +167,14 @@
     this.#options.listener.onEvents(this.#head, events.bytes, this.#splitter.getLastId());
   }
 
+  #collectBody(data: Buffer): void {
+    this.#bodyBytes += data.length;
+    if (!this.#body.append(data)) this.#abandon(`the body is longer than ${MAX_BODY_BYTES} bytes`);
+  }
+
   /** Gives up the answer and closes its connection. */
   #abandon(cause?: string): void {
+    if (this.#hasEnded) return;
     this.#cancelCall?.();
     this.#finish('abandoned', cause);
   }
@@ -185,7 +195,6 @@
     const timeoutMs =
       route.kind === 'stream' ? Math.max(MIN_STREAM_PROGRESS_TIMEOUT_MS, objectiveMs) : objectiveMs;
     this.#cancelProgressTimeout = context.timers.schedule(timeoutMs, () => {
-      if (this.#hasEnded) return;
       this.#abandon(`target ${target.id} made no progress for ${Math.round(timeoutMs)} ms`);
     });
   }
@@ -207,12 +216,12 @@
     if (decision.kind === 'failed') stats.recordFailure(context.clock.getNow());
     else if (!this.#hasFirstByte) this.#recordFirstByte();
     if (this.#meaning === 'misdirected') context.registry.remove(target.id);
-    this.#end();
     const answer = {
       progress: this.#getProgress(),
       trace: this.#traceAnswer(),
-      body: Buffer.concat(this.#chunks),
+      body: this.#body.take(),
     };
+    this.#end();
     if (decision.kind === 'answered') {
       listener.onResult({ ...decision, ...answer, head: this.#head as AnswerHead });
       return;
@@ -227,7 +236,7 @@
   }
 
   #getProgress(): AttemptProgress {
-    if (this.#hasFirstByte || this.#chunks.length > 0) return 'body';
+    if (this.#hasFirstByte || this.#bodyBytes > 0) return 'body';
     return this.#head === null ? 'none' : 'head';
   }
 
@@ -249,6 +258,7 @@
 
   #end(): void {
     this.#hasEnded = true;
+    this.#body.clear();
     this.#cancelProgressTimeout?.();
     this.#options.context.picker.getStats(this.#options.target.id).recordEnd();
   }
--- a/packages/gateway/src/request/RequestContext.ts
+++ b/packages/gateway/src/request/RequestContext.ts
@@ -1,5 +1,6 @@
 import type {
   AdmissionQueue,
+  BodyBudget,
   Clock,
   RandomSource,
   RetryBudget,
@@ -28,6 +29,8 @@
   readonly registry: TargetRegistry;
   readonly picker: TargetPicker;
   readonly queue: AdmissionQueue;
+  /** Limits the memory of all bodies that are being received. */
+  readonly bodyBudget: BodyBudget;
   readonly limits: SharedTargetLimits;
   readonly holds: TargetHolds;
   readonly suspects: SharedSuspectBreaker;
--- a/packages/rankagent/src/network/AgentServer.ts
+++ b/packages/rankagent/src/network/AgentServer.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { decodeJson } from '@limpetbay/core';
+import { BodyBuffer, decodeJson } from '@limpetbay/core';
+import { receiveBody } from '@limpetbay/runtime';
 import type { AgentCalls } from '../ports/AgentCalls.js';
 import { OrderRequest } from '../ports/OrderRequest.js';
 
@@ -21,15 +22,15 @@
   constructor(options: AgentServerOptions) {
     this.#options = options;
     this.#server = createServer((request, response) => {
-      const chunks: Buffer[] = [];
-      let bodyBytes = 0;
-      request.on('data', (chunk: Buffer) => {
-        bodyBytes += chunk.length;
-        if (bodyBytes <= MAX_BODY_BYTES) chunks.push(chunk);
+      const body = new BodyBuffer({ maxBytes: MAX_BODY_BYTES });
+      receiveBody(request, (chunk) => {
+        if (response.headersSent || body.append(chunk)) return;
+        body.clear();
+        response.once('finish', () => response.destroy());
+        writeJson(response, 413, {});
       });
       request.on('end', () => {
-        if (bodyBytes > MAX_BODY_BYTES) writeJson(response, 413, {});
-        else void this.#serveRequest(request, response, Buffer.concat(chunks));
+        if (!response.headersSent) void this.#serveRequest(request, response, body.take());
       });
     });
   }
--- a/packages/rankagent/src/network/HttpAgent.ts
+++ b/packages/rankagent/src/network/HttpAgent.ts
@@ -13,6 +13,9 @@
 import { OrderReply } from '../ports/OrderReply.js';
 import type { RemoteAgent } from '../ports/RemoteAgent.js';
 
+/** Longer than the experts of the largest model that one rank holds. */
+const MAX_ANSWER_BYTES = 4_194_304;
+
 /** Calls to the HTTP server of another agent. */
 export class HttpAgent implements RemoteAgent {
   readonly #pool: DirectPool;
@@ -41,7 +44,10 @@
     timeoutMs: number,
     body?: unknown,
   ): Promise<Result<z.infer<Schema>, Failure>> {
-    const answer = await requestJson(this.#pool, { method, url, body, timeoutMs });
+    const answer = await requestJson(this.#pool, {
+      ...{ method, url, body, timeoutMs },
+      maxBodyBytes: MAX_ANSWER_BYTES,
+    });
     if (answer.err) return answer;
     const reply = schema.safeParse(answer.val.body);
     return reply.success ? Ok(reply.data) : fail('outcome_unknown', describeIssue(reply.error));
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -35,3 +35,5 @@
 export { listSettingChanges } from './settings/listSettingChanges.js';
 export { readSettings } from './settings/readSettings.js';
 export { readSettingsText } from './settings/readSettingsText.js';
+export { ReadQueue } from './stream/ReadQueue.js';
+export { receiveBody } from './stream/receiveBody.js';
--- a/packages/targets/src/direct/DirectConnection.ts
+++ b/packages/targets/src/direct/DirectConnection.ts
@@ -8,6 +8,7 @@
   type Failure,
   type Result,
 } from '@limpetbay/core';
+import { receiveBody } from '@limpetbay/runtime';
 import { hasBody } from '../connection/hasBody.js';
 import { probeReset } from '../connection/probeReset.js';
 import { resetProbeMs } from '../connection/resetProbeMs.js';
@@ -30,6 +31,14 @@
 
 const MIN_FINAL_STATUS = 200;
 
+/**
+ * Most bytes of an answer besides its body, beyond a share of the body. Chunks of a few bytes cost
+ * far more processor time than their bytes do.
+ */
+const MAX_FRAMING_BYTES = 262_144;
+
+const FRAMING_SHARE = 1 / 4;
+
 /**
  * One connection to a target with at most one request at a time. It is closed after an incomplete
  * answer and after any byte outside an answer, so that late bytes are never read as the answer to
@@ -88,8 +97,11 @@
       return cancel;
     }
     const request = opened.val;
+    let earlierBytes = 0;
+    const countReceivedBytes = (): number => (this.#socket?.bytesRead ?? 0) - earlierBytes;
     request.on('socket', (socket) => {
       this.#watchSocket(socket);
+      earlierBytes = socket.bytesRead;
       socket.removeListener('data', this.#closeOnData);
       if (!socket.connecting) return;
       const timer = setTimeout(
@@ -115,13 +127,19 @@
         return;
       }
       const framing = readFraming(call.method, response);
+      let bodyBytes = 0;
       isWhole = () => response.complete && framing !== 'close';
       const isFirst = this.#answerCount === 0;
       this.#answerCount += 1;
       listener.onHead(response.statusCode ?? 0, response.headers, { framing, isFirst });
       this.#receiveBody(response, framing, {
         onData: (data) => {
-          if (!isFinished) listener.onData(data);
+          if (isFinished) return;
+          bodyBytes += data.length;
+          const framingBytes = countReceivedBytes() - bodyBytes;
+          if (framingBytes > MAX_FRAMING_BYTES + bodyBytes * FRAMING_SHARE) {
+            reportFailure('the chunks of the answer are too small');
+          } else listener.onData(data);
         },
         onEnd: () => {
           if (isFinished) return;
@@ -170,9 +188,13 @@
       if (response.complete && (isFramed || !this.#isReset)) listener.onEnd();
       else listener.onFailure('the connection was reset before the end of the answer', false);
     };
-    response.on('data', (data: Buffer) => listener.onData(data));
-    response.on('error', (error) => listener.onFailure(error.message, false));
+    const receive = receiveBody(response, (data) => listener.onData(data));
+    response.on('error', (error) => {
+      receive();
+      listener.onFailure(error.message, false);
+    });
     response.on('close', () => {
+      receive();
       if (!response.complete) {
         listener.onFailure('the connection closed before the end of the answer', false);
       } else if (isFramed) finish();
--- a/packages/targets/src/direct/requestJson.ts
+++ b/packages/targets/src/direct/requestJson.ts
@@ -1,4 +1,4 @@
-import { Ok, fail, parseJson, type Failure, type Result } from '@limpetbay/core';
+import { BodyBuffer, Ok, fail, parseJson, type Failure, type Result } from '@limpetbay/core';
 import type { DirectPool } from './DirectPool.js';
 
 interface JsonRequest {
@@ -8,6 +8,8 @@
   readonly body?: unknown;
   /** Longest wait for the complete answer, milliseconds. */
   readonly timeoutMs: number;
+  /** Largest body of an answer; a longer one fails the request. */
+  readonly maxBodyBytes: number;
   /** Cancels the request, which then fails with `outcome_unknown`. */
   readonly signal?: AbortSignal;
 }
@@ -27,17 +29,17 @@
  * Sends one request with a JSON body and reads the JSON answer.
  *
  * @returns `store_unavailable` if nothing was sent, `outcome_unknown` if no complete answer with
- *   valid JSON arrived
+ *   valid JSON arrived, or more than `maxBodyBytes`
  */
 export function requestJson(
   pool: DirectPool,
   request: JsonRequest,
 ): Promise<Result<JsonAnswer, Failure>> {
-  const { method, url, timeoutMs, signal } = request;
+  const { method, url, timeoutMs, maxBodyBytes, signal } = request;
   const body = request.body === undefined ? null : Buffer.from(JSON.stringify(request.body));
   const requestHeaders = body === null ? [] : ['content-type', 'application/json'];
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const answerBody = new BodyBuffer({ maxBytes: maxBodyBytes });
     let head: Pick<JsonAnswer, 'status' | 'headers'> = { status: 0, headers: {} };
     const abandon = (reason: string): void => {
       cancel();
@@ -56,8 +58,10 @@
         onHead: (status, headers) => {
           head = { status, headers };
         },
-        onData: (data) => chunks.push(data),
-        onEnd: () => finish(decodeAnswer(url, head, Buffer.concat(chunks))),
+        onData: (data) => {
+          if (!answerBody.append(data)) abandon(`the answer is longer than ${maxBodyBytes} bytes`);
+        },
+        onEnd: () => finish(decodeAnswer(url, head, answerBody.take())),
         onFailure: (message, isUnsent) => {
           const kind = isUnsent ? 'store_unavailable' : 'outcome_unknown';
           finish(fail(kind, `${url}: ${message}`));
