Give up answers whose head does not come, or that nobody waits for

Cause: only the timeout of the route ended such an attempt, and that leaves `unsafe` ones alone because their target may be running the request. Nothing counted bytes before the final head.

Change: `DirectConnection` gives up an answer without a final head within 64 KiB. What arrives for nobody is not kept, and its connection is closed after 64 KiB, or after 10 s or the timeout of the route.

--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -56,6 +56,14 @@
  */
 const MAX_BYTES_WITHOUT_DATA = 262_144;
 
+/** Largest body that is received, and not kept, once nobody waits for the answer. */
+const MAX_UNUSED_BODY_BYTES = 65_536;
+
+/** Time after which an answer that nobody waits for is given up; longer if its route allows more. */
+const UNUSED_ANSWER_TIMEOUT_MS = 10_000;
+
+const UNUSED_ANSWER_CAUSE = 'nobody waits for the answer any more';
+
 /** One attempt: sends a request to one target and evaluates the answer. */
 export class AttemptRun {
   readonly #options: AttemptRunOptions;
@@ -78,6 +86,9 @@
 
   #bodyBytes = 0;
 
+  /** Whether nobody waits for the answer any more. */
+  #isUnused = false;
+
   #hasFirstByte = false;
 
   #hasEnded = false;
@@ -124,6 +135,26 @@
     this.#cancelCall?.();
   }
 
+  /**
+   * Handles that nobody waits for the answer any more. The target may go on with the request, but
+   * what it answers is not kept, and the connection is closed if the answer is long or late.
+   */
+  discardAnswer(): void {
+    if (this.#hasEnded) return;
+    this.#isUnused = true;
+    this.#body.clear();
+    if (this.#bodyBytes > MAX_UNUSED_BODY_BYTES) {
+      this.#abandon(UNUSED_ANSWER_CAUSE);
+      return;
+    }
+    const { context, route } = this.#options;
+    const timeoutMs = Math.max(UNUSED_ANSWER_TIMEOUT_MS, route.timeoutMs);
+    this.#cancelProgressTimeout?.();
+    this.#cancelProgressTimeout = context.timers.schedule(timeoutMs, () =>
+      this.#abandon(UNUSED_ANSWER_CAUSE),
+    );
+  }
+
   #handleHead(head: AnswerHead, transport: AnswerTransport): void {
     if (this.#hasEnded) return;
     const { context, target, awaited } = this.#options;
@@ -172,7 +203,11 @@
 
   #collectBody(data: Buffer): void {
     this.#bodyBytes += data.length;
-    if (!this.#body.append(data)) this.#abandon(`the body is longer than ${MAX_BODY_BYTES} bytes`);
+    if (this.#isUnused) {
+      if (this.#bodyBytes > MAX_UNUSED_BODY_BYTES) this.#abandon(UNUSED_ANSWER_CAUSE);
+    } else if (!this.#body.append(data)) {
+      this.#abandon(`the body is longer than ${MAX_BODY_BYTES} bytes`);
+    }
   }
 
   /** Gives up the answer and closes its connection. */
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -154,9 +154,20 @@
       ms: this.#getElapsedMs(),
     });
     this.#end();
-    if (this.#admission.route.kind === 'unsafe') return;
+    this.#stopAttempt(this.#admission);
+  }
+
+  /**
+   * Ends the attempt of a request whose caller waits no more. A target that may not be asked again
+   * can finish, but its answer is not used.
+   */
+  #stopAttempt({ route, tracker }: Admission): void {
+    if (route.kind === 'unsafe') {
+      this.#attempt?.discardAnswer();
+      return;
+    }
     this.#attempt?.cancel();
-    this.#admission.tracker.endTrial();
+    tracker.endTrial();
   }
 
   #admit(): Admission | null {
@@ -575,9 +586,7 @@
     if (this.#answer.isStarted()) this.#abort('the deadline has passed');
     else if (isRunning || this.#mayHaveRun) this.#refuse('timed_out', 'no answer by the deadline');
     else this.#refuse('no_target', 'no target by the deadline', RETRY_AFTER_MS);
-    if (this.#admission?.route.kind === 'unsafe') return;
-    this.#attempt?.cancel();
-    this.#admission?.tracker.endTrial();
+    this.#stopAttempt(this.#admission as Admission);
   }
 
   #abort(reason: string): void {
--- a/packages/targets/src/direct/DirectConnection.ts
+++ b/packages/targets/src/direct/DirectConnection.ts
@@ -31,6 +31,9 @@
 
 const MIN_FINAL_STATUS = 200;
 
+/** Most bytes until the head of the final answer is complete, with those of informational heads. */
+const MAX_HEAD_BYTES = 65_536;
+
 /**
  * Most bytes of an answer besides its body, beyond a share of the body. Chunks of a few bytes cost
  * far more processor time than their bytes do.
@@ -97,12 +100,20 @@
       return cancel;
     }
     const request = opened.val;
+    let hasHead = false;
     let earlierBytes = 0;
     const countReceivedBytes = (): number => (this.#socket?.bytesRead ?? 0) - earlierBytes;
+    const checkHead = (): void => {
+      if (!hasHead && countReceivedBytes() > MAX_HEAD_BYTES) {
+        reportFailure(`no head of an answer within ${MAX_HEAD_BYTES} bytes`);
+      }
+    };
     request.on('socket', (socket) => {
       this.#watchSocket(socket);
       earlierBytes = socket.bytesRead;
       socket.removeListener('data', this.#closeOnData);
+      socket.on('data', checkHead);
+      request.once('close', () => socket.removeListener('data', checkHead));
       if (!socket.connecting) return;
       const timer = setTimeout(
         () => reportFailure('the connection was not established in time'),
@@ -126,6 +137,7 @@
         reportFailure('the answer has a header name that is not valid');
         return;
       }
+      hasHead = true;
       const framing = readFraming(call.method, response);
       let bodyBytes = 0;
       isWhole = () => response.complete && framing !== 'close';
