Break off streams that their callers do not read

Cause: an entry kept all events of a stream whose caller did not read them, so that endless events of a faulty target filled its memory.

Change: a stream is broken off once 1 MiB of it waits for its caller, and its attempt is ended.

--- a/packages/callers/src/direct/DirectAnswer.ts
+++ b/packages/callers/src/direct/DirectAnswer.ts
@@ -32,6 +32,11 @@
     this.#response.write(data);
   }
 
+  /** Returns the number of bytes that the caller's connection has not taken yet. */
+  countUnsentBytes(): number {
+    return this.#response.writableLength;
+  }
+
   /** Sends the last part of the body and ends the answer. */
   end(data: Uint8Array): void {
     this.#response.end(data);
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -60,6 +60,9 @@
 /** Time after the end of a target within which the entries have told each other of it. */
 const END_REPORTS_MS = 20;
 
+/** Most bytes of a stream that wait until its caller reads them. */
+const MAX_UNSENT_BYTES = 1_048_576;
+
 /** Least time to allow for a stream; more if streams of its route recently lasted longer. */
 const MIN_STREAM_DURATION_MS = 4500;
 
@@ -472,6 +475,7 @@
           this.#lastEventId = lastId;
           this.#answer.write(bytes);
           this.#progressMs = this.#context.clock.getNow();
+          this.#checkUnsent();
         },
         onResult: (result) => this.#handleResult(target, result),
       },
@@ -479,6 +483,13 @@
     this.#attempt.start();
   }
 
+  /** Breaks off a stream whose caller does not read it, instead of keeping all of it. */
+  #checkUnsent(): void {
+    if (this.#answer.countUnsentBytes() <= MAX_UNSENT_BYTES) return;
+    this.#abort(`the caller left ${MAX_UNSENT_BYTES} bytes unread`);
+    this.#stopAttempt(this.#admission as Admission);
+  }
+
   #handleResult(target: DirectTarget, result: AttemptResult): void {
     this.#attempt = null;
     const { route, tracker } = this.#admission as Admission;
--- a/packages/gateway/test/support/SimEntry.ts
+++ b/packages/gateway/test/support/SimEntry.ts
@@ -115,6 +115,7 @@
       };
       const response = {
         headersSent: false,
+        writableLength: 0,
         writeHead: (code: number, headers: readonly string[]) => {
           status = code;
           firstByteMs = this.#clock.getNow() - startMs;
