Take only complete answers for proof that a request ends no target

Cause: `SuspectTracker` took the second batch of events for an answer. From then on the end of the target was not recorded, and the second batch cleared the parts and the request at all entries for a minute.

Evidence: the rule held with ends after 0 and 1 events and broke from 2 on, and the log never named a suspect.

Change: an end counts against all requests that it broke off, with how far they were; only a complete answer, begun at the same target, clears what it carries of all ends. Streams under way are resumed at once as before, unless targets have ended on what they carry.

--- a/packages/core/src/suspects/SuspectBreaker.ts
+++ b/packages/core/src/suspects/SuspectBreaker.ts
@@ -30,6 +30,9 @@
 /** A trial whose outcome is not known by then is void: its entry may be gone. */
 const MAX_TRIAL_MS = 4000;
 
+/** The same where targets end late in their answers: the outcome is known at the end of one. */
+const MAX_LATE_TRIAL_MS = 15_000;
+
 /** After this time, callers that met a trial may find out its outcome. */
 const TRIAL_RETRY_AFTER_MS = 500;
 
@@ -44,21 +47,28 @@
 /**
  * Circuit breaker for what ends targets: single requests, which come again, and prompt parts, which
  * several requests share. The requests that a target's end breaks off include the one that caused
- * it, if one did, and that one never gets an answer. An answer that begins therefore clears the
- * fingerprint of its request, and its prompt parts for some time; it says nothing about another
- * request with the same parts.
+ * it, if one did, and that one never gets a complete answer. A complete answer therefore clears the
+ * fingerprint of its request, and its prompt parts for some time. An answer that begins clears them
+ * of ends at the begin of an answer, as most are; it says nothing about ends later in an answer, and
+ * nothing about another request with the same parts.
  */
 export class SuspectBreaker {
   readonly #options: SuspectBreakerOptions;
 
+  /** Parts of requests whose answers began. */
+  readonly #begunParts: SoundSuspects;
+
+  /** Parts of requests whose answers were complete. */
   readonly #soundParts: SoundSuspects;
 
+  /** Requests whose answers were complete. */
   readonly #soundRequests: SoundSuspects;
 
   readonly #suspects = new Map<string, Suspect>();
 
   constructor(options: SuspectBreakerOptions) {
     this.#options = options;
+    this.#begunParts = new SoundSuspects(options.clock);
     this.#soundParts = new SoundSuspects(options.clock);
     this.#soundRequests = new SoundSuspects(options.clock);
   }
@@ -82,17 +92,47 @@
     return { kind: 'trial', suspects: onTrial, isRequired };
   }
 
-  /** Returns whether a prompt part cannot be suspected, because an answer with it began recently. */
-  isSound(id: string): boolean {
+  /**
+   * Returns whether ends of targets do not speak against a prompt part: an answer with it was
+   * complete recently, or began and the ends were at the begin of an answer.
+   */
+  isSound(id: string, ends: readonly TargetEnd[]): boolean {
+    if (this.#soundParts.has(id)) return true;
+    return this.#begunParts.has(id) && !hasMidwayEnd(ends);
+  }
+
+  /** Returns whether an answer with a prompt part was complete recently. */
+  hasCompleteAnswer(id: string): boolean {
     return this.#soundParts.has(id);
   }
 
+  /** Returns whether a target has ended on one of these. */
+  hasEnds(ids: readonly string[]): boolean {
+    for (const id of ids) if ((this.#suspects.get(id)?.ends.size ?? 0) > 0) return true;
+    return false;
+  }
+
   /** Records that an answer began. @returns what was suspected until now and others may suspect */
   recordBegun(ids: readonly string[]): string[] {
+    const clearable: string[] = [];
+    for (const id of ids) {
+      if (!isFingerprint(id)) this.#begunParts.add(id);
+      const suspect = this.#suspects.get(id);
+      if (suspect !== undefined && !hasMidwayEnd(suspect.ends.values())) clearable.push(id);
+    }
+    return this.#clearAll(clearable);
+  }
+
+  /** Records that an answer was complete. @returns as `recordBegun` */
+  recordComplete(ids: readonly string[]): string[] {
+    for (const id of ids) (isFingerprint(id) ? this.#soundRequests : this.#soundParts).add(id);
+    return this.#clearAll(ids);
+  }
+
+  #clearAll(ids: readonly string[]): string[] {
     const cleared: string[] = [];
     let hasCleared = false;
     for (const id of ids) {
-      (isFingerprint(id) ? this.#soundRequests : this.#soundParts).add(id);
       const suspect = this.#suspects.get(id);
       if (suspect === undefined) continue;
       this.#suspects.delete(id);
@@ -212,12 +252,14 @@
 
   /**
    * Returns how many ends a suspect is treated as having. That one request meets the ends of two
-   * targets by chance is less likely than for a part of many. A request that was answered recently
-   * is only put on trial: one that is sent all the time meets the ends of all targets of an outage.
+   * targets by chance is less likely than for a part of many, unless it was under way at both. A
+   * request that was answered recently is only put on trial: one that is sent all the time meets the
+   * ends of all targets of an outage.
    */
-  #computeSeverity({ id, count }: Suspect): number {
+  #computeSeverity({ id, count, ends }: Suspect): number {
     if (!isFingerprint(id) || count === 0) return count;
-    return this.#soundRequests.has(id) ? Math.min(count, TRIAL_ENDS) : count + 1;
+    if (this.#soundRequests.has(id)) return Math.min(count, TRIAL_ENDS);
+    return hasMidwayEnd(ends.values()) ? count : count + 1;
   }
 
   /** Returns for how long a suspect is blocked after its last end, milliseconds. */
@@ -227,18 +269,19 @@
   }
 
   #computeBlockedMs(suspect: Suspect): number {
-    const { lastEndMs, trial, trialSinceMs } = suspect;
+    const { lastEndMs, trial, trialSinceMs, ends } = suspect;
     const nowMs = this.#options.clock.getNow();
     const blockedMs = lastEndMs + this.#computeBlockMs(suspect) - nowMs;
     if (blockedMs > 0) return blockedMs;
-    return trial !== null && nowMs - trialSinceMs < MAX_TRIAL_MS ? TRIAL_RETRY_AFTER_MS : 0;
+    const maxTrialMs = hasMidwayEnd(ends.values()) ? MAX_LATE_TRIAL_MS : MAX_TRIAL_MS;
+    return trial !== null && nowMs - trialSinceMs < maxTrialMs ? TRIAL_RETRY_AFTER_MS : 0;
   }
 
   #addEnd(id: string, end: TargetEnd): boolean {
-    if (this.isSound(id)) return false;
+    if (this.isSound(id, [end])) return false;
     const suspect = this.#getOrCreate(id);
     const known = suspect.ends.get(end.target);
-    if (known !== undefined && (known.hadHead || !end.hadHead)) return false;
+    if (known !== undefined && !showsMore(end, known)) return false;
     if (known === undefined && suspect.ends.size >= MAX_ENDS_PER_SUSPECT) return false;
     // Targets that end together are one sign, however many they are.
     const blockMs = this.#computeBlockMs(suspect);
@@ -246,7 +289,11 @@
     if (known === undefined && hasRunOut) suspect.doublings += 1;
     // On trial the request was the only one of its kind, so earlier answers no longer speak for it.
     if (known === undefined && suspect.trial !== null) this.#soundRequests.remove(id);
-    suspect.ends.set(end.target, end);
+    suspect.ends.set(end.target, {
+      ...end,
+      hadHead: end.hadHead || known?.hadHead === true,
+      isMidway: end.isMidway || known?.isMidway === true,
+    });
     suspect.lastEndMs = this.#options.clock.getNow();
     suspect.isUnsaved = true;
     return true;
@@ -281,14 +328,16 @@
   }
 
   /**
-   * Counts the ends that speak against each suspect. Where a target had begun a request, those that
-   * still waited in its queue did not end it; and an end that another suspect explains does not
+   * Counts the ends that speak against each suspect. Where a target had just begun a request, those
+   * that still waited in its queue did not end it; and an end that another suspect explains does not
    * speak against the other suspects of the same requests.
    */
   #updateCounts(): void {
     const begunTargets = new Set<string>();
     for (const { ends } of this.#suspects.values()) {
-      for (const { target, hadHead } of ends.values()) if (hadHead) begunTargets.add(target);
+      for (const { target, hadHead, isMidway } of ends.values()) {
+        if (hadHead && !isMidway) begunTargets.add(target);
+      }
     }
     const targetsById = new Map<string, readonly string[]>();
     const causes: Cause[] = [];
@@ -298,7 +347,8 @@
         if (hadHead || !begunTargets.has(target)) targets.push(target);
       }
       targetsById.set(id, targets);
-      const minEnds = isFingerprint(id) ? TRIAL_ENDS : BLOCK_ENDS;
+      const isEarly = !hasMidwayEnd(ends.values());
+      const minEnds = isFingerprint(id) && isEarly ? TRIAL_ENDS : BLOCK_ENDS;
       if (targets.length >= minEnds) causes.push({ isRequest: isFingerprint(id), targets });
     }
     for (const suspect of this.#suspects.values()) {
@@ -314,6 +364,16 @@
   readonly targets: readonly string[];
 }
 
+function hasMidwayEnd(ends: Iterable<TargetEnd>): boolean {
+  for (const { isMidway } of ends) if (isMidway) return true;
+  return false;
+}
+
+/** Returns whether a report of an end shows something that an earlier one of it did not. */
+function showsMore(end: TargetEnd, known: TargetEnd): boolean {
+  return (end.hadHead && !known.hadHead) || (end.isMidway && !known.isMidway);
+}
+
 function isWorthStoring({ ends, revision }: Suspect): boolean {
   return revision !== 0 || ends.size >= MIN_STORED_ENDS;
 }
--- a/packages/core/src/suspects/TargetEnd.ts
+++ b/packages/core/src/suspects/TargetEnd.ts
@@ -12,6 +12,11 @@
    * False for a stream that waited in the queue of the target.
    */
   hadHead: z.boolean(),
+  /**
+   * Whether several parts of the answer had arrived. Most targets that end on a request do so
+   * earlier, so this speaks against what it carries only if no such answer was complete recently.
+   */
+  isMidway: z.boolean().default(false),
   /** Wall-clock time at the entry that saw it, ISO 8601; for operators only. */
   at: z.string().max(MAX_TIME_LENGTH),
 });
--- a/packages/core/test/suspects.test.ts
+++ b/packages/core/test/suspects.test.ts
@@ -11,7 +11,7 @@
 const END_AT = '2026-01-01T00:00:00.000Z';
 
 function createEnd(target: string, hadHead = true): TargetEnd {
-  return { target, hadHead, at: END_AT };
+  return { target, hadHead, isMidway: false, at: END_AT };
 }
 
 describe('SuspectBreaker', () => {
@@ -174,7 +174,7 @@
 
   // Guards against callers that poll and are refused for long because all targets ended at once.
   it('only puts a request on trial that was answered within the last minute', () => {
-    breaker.recordBegun([REQUEST]);
+    breaker.recordComplete([REQUEST]);
     recordEnds([REQUEST], ['t1']);
     expect(breaker.check([REQUEST]).kind).toBe('allowed');
     recordEnds([REQUEST], ['t2']);
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -454,7 +454,8 @@
       leftMs: timeoutMs,
       reason,
     });
-    admission.tracker.startAttempt();
+    const resumedAfter = this.#lastEventId ?? this.#head.lastEventId;
+    admission.tracker.startAttempt(resumedAfter !== null);
     this.#attempt = new AttemptRun({
       context: this.#context,
       route: admission.route,
@@ -462,7 +463,7 @@
       awaited: {
         route: admission.route,
         requestId: this.#head.id,
-        resumedAfter: this.#lastEventId ?? this.#head.lastEventId,
+        resumedAfter,
         hasBegun: this.#answer.isStarted(),
         mayHaveRun: this.#mayHaveRun,
       },
@@ -507,14 +508,21 @@
   async #handleSuspectCut(target: DirectTarget, result: FailedAttempt): Promise<void> {
     this.#mayHaveRun = true;
     const { route, tracker } = this.#admission as Admission;
-    const hasEnded = await tracker.checkEnd(route, target, result);
+    const isMidway = tracker.isMidway();
+    const check = tracker.checkEnd(route, target, result);
+    if (isMidway && !tracker.hasEnds()) {
+      // Most streams under way did not end their target, so they are resumed without delay.
+      this.#handleFailure(target, result, true);
+      return;
+    }
+    const hasEnded = await check;
     tracker.endTrial();
     if (!hasEnded) {
       this.#handleFailure(target, result, true);
       return;
     }
     // Copies of the request may have ended other targets at the same moment.
-    const mayRetry = result.progress === 'none';
+    const mayRetry = result.progress === 'none' || isMidway;
     this.#context.timers.schedule(END_REPORTS_MS, () =>
       this.#handleFailure(target, result, mayRetry),
     );
--- a/packages/gateway/src/suspects/SharedSuspectBreaker.ts
+++ b/packages/gateway/src/suspects/SharedSuspectBreaker.ts
@@ -97,30 +97,45 @@
     return this.#breaker.check(ids);
   }
 
+  /** Returns whether a target has ended on one of these, without an answer that speaks for it. */
+  hasEnds(ids: readonly string[]): boolean {
+    return this.#breaker.hasEnds(ids);
+  }
+
   /** Records that a target began to answer a request and did not end. */
   recordBegun(ids: readonly string[]): void {
     const cleared = this.#breaker.recordBegun(ids);
-    if (cleared.length > 0) this.#announceSound(cleared);
+    if (cleared.length > 0) this.#announceSound(cleared, false);
+  }
+
+  /** Records that a target answered a request completely. */
+  recordComplete(ids: readonly string[]): void {
+    const cleared = this.#breaker.recordComplete(ids);
+    if (cleared.length > 0) this.#announceSound(cleared, true);
   }
 
   /**
    * Records that a target ended while a request waited for its answer.
    *
    * @param ids what the request carries
-   * @param hadHead whether the target may have begun the request
+   * @param progress how far the answer to the request was, as in `TargetEnd`
    */
-  recordEnd(target: DirectTarget, ids: readonly string[], hadHead: boolean): void {
+  recordEnd(
+    target: DirectTarget,
+    ids: readonly string[],
+    progress: Pick<TargetEnd, 'hadHead' | 'isMidway'>,
+  ): void {
     const { clock, log, metrics } = this.#options;
-    const reported = this.#sampleSuspects(ids);
+    const at = clock.getWallTime().toISOString();
+    const end: TargetEnd = { target: buildRunName(target), ...progress, at };
+    const reported = this.#sampleSuspects(ids, end);
     metrics.increase('limpetbay_suspect_target_ends_total');
     log.warn('target ended while a request waited for its answer', {
       target: target.id,
       suspects: reported,
-      hadHead,
+      ...progress,
     });
     if (reported.length === 0) return;
-    const at = clock.getWallTime().toISOString();
-    const end: TargetEnd = { target: buildRunName(target), hadHead, at };
     this.#addEnd(end, reported);
     for (const id of reported) void this.#save(id);
     this.#reportEnd(end, reported);
@@ -128,7 +143,7 @@
 
   /** Tells the other entries of an end; what several requests have found out goes together. */
   #reportEnd(end: TargetEnd, ids: readonly string[]): void {
-    const key = `${end.target} ${end.hadHead}`;
+    const key = `${end.target} ${end.hadHead} ${end.isMidway}`;
     const pending = this.#reports.get(key);
     if (pending !== undefined) {
       for (const id of ids) pending.add(id);
@@ -224,7 +239,8 @@
       for (const id of message.suspects) this.#scheduleSave(id);
     } else if (message.kind === 'suspects_sound') {
       for (const id of message.suspects) this.#cancelClear(id);
-      this.#breaker.recordBegun(message.suspects);
+      if (message.isComplete) this.#breaker.recordComplete(message.suspects);
+      else this.#breaker.recordBegun(message.suspects);
     }
   }
 
@@ -249,7 +265,7 @@
       this.#options.log.warn('invalid record of a suspect ignored', { key, revision });
       return;
     }
-    if (this.#breaker.isSound(id)) {
+    if (this.#breaker.isSound(id, record.ends)) {
       this.#scheduleClear(id);
       return;
     }
@@ -288,11 +304,11 @@
    * Chooses what an end makes suspect: the request, the parts that are suspected already, and of
    * the others a random choice, so that a caller cannot hide a part behind many new ones.
    */
-  #sampleSuspects(ids: readonly string[]): string[] {
+  #sampleSuspects(ids: readonly string[], end: TargetEnd): string[] {
     const chosen: string[] = [];
     const others: string[] = [];
     for (const id of ids) {
-      if (this.#breaker.isSound(id)) continue;
+      if (this.#breaker.isSound(id, [end])) continue;
       const isFirst = isFingerprint(id) || this.#breaker.get(id) !== undefined;
       (isFirst ? chosen : others).push(id);
     }
@@ -306,7 +322,7 @@
   #addEnd(end: TargetEnd, ids: readonly string[]): void {
     const countsBefore = new Map<string, number>();
     for (const id of ids) {
-      if (this.#breaker.isSound(id)) this.#scheduleClear(id);
+      if (this.#breaker.isSound(id, [end])) this.#scheduleClear(id);
       countsBefore.set(id, this.#breaker.get(id)?.count ?? 0);
     }
     for (const id of this.#breaker.recordEnd(end, ids)) {
@@ -330,11 +346,12 @@
     });
   }
 
-  #announceSound(ids: readonly string[]): void {
-    this.#options.log.report('cleared of the suspicion to end targets: answers began', {
+  #announceSound(ids: readonly string[], isComplete: boolean): void {
+    this.#options.log.report('cleared of the suspicion to end targets by answers', {
       suspects: ids,
+      isComplete,
     });
-    this.#options.sendToEntries({ kind: 'suspects_sound', suspects: [...ids] });
+    this.#options.sendToEntries({ kind: 'suspects_sound', suspects: [...ids], isComplete });
     for (const id of ids) void this.#removeRecord(id);
   }
 
@@ -343,7 +360,7 @@
     if (this.#clears.has(id)) return;
     const cancel = this.#schedule(CLEAR_DELAY_MS, () => {
       this.#clears.delete(id);
-      this.#announceSound([id]);
+      this.#announceSound([id], this.#breaker.hasCompleteAnswer(id));
     });
     this.#clears.set(id, cancel);
   }
--- a/packages/gateway/src/suspects/SuspectTracker.ts
+++ b/packages/gateway/src/suspects/SuspectTracker.ts
@@ -18,8 +18,8 @@
 
 type Trial = Extract<SuspectDecision, { kind: 'trial' }>;
 
-/** Batches of events after which a target is certain not to end on the request. */
-const BATCHES_OF_SOUND_ANSWER = 2;
+/** Batches of events after which the begin of an answer is over. */
+const BATCHES_OF_BEGUN_ANSWER = 2;
 
 /** Reports what the attempts of one request do to their targets to the circuit breaker. */
 export class SuspectTracker {
@@ -34,6 +34,8 @@
   /** Batches of events that the current attempt has received. */
   #batches = 0;
 
+  #isResumed = false;
+
   constructor(options: SuspectTrackerOptions) {
     this.#options = options;
     this.suspects = options.suspects;
@@ -57,25 +59,42 @@
     this.#onTrial = [];
   }
 
-  startAttempt(): void {
+  /** @param isResumed whether the attempt continues an answer that another one began */
+  startAttempt(isResumed: boolean): void {
     this.#batches = 0;
+    this.#isResumed = isResumed;
   }
 
   handleEvents(): void {
     this.#batches += 1;
-    if (this.#batches === BATCHES_OF_SOUND_ANSWER) this.#recordBegun();
+    if (this.#batches !== BATCHES_OF_BEGUN_ANSWER) return;
+    this.#options.breaker.recordBegun(this.suspects);
+    this.#endClearedTrials();
   }
 
-  /** Handles a complete answer. Only a success shows that the target worked on the request. */
+  /**
+   * Handles a complete answer. Only a success shows that the target worked on the request, and only
+   * a whole one that it did not end on a part of it.
+   */
   handleDone(route: DirectRoute, status: number): void {
-    const hasBegun = route.kind === 'stream' ? this.#batches > 0 : isSuccessStatus(status);
-    if (hasBegun) this.#recordBegun();
-    else this.endTrial();
+    const hasRun = route.kind === 'stream' ? this.#batches > 0 : isSuccessStatus(status);
+    if (hasRun && !this.#isResumed) this.#options.breaker.recordComplete(this.suspects);
+    this.endTrial();
   }
 
   /** Returns whether the request may have ended the target of a failed attempt. */
   isSuspect(result: FailedAttempt): boolean {
-    return result.isCut && this.#batches < BATCHES_OF_SOUND_ANSWER;
+    return result.isCut;
+  }
+
+  /** Returns whether the begin of the current answer is over. */
+  isMidway(): boolean {
+    return this.#batches >= BATCHES_OF_BEGUN_ANSWER;
+  }
+
+  /** Returns whether targets have ended on something that the request carries. */
+  hasEnds(): boolean {
+    return this.#options.breaker.hasEnds(this.suspects);
   }
 
   /** Checks whether the target of a suspect request has ended, and records it. */
@@ -85,15 +104,21 @@
     result: FailedAttempt,
   ): Promise<boolean> {
     const { breaker, endCheck } = this.#options;
+    const isMidway = this.isMidway();
     const hasEnded = await endCheck.hasEnded(target);
     // Only streams show by the head of their answer that they left the queue of the target.
-    const mayHaveBegun = route.kind !== 'stream' || result.progress !== 'none';
-    if (hasEnded) breaker.recordEnd(target, this.suspects, mayHaveBegun);
+    const hadHead = route.kind !== 'stream' || result.progress !== 'none';
+    if (hasEnded) breaker.recordEnd(target, this.suspects, { hadHead, isMidway });
     return hasEnded;
   }
 
-  #recordBegun(): void {
-    this.#options.breaker.recordBegun(this.suspects);
-    this.endTrial();
+  /** Ends the trials of what is suspected no more; the others last until the end of the answer. */
+  #endClearedTrials(): void {
+    const { breaker } = this.#options;
+    const cleared: string[] = [];
+    const remaining: string[] = [];
+    for (const id of this.#onTrial) (breaker.hasEnds([id]) ? remaining : cleared).push(id);
+    if (cleared.length > 0) breaker.endTrial(cleared);
+    this.#onTrial = remaining;
   }
 }
--- /dev/null
+++ b/packages/gateway/test/lateCrashes.test.ts
@@ -0,0 +1,228 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { SimTimers } from '@limpetbay/standins';
+import { SimFleet } from './support/SimFleet.js';
+
+/** Time within which all entries must act on what one of them learned, milliseconds. */
+const STABLE_WINDOW_MS = 3000;
+
+/** Ends from which on a part, or one request, must be kept away from targets. */
+const MAX_ENDS = { part: 5, request: 3 } as const;
+
+/** Requests that may still reach targets after that. */
+const MAX_LATER_ARRIVALS = 3;
+
+/** Least part of the usual share of sound requests that their first attempt serves. */
+const MIN_SOUND_SHARE = 0.5;
+
+/** Longest answers of the stand-in have so many events. */
+const EVENTS = 8;
+
+const CRASHING_INTERVAL_MS = 1000;
+
+const CRASHING_PART = 'dead';
+
+const CRASHING = { body: 'crashing', apiKey: 'key' } as const;
+
+/** Parts that sound requests share with those that end targets. */
+const SHARED_PARTS = ['shared', 'also'];
+
+/** Traffic before the first end, milliseconds. */
+const CALM_MS = 6000;
+
+/** How long requests that end targets arrive, milliseconds. */
+const SERIES_MS = 40_000;
+
+const SIMULATION_TIMEOUT_MS = 120_000;
+
+interface Fault {
+  /** Events of the answer before the target ends. */
+  readonly events: number;
+  /** Interval of sound requests with the shared parts, milliseconds. */
+  readonly soundMs: number;
+  readonly seed: number;
+}
+
+const FAULTS: readonly Fault[] = [
+  { events: 0, soundMs: 10, seed: 1 },
+  { events: 1, soundMs: 10, seed: 2 },
+  { events: 2, soundMs: 10, seed: 3 },
+  { events: 2, soundMs: 1000, seed: 4 },
+  { events: 5, soundMs: 10, seed: 5 },
+  { events: 5, soundMs: 1000, seed: 6 },
+  { events: EVENTS - 1, soundMs: 10, seed: 7 },
+  { events: EVENTS - 1, soundMs: 1000, seed: 8 },
+];
+
+// Case 3 of the review: targets end late in an answer, so that it looks sound when they do.
+describe('targets that end late in an answer', () => {
+  const timers = new SimTimers();
+  let fleet: SimFleet;
+  let traffic = { isOn: true };
+
+  /** Calls a function again and again until the traffic is turned off. */
+  function repeat(intervalMs: number, send: () => void): void {
+    const current = traffic;
+    const run = (): void => {
+      if (!current.isOn) return;
+      send();
+      setTimeout(run, intervalMs * (0.5 + fleet.random.next()));
+    };
+    run();
+  }
+
+  async function startFleet({ events, soundMs, seed }: Fault): Promise<void> {
+    fleet = new SimFleet(timers, { entries: 8, targets: 16, seed });
+    await fleet.start();
+    fleet.eventsBeforeEnd = events;
+    await timers.advance(2000);
+    repeat(soundMs, () => void fleet.send(SHARED_PARTS));
+    await timers.advance(CALM_MS);
+  }
+
+  /** Counts arrivals at targets when every entry must know what ended them. */
+  function countLaterArrivals(cause: string, maxEnds: number): number {
+    const ends = fleet.ends.filter((end) => end.cause === cause);
+    const knownMs = (ends[maxEnds - 1]?.atMs ?? Infinity) + STABLE_WINDOW_MS;
+    const startsMs = new Map(fleet.entries.map(({ name, startedMs }) => [name, startedMs]));
+    let count = 0;
+    for (const { entry, parts, body, sentMs } of fleet.arrivals) {
+      if ((body !== cause && !parts.includes(cause)) || sentMs <= knownMs) continue;
+      if (sentMs >= (startsMs.get(entry) ?? 0) + STABLE_WINDOW_MS) count += 1;
+    }
+    return count;
+  }
+
+  /** Returns the share of sound requests in a period whose first attempt began an answer. */
+  function computeSoundShare(fromMs: number, toMs: number): number {
+    const begun = new Map<string, boolean>();
+    for (const { requestId, hasBegun } of fleet.arrivals) {
+      if (!begun.has(requestId)) begun.set(requestId, hasBegun);
+    }
+    let sentCount = 0;
+    let begunCount = 0;
+    for (const { id, parts, body, sentMs } of fleet.requests) {
+      const isSound = parts.length === SHARED_PARTS.length && body !== CRASHING.body;
+      if (!isSound || sentMs < fromMs || sentMs >= toMs) continue;
+      sentCount += 1;
+      if (begun.get(id) === true) begunCount += 1;
+    }
+    return sentCount === 0 ? 1 : begunCount / sentCount;
+  }
+
+  function expectSoundServed(seriesMs: number): void {
+    const lastEndMs = fleet.ends[Math.min(MAX_ENDS.part, fleet.ends.length) - 1]?.atMs ?? seriesMs;
+    const usual = computeSoundShare(seriesMs - CALM_MS, seriesMs);
+    const later = computeSoundShare(
+      lastEndMs + 2 * STABLE_WINDOW_MS,
+      timers.getNow() - STABLE_WINDOW_MS,
+    );
+    expect(usual).toBeGreaterThan(0.9);
+    expect(later).toBeGreaterThan(MIN_SOUND_SHARE * usual);
+  }
+
+  beforeEach(() => {
+    timers.begin();
+    traffic = { isOn: true };
+  });
+
+  afterEach(async () => {
+    traffic.isOn = false;
+    fleet.stop();
+    await timers.advance(20_000);
+    timers.end();
+  });
+
+  // Guards against a prompt part that is never blocked because its answers look sound.
+  it.each(FAULTS)(
+    'on a prompt part get few requests with it (after $events events, sound ones each $soundMs ms)',
+    async (fault) => {
+      await startFleet(fault);
+      fleet.crashingParts.add(CRASHING_PART);
+      const seriesMs = timers.getNow();
+      repeat(CRASHING_INTERVAL_MS, () => void fleet.send(['shared', CRASHING_PART, 'also']));
+      await timers.advance(SERIES_MS);
+      expect(countLaterArrivals(CRASHING_PART, MAX_ENDS.part)).toBeLessThanOrEqual(
+        MAX_LATER_ARRIVALS,
+      );
+      expectSoundServed(seriesMs);
+    },
+    SIMULATION_TIMEOUT_MS,
+  );
+
+  // Guards against a request that comes again and is taken for sound each time.
+  it.each(FAULTS)(
+    'on one request get it few times (after $events events, sound ones each $soundMs ms)',
+    async (fault) => {
+      await startFleet(fault);
+      fleet.crashingBodies.add(CRASHING.body);
+      const seriesMs = timers.getNow();
+      repeat(CRASHING_INTERVAL_MS, () => {
+        void fleet.send(SHARED_PARTS, 'stream', Infinity, CRASHING);
+      });
+      await timers.advance(SERIES_MS);
+      expect(countLaterArrivals(CRASHING.body, MAX_ENDS.request)).toBeLessThanOrEqual(
+        MAX_LATER_ARRIVALS,
+      );
+      expectSoundServed(seriesMs);
+    },
+    SIMULATION_TIMEOUT_MS,
+  );
+
+  // Guards against two parts of which each hides the ends of the other.
+  it.each([1, 2, 5, EVENTS - 1])(
+    'on two prompt parts get few requests with either (after %d events)',
+    async (events) => {
+      await startFleet({ events, soundMs: 10, seed: 40 + events });
+      const parts = [CRASHING_PART, 'dead too'];
+      for (const part of parts) fleet.crashingParts.add(part);
+      const seriesMs = timers.getNow();
+      for (const part of parts) {
+        repeat(CRASHING_INTERVAL_MS, () => void fleet.send(['shared', part, 'also']));
+      }
+      await timers.advance(SERIES_MS);
+      for (const part of parts) {
+        expect(countLaterArrivals(part, MAX_ENDS.part)).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
+      }
+      expectSoundServed(seriesMs);
+    },
+    SIMULATION_TIMEOUT_MS,
+  );
+
+  // Guards against entries that forget the part when they restart.
+  it.each([3, 8])(
+    'on a prompt part get few requests with it when %d of eight entries restart',
+    async (killed) => {
+      await startFleet({ events: 5, soundMs: 10, seed: 50 + killed });
+      fleet.crashingParts.add(CRASHING_PART);
+      const seriesMs = timers.getNow();
+      repeat(CRASHING_INTERVAL_MS, () => void fleet.send(['shared', CRASHING_PART, 'also']));
+      await timers.advance(SERIES_MS / 4);
+      for (const entry of fleet.entries.slice(0, killed)) entry.kill();
+      await timers.advance(500);
+      for (let index = 0; index < killed; index += 1) fleet.startEntry(index);
+      await timers.advance((3 * SERIES_MS) / 4);
+      expect(countLaterArrivals(CRASHING_PART, MAX_ENDS.part)).toBeLessThanOrEqual(
+        MAX_LATER_ARRIVALS,
+      );
+      expectSoundServed(seriesMs);
+    },
+    SIMULATION_TIMEOUT_MS,
+  );
+
+  // Guards against streams under way that are not resumed when their targets end by chance.
+  it(
+    'for other reasons have the streams under way resumed at once',
+    async () => {
+      await startFleet({ events: 0, soundMs: 10, seed: 60 });
+      for (let round = 0; round < 4; round += 1) {
+        fleet.endTargets(3);
+        await timers.advance(2000);
+      }
+      await timers.advance(CALM_MS);
+      const incomplete = fleet.requests.filter(({ outcome }) => !outcome.isComplete);
+      expect(incomplete.length).toBeLessThan(0.01 * fleet.requests.length);
+      expect(fleet.requests.filter(({ outcome }) => outcome.status === 503)).toEqual([]);
+    },
+    SIMULATION_TIMEOUT_MS,
+  );
+});
--- a/packages/gateway/test/support/SimFleet.ts
+++ b/packages/gateway/test/support/SimFleet.ts
@@ -115,6 +115,9 @@
 
   readonly crashingBodies = new Set<string>();
 
+  /** Events of its answer that a target has sent when it ends on a crashing part or body. */
+  eventsBeforeEnd = 0;
+
   readonly entries: SimEntry[] = [];
 
   readonly arrivals: Arrival[] = [];
@@ -281,6 +284,7 @@
       address,
       crashingParts: this.crashingParts,
       crashingBodies: this.crashingBodies,
+      getEventsBeforeEnd: () => this.eventsBeforeEnd,
       onArrival: (arrival) => this.arrivals.push(arrival),
       onEnd: (_target, cause) => {
         this.ends.push({ atMs: this.#clock.getNow(), target: id, cause });
--- a/packages/gateway/test/support/SimTarget.ts
+++ b/packages/gateway/test/support/SimTarget.ts
@@ -20,6 +20,8 @@
   readonly address: string;
   /** Prompt parts on which the target ends when it begins an answer. */
   readonly crashingParts: ReadonlySet<string>;
+  /** Events of its answer that a target has sent when it ends on a part or body. */
+  readonly getEventsBeforeEnd: () => number;
   /** Bodies on which the target ends when it begins the request. */
   readonly crashingBodies: ReadonlySet<string>;
   readonly onArrival: (arrival: SimArrival) => void;
@@ -137,19 +139,30 @@
       setTimeout(() => {
         if (!this.#calls.has(running)) return;
         const crashingPart = parts.find((part) => crashingParts.has(part));
-        if (crashingPart !== undefined) this.end(crashingPart);
-        else if (crashingBodies.has(body)) this.end(body);
+        const cause = crashingPart ?? (crashingBodies.has(body) ? body : null);
+        const eventsBeforeEnd = isStream ? this.#options.getEventsBeforeEnd() : 0;
+        if (cause !== null && eventsBeforeEnd === 0) this.end(cause);
         else if (!isStream) this.#finish(running);
         else {
           arrival.hasBegun = true;
-          this.#sendEvent(running, Number(lastEventId) + 1);
+          const first = Number(lastEventId) + 1;
+          this.#sendEvent(running, first, { cause, endsAt: first + eventsBeforeEnd });
         }
       }, FIRST_EVENT_DELAY_MS);
     }, HEAD_DELAY_MS);
   }
 
-  #sendEvent(running: RunningCall, number: number): void {
+  /** @param fate number of the event before which the target ends, if there is a cause */
+  #sendEvent(
+    running: RunningCall,
+    number: number,
+    fate: { readonly cause: string | null; readonly endsAt: number },
+  ): void {
     if (!this.#calls.has(running)) return;
+    if (fate.cause !== null && number === fate.endsAt) {
+      this.end(fate.cause);
+      return;
+    }
     if (number > EVENTS) {
       this.#finish(running);
       return;
@@ -158,7 +171,7 @@
       running.listener.onData(Buffer.from(`id: ${number}\ndata: x\n\n`)),
     );
     if (number === EVENTS) this.#finish(running);
-    else setTimeout(() => this.#sendEvent(running, number + 1), EVENT_GAP_MS);
+    else setTimeout(() => this.#sendEvent(running, number + 1, fate), EVENT_GAP_MS);
   }
 
   #finish(running: RunningCall): void {
--- a/packages/rpc/src/datagram/PeerMessage.ts
+++ b/packages/rpc/src/datagram/PeerMessage.ts
@@ -108,7 +108,12 @@
   /** A target ended while requests with these suspects waited for their answers. */
   z.object({ kind: z.literal('target_end'), end: TargetEnd, suspects: z.array(z.string()) }),
   /** Answers on requests with these suspects began, so that they end no targets. */
-  z.object({ kind: z.literal('suspects_sound'), suspects: z.array(z.string()) }),
+  z.object({
+    kind: z.literal('suspects_sound'),
+    suspects: z.array(z.string()),
+    /** Whether the answers were complete; false for answers that began. */
+    isComplete: z.boolean().default(false),
+  }),
   /** A target names another limit than before; null where it has lifted it. */
   z.object({
     kind: z.literal('target_limit'),
