--- a/packages/core/src/suspects/SuspectBreaker.ts
+++ b/packages/core/src/suspects/SuspectBreaker.ts
@@ -281,7 +281,7 @@
     if (this.isSound(id, [end])) return false;
     const suspect = this.#getOrCreate(id);
     const known = suspect.ends.get(end.target);
-    if (known !== undefined && !showsMore(end, known)) return false;
+    if (known !== undefined && !hasNewProgress(end, known)) return false;
     if (known === undefined && suspect.ends.size >= MAX_ENDS_PER_SUSPECT) return false;
     // Targets that end together are one sign, however many they are.
     const blockMs = this.#computeBlockMs(suspect);
@@ -370,7 +370,7 @@
 }
 
 /** Returns whether a report of an end shows something that an earlier one of it did not. */
-function showsMore(end: TargetEnd, known: TargetEnd): boolean {
+function hasNewProgress(end: TargetEnd, known: TargetEnd): boolean {
   return (end.hadHead && !known.hadHead) || (end.isMidway && !known.isMidway);
 }
 
--- a/packages/gateway/test/SharedSuspectBreaker.test.ts
+++ b/packages/gateway/test/SharedSuspectBreaker.test.ts
@@ -13,6 +13,9 @@
 
 const NOOP_LOG: Log = { report: () => {}, warn: () => {}, alert: () => {} };
 
+/** An answer that had just begun when its target ended. */
+const BEGUN = { hadHead: true, isMidway: false };
+
 const JUNK_PARTS = 100;
 
 const MAX_ENDS = 60;
@@ -59,7 +62,7 @@
     while (breaker.check(['dead']).kind !== 'blocked' && ends < MAX_ENDS) {
       const parts: string[] = [];
       for (let index = 0; index < JUNK_PARTS; index += 1) parts.push(`junk${ends}.${index}`);
-      breaker.recordEnd(createTarget(ends), [...parts, 'dead'], true);
+      breaker.recordEnd(createTarget(ends), [...parts, 'dead'], BEGUN);
       ends += 1;
     }
     breaker.close();
@@ -70,7 +73,7 @@
   it('tells the other entries in one message of all requests that an end broke off', async () => {
     const breaker = createBreaker();
     for (let index = 0; index < 12; index += 1) {
-      breaker.recordEnd(createTarget(1), [`${fingerprintPrefix}${index}`], true);
+      breaker.recordEnd(createTarget(1), [`${fingerprintPrefix}${index}`], BEGUN);
     }
     await Promise.resolve();
     breaker.close();
@@ -82,7 +85,7 @@
   it('leaves a request with one end undecided if the store does not answer in time', async () => {
     const request = `${fingerprintPrefix}1`;
     const breaker = createBreaker({ commit: () => new Promise(() => {}) } as unknown as Store);
-    breaker.recordEnd(createTarget(1), [request], true);
+    breaker.recordEnd(createTarget(1), [request], BEGUN);
     const startMs = performance.now();
     expect(await breaker.acquireTrial([request], false)).toBe('unknown');
     expect(performance.now() - startMs).toBeLessThan(1000);
--- a/packages/gateway/test/support/SimEntry.ts
+++ b/packages/gateway/test/support/SimEntry.ts
@@ -1,5 +1,11 @@
 import { DirectAnswer } from '@limpetbay/callers';
-import type { Clock, RandomSource, RequestHead, Store } from '@limpetbay/core';
+import {
+  BodyBudget,
+  type Clock,
+  type RandomSource,
+  type RequestHead,
+  type Store,
+} from '@limpetbay/core';
 import type { PeerMessage } from '@limpetbay/rpc';
 import { MetricRegistry, type Log } from '@limpetbay/runtime';
 import { RealTimers, type EntryNetwork } from '../../src/index.js';
@@ -27,6 +33,8 @@
   readonly firstByteMs: number;
 }
 
+const BODY_BUDGET_BYTES = 67_108_864;
+
 const NOOP_LOG: Log = { report: () => {}, warn: () => {}, alert: () => {} };
 
 const MS_PER_SECOND = 1000;
@@ -68,6 +76,7 @@
       clock,
       random,
       timers: new RealTimers(),
+      bodyBudget: new BodyBudget(BODY_BUDGET_BYTES),
       store: this.link,
       codec: simCodec,
       layout: simLayout,
--- a/packages/targets/test/oddAddresses.test.ts
+++ b/packages/targets/test/oddAddresses.test.ts
@@ -68,7 +68,10 @@
 
   it('fails a JSON request', async () => {
     const pool = new DirectPool('127.0.0.1:65536', new RealClock());
-    const answer = await requestJson(pool, { method: 'GET', url: '/', timeoutMs: 1000 });
+    const answer = await requestJson(pool, {
+      ...{ method: 'GET', url: '/' },
+      ...{ timeoutMs: 1000, maxBodyBytes: 1000 },
+    });
     expect(answer.val).toMatchObject({ kind: 'store_unavailable' });
   });
 });
