Tell requests that end targets apart by their prompts, too

Cause: the fingerprint of a request is a digest of method, host, path, caller and body. Sound requests that differ in their prompts only have the same one, and their complete answers clear it. The deadly part is the last of its prompt, which counts as no shared part, so nothing else identified the request.

Change: a request with a prompt has a second fingerprint, with the prompt; the first one stays, for repetitions that describe their prompt in another way.

Test: `lateCrashes.test.ts`, four cases with ends after 0, 1, 2 and 5 events.

--- a/packages/core/src/direct/RequestHead.ts
+++ b/packages/core/src/direct/RequestHead.ts
@@ -18,6 +18,8 @@
   /** Tokens of the prompt, and most tokens of the answer; 0 where not stated. */
   readonly promptTokens: number;
   readonly answerTokens: number;
+  /** Description of the whole prompt, as the caller sent it; empty where not stated. */
+  readonly prompt: string;
   /** Ids of the parts of the prompt that other requests may share; callers choose them. */
   readonly promptParts: readonly string[];
   /** Headers to forward, as alternating names and values. */
--- a/packages/core/src/suspects/computeFingerprint.ts
+++ b/packages/core/src/suspects/computeFingerprint.ts
@@ -9,6 +9,8 @@
   /** What identifies the caller; only its digest leaves this function. */
   readonly caller: string;
   readonly body: Uint8Array;
+  /** Description of the prompt, where it is to tell requests apart; none by default. */
+  readonly prompt?: string;
 }
 
 /** Bytes at either end of a long body that are hashed; the rest counts by its length only. */
@@ -23,9 +25,10 @@
  * @returns a prefix and 32 hexadecimal digits, from which neither caller nor body can be derived
  */
 export function computeFingerprint(request: FingerprintedRequest): string {
-  const { method, host, url, caller, body } = request;
+  const { method, host, url, caller, body, prompt } = request;
   const hash = createHash('sha256');
-  hash.update(JSON.stringify([method, host, url, caller, body.length]));
+  const fields = [method, host, url, caller, body.length];
+  hash.update(JSON.stringify(prompt === undefined ? fields : [...fields, prompt]));
   if (body.length <= 2 * MAX_HASHED_BYTES) hash.update(body);
   else {
     hash.update(body.subarray(0, MAX_HASHED_BYTES));
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -230,16 +230,19 @@
 
   /** @param workspace of the API key; null where keys are not checked */
   #createTracker(workspace: string | null): SuspectTracker {
-    const { method, host, url, apiKey, callerAddress, promptParts } = this.#head;
+    const { method, host, url, apiKey, callerAddress, prompt, promptParts } = this.#head;
     let caller = `address ${callerAddress ?? 'unknown'}`;
     if (workspace !== null) caller = `workspace ${workspace}`;
     else if (apiKey !== null) caller = `key ${apiKey}`;
-    const fingerprint = computeFingerprint({ method, host, url, caller, body: this.#body });
+    const request = { method, host, url, caller, body: this.#body };
+    const fingerprints = [computeFingerprint(request)];
+    // Requests that differ in their prompts only are told apart by a second fingerprint.
+    if (prompt !== '') fingerprints.push(computeFingerprint({ ...request, prompt }));
     const { suspects, endCheck } = this.#context;
     return new SuspectTracker({
       breaker: suspects,
       endCheck,
-      suspects: [fingerprint, ...promptParts],
+      suspects: [...fingerprints, ...promptParts],
     });
   }
 
--- a/packages/gateway/test/lateCrashes.test.ts
+++ b/packages/gateway/test/lateCrashes.test.ts
@@ -79,6 +79,11 @@
     await timers.advance(CALM_MS);
   }
 
+  /** Sends requests with a part that ends targets until the traffic is turned off. */
+  function repeatCrashingPart(part: string): void {
+    repeat(CRASHING_INTERVAL_MS, () => void fleet.send(['shared', part, 'also']));
+  }
+
   /** Counts arrivals at targets when every entry must know what ended them. */
   function countLaterArrivals(cause: string, maxEnds: number): number {
     const ends = fleet.ends.filter((end) => end.cause === cause);
@@ -139,7 +144,7 @@
       await startFleet(fault);
       fleet.crashingParts.add(CRASHING_PART);
       const seriesMs = timers.getNow();
-      repeat(CRASHING_INTERVAL_MS, () => void fleet.send(['shared', CRASHING_PART, 'also']));
+      repeatCrashingPart(CRASHING_PART);
       await timers.advance(SERIES_MS);
       expect(countLaterArrivals(CRASHING_PART, MAX_ENDS.part)).toBeLessThanOrEqual(
         MAX_LATER_ARRIVALS,
@@ -168,6 +173,25 @@
     SIMULATION_TIMEOUT_MS,
   );
 
+  // Guards against a request that sound ones clear because only its prompt differs from theirs.
+  it.each([0, 1, 2, 5])(
+    'on one request get it few times where only its prompt is its own (after %d events)',
+    async (events) => {
+      await startFleet({ events, soundMs: 10, seed: 30 + events });
+      const sound = { body: 'same', apiKey: 'key' };
+      repeat(50, () => void fleet.send([], 'stream', Infinity, { ...sound, ownParts: ['sound'] }));
+      fleet.crashingParts.add(CRASHING_PART);
+      repeat(CRASHING_INTERVAL_MS, () => {
+        void fleet.send([], 'stream', Infinity, { ...sound, ownParts: [CRASHING_PART] });
+      });
+      await timers.advance(SERIES_MS);
+      expect(countLaterArrivals(CRASHING_PART, MAX_ENDS.request)).toBeLessThanOrEqual(
+        MAX_LATER_ARRIVALS,
+      );
+    },
+    SIMULATION_TIMEOUT_MS,
+  );
+
   // Guards against two parts of which each hides the ends of the other.
   it.each([1, 2, 5, EVENTS - 1])(
     'on two prompt parts get few requests with either (after %d events)',
@@ -176,9 +200,7 @@
       const parts = [CRASHING_PART, 'dead too'];
       for (const part of parts) fleet.crashingParts.add(part);
       const seriesMs = timers.getNow();
-      for (const part of parts) {
-        repeat(CRASHING_INTERVAL_MS, () => void fleet.send(['shared', part, 'also']));
-      }
+      for (const part of parts) repeatCrashingPart(part);
       await timers.advance(SERIES_MS);
       for (const part of parts) {
         expect(countLaterArrivals(part, MAX_ENDS.part)).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
@@ -195,7 +217,7 @@
       await startFleet({ events: 5, soundMs: 10, seed: 50 + killed });
       fleet.crashingParts.add(CRASHING_PART);
       const seriesMs = timers.getNow();
-      repeat(CRASHING_INTERVAL_MS, () => void fleet.send(['shared', CRASHING_PART, 'also']));
+      repeatCrashingPart(CRASHING_PART);
       await timers.advance(SERIES_MS / 4);
       for (const entry of fleet.entries.slice(0, killed)) entry.kill();
       await timers.advance(500);
--- a/packages/gateway/test/support/SimFleet.ts
+++ b/packages/gateway/test/support/SimFleet.ts
@@ -212,9 +212,15 @@
     parts: readonly string[],
     kind: keyof typeof ROUTES = 'stream',
     callerTimeoutMs = Infinity,
-    same: { readonly body?: string; readonly apiKey?: string } = {},
+    same: {
+      readonly body?: string;
+      readonly apiKey?: string;
+      /** Parts of its prompt that no other request has. */
+      readonly ownParts?: readonly string[];
+    } = {},
   ): Promise<void> {
     const route = ROUTES[kind];
+    const { ownParts = [] } = same;
     const { prefix } = route;
     const timeoutMs = Math.min(route.timeoutMs, callerTimeoutMs);
     const ready = this.entries.filter((entry) => entry.isReady());
@@ -234,6 +240,7 @@
       lastEventId: null,
       promptTokens: 700,
       answerTokens: 100,
+      prompt: [...parts, ...ownParts].join(','),
       promptParts: parts,
       forwarded: [],
     };
--- a/packages/gateway/test/support/simCodec.ts
+++ b/packages/gateway/test/support/simCodec.ts
@@ -11,11 +11,11 @@
   readRequest: () => {
     throw new Error('simulated callers send decoded requests');
   },
-  listTargetHeaders: ({ id, promptParts }, { lastEventId }) => [
+  listTargetHeaders: ({ id, prompt }, { lastEventId }) => [
     ID_HEADER,
     id,
     PARTS_HEADER,
-    promptParts.join(','),
+    prompt,
     LAST_EVENT_HEADER,
     lastEventId ?? '0',
   ],
