Ask for the position of the store, so that silent watches are noticed

Cause: the request of an idle watch waits for up to 10 s without a sign of life. It was checked earlier only if another call failed or another entry was ahead; when the watches of all entries go silent together, neither happens.

Change: `PositionProbe`. One entry in twelve asks the store for its revision every 1.1 s and tells the others by datagram; one that hears nothing asks for itself, and the second time for the others. It replaces the gossip of new positions. Connections to the store that were idle for 1.5 s are not reused.

--- a/packages/gateway/src/feed/StoreMirror.ts
+++ b/packages/gateway/src/feed/StoreMirror.ts
@@ -34,7 +34,7 @@
 /** Full reads in a row that may fail at the listener before only changes are followed. */
 const MAX_FAILED_SNAPSHOTS = 3;
 
-/** Processes receive a change at about the same time; one that is later has lost its watch, milliseconds. */
+/** A watch delivers a change within this time; one that is later has gone silent, milliseconds. */
 const MAX_LAG_MS = 500;
 
 /** Time in which writers write again what a restored store has lost. */
@@ -66,6 +66,9 @@
 
   #isStoreUnavailable = false;
 
+  /** When the store last answered a read or the watch, monotonic milliseconds. */
+  #answeredMs = -Infinity;
+
   /** Whether it is about to be checked that the watch is not behind another process. */
   #isCheckingLag = false;
 
@@ -94,9 +97,19 @@
     return this.#position;
   }
 
+  /** Returns when the store last answered a read or the watch, monotonic milliseconds. */
+  getAnsweredMs(): number {
+    return this.#answeredMs;
+  }
+
+  /** Returns whether the last read and the watch did not fail. */
+  isStoreAvailable(): boolean {
+    return !this.#isStoreUnavailable;
+  }
+
   /**
-   * Handles the position of another mirror. A watch request whose connection has gone silent shows
-   * it only at the end of its wait, but the changes that it misses have reached others.
+   * Handles a position of the store that this process or another one has learned. A watch request
+   * whose connection has gone silent shows it only at the end of its wait.
    */
   handlePeerPosition(position: StorePosition): void {
     if (!this.#isBehind(position) || this.#isCheckingLag) return;
@@ -104,9 +117,9 @@
     this.#options.timers.schedule(MAX_LAG_MS, () => {
       this.#isCheckingLag = false;
       if (!this.#isBehind(position) || this.#stopWatch === null || this.#isStopped) return;
-      this.#options.log.warn('watch is behind other processes; starting it again', {
+      this.#options.log.warn('watch is behind the store; starting it again', {
         revision: this.#position?.revision,
-        other: position.revision,
+        current: position.revision,
       });
       this.#stopWatch();
       this.#watch(this.#position as StorePosition);
@@ -139,6 +152,7 @@
     const isRestored = nowMs < this.#restorationEndMs;
     this.#setStoreUnavailable(false, 'read');
     this.#position = { era, revision };
+    this.#answeredMs = nowMs;
     this.#era = era;
     const isApplied = tryStep(log, 'apply a full read', { revision }, () =>
       listener.onSnapshot({ records, era, isRestored }),
@@ -169,6 +183,7 @@
 
   #recordRevision(revision: Revision): void {
     this.#setStoreUnavailable(false, 'watch');
+    this.#answeredMs = this.#options.clock.getNow();
     this.#backoff.reset();
     if (this.#position === null || revision <= this.#position.revision) return;
     this.#position = { ...this.#position, revision };
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 export { GatewayView } from './feed/GatewayView.js';
 export type { MirrorListener } from './feed/MirrorListener.js';
 export type { MirrorSnapshot } from './feed/MirrorSnapshot.js';
+export { PositionProbe } from './feed/PositionProbe.js';
 export type { RecordLayout } from './feed/RecordLayout.js';
 export { StoreMirror } from './feed/StoreMirror.js';
 export { computeSaveDelay } from './feed/computeSaveDelay.js';
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -9,7 +9,6 @@
   TargetPicker,
   TargetRegistry,
   buildRunName,
-  hashText,
   splitAddress,
   type RequestHead,
   type RouteTable,
@@ -18,6 +17,7 @@
 import { IgnoredRecordLog, tryStep, type Log } from '@limpetbay/runtime';
 import { EntryLease } from '../feed/EntryLease.js';
 import { GatewayView } from '../feed/GatewayView.js';
+import { PositionProbe } from '../feed/PositionProbe.js';
 import { StoreMirror } from '../feed/StoreMirror.js';
 import type { TargetPool } from '../ports/TargetPool.js';
 import { SharedTargetLimits } from '../limits/SharedTargetLimits.js';
@@ -39,12 +39,6 @@
 /** Renewal interval of subscriptions to load reports; they expire after three intervals. */
 const SUBSCRIBE_INTERVAL_MS = 1000;
 
-/** Interval at which a new position in the store goes to another entry, milliseconds. */
-const POSITION_INTERVAL_MS = 1000;
-
-/** Entries that are told of a position; one that has missed the change is told by several. */
-const POSITION_RECEIVERS = 3;
-
 /** Connections to targets are closed after this idle time. */
 const MAX_POOL_IDLE_MS = 4000;
 
@@ -79,6 +73,8 @@
 
   readonly #lease: EntryLease;
 
+  readonly #probe: PositionProbe;
+
   readonly #budgets = new Map<string, RetryBudget>();
 
   readonly #pools = new Map<string, TargetPool>();
@@ -93,11 +89,6 @@
 
   #lastSubscribeMs = -Infinity;
 
-  #lastPositionMs = -Infinity;
-
-  /** Revision of the last position that was sent, and how often it was. */
-  #sentPosition = { revision: -1, count: 0 };
-
   constructor(options: EntryCoreOptions) {
     this.#options = options;
     this.#gatewayLimits = options.limits;
@@ -217,10 +208,25 @@
       key: `${layout.entryPrefix}${options.self.name}`,
       record: options.self,
     });
+    this.#probe = new PositionProbe({
+      clock,
+      timers,
+      mirror: this.#mirror,
+      ownName: options.self.name,
+      log,
+      listNames: () => this.#entries.listEntries().map(({ name }) => name),
+      readPosition: () => store.read(`${layout.entryPrefix}${options.self.name}`),
+      announce: (position, names) =>
+        options.network.sendToPeers(
+          { kind: 'store_position', era: position.era, revision: position.revision },
+          this.#listPeers(names),
+        ),
+    });
   }
 
   start(): void {
     this.#mirror.start();
+    this.#probe.start();
     this.#tick();
     this.#advanceQueue();
   }
@@ -267,7 +273,7 @@
     this.#suspects.handlePeerMessage(message);
     this.#limits.handlePeerMessage(message);
     this.#rates.handlePeerMessage(message, from);
-    if (message.kind === 'store_position') this.#mirror.handlePeerPosition(message);
+    if (message.kind === 'store_position') this.#probe.handlePeerPosition(message);
     if (message.kind !== 'load') return;
     this.#requestContext.picker.handleReport({
       ...message.report,
@@ -292,6 +298,7 @@
   /** Ends all activity and closes the connections to targets. */
   close(): void {
     this.#mirror.stop();
+    this.#probe.stop();
     this.#suspects.close();
     this.#limits.close();
     this.#cancelTick?.();
@@ -320,7 +327,6 @@
       'expire shared rates': () => this.#rates.expire(),
       subscribe: () => this.#subscribe(this.#options.clock.getNow()),
       register: () => this.#register(),
-      'send the store position': () => this.#sendPosition(this.#options.clock.getNow()),
       'close idle connections': () => this.#closeIdlePools(),
     };
     for (const [step, run] of Object.entries(tasks)) tryStep(this.#log, step, {}, run);
@@ -340,11 +346,16 @@
     }
   }
 
-  /** Lists the addresses of the other entries for datagrams. */
-  #listPeers(): string[] {
+  /**
+   * Lists the addresses of the other entries for datagrams.
+   *
+   * @param names of those that are listed; all by default
+   */
+  #listPeers(names: ReadonlySet<string> | null = null): string[] {
     const addresses: string[] = [];
     for (const { name, peerAddress } of this.#entries.listEntries()) {
-      if (name !== this.#options.self.name) addresses.push(peerAddress);
+      if (name === this.#options.self.name) continue;
+      if (names === null || names.has(name)) addresses.push(peerAddress);
     }
     return addresses;
   }
@@ -365,22 +376,6 @@
     this.#options.network.sendToPeers({ kind: 'subscribe' }, agents);
   }
 
-  /** Lets other entries notice that their watch has lost a change; each tells few, as all do. */
-  #sendPosition(nowMs: number): void {
-    const position = this.#mirror.getPosition();
-    if (position === null || nowMs - this.#lastPositionMs < POSITION_INTERVAL_MS) return;
-    const { revision } = position;
-    if (revision !== this.#sentPosition.revision) this.#sentPosition = { revision, count: 0 };
-    if (this.#sentPosition.count === POSITION_RECEIVERS) return;
-    this.#sentPosition.count += 1;
-    this.#lastPositionMs = nowMs;
-    const peers = this.#listPeers();
-    const turn = hashText(this.#options.self.name) + revision + this.#sentPosition.count;
-    const peer = peers[turn % peers.length];
-    if (peer === undefined) return;
-    this.#options.network.sendToPeers({ kind: 'store_position', ...position }, [peer]);
-  }
-
   #getBudget(service: string): RetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
--- a/packages/gateway/test/support/SimEntry.ts
+++ b/packages/gateway/test/support/SimEntry.ts
@@ -94,6 +94,11 @@
     return this.#isRunning && this.#core.isReady();
   }
 
+  /** Returns the version of the active configuration; 0 before the first one. */
+  getConfigVersion(): number {
+    return this.#core.getTable()?.config.version ?? 0;
+  }
+
   /** Lists the addresses that this entry names to callers. */
   listAddresses(): string[] {
     return this.#core.listAddresses();
--- a/packages/gateway/test/support/SimFleet.ts
+++ b/packages/gateway/test/support/SimFleet.ts
@@ -196,6 +196,11 @@
     for (const target of running.slice(0, count)) target.end();
   }
 
+  /** Stores another version of the configuration. */
+  async putConfig(version: number): Promise<void> {
+    await this.#put(simLayout.configKey, { ...CONFIG, version });
+  }
+
   /** Sets the limit that the first `count` targets name. @param perSecond null to lift it */
   setLimit(count: number, perSecond: number | null): void {
     for (const target of [...this.#targets.values()].slice(0, count)) target.limit = perSecond;
--- a/packages/targets/src/direct/requestJson.ts
+++ b/packages/targets/src/direct/requestJson.ts
@@ -10,6 +10,8 @@
   readonly timeoutMs: number;
   /** Largest body of an answer; a longer one fails the request. */
   readonly maxBodyBytes: number;
+  /** Longest idle time of a connection that is reused, milliseconds; 5 s by default. */
+  readonly maxIdleMs?: number;
   /** Cancels the request, which then fails with `outcome_unknown`. */
   readonly signal?: AbortSignal;
 }
@@ -22,8 +24,8 @@
   readonly body: unknown;
 }
 
-/** Connections that were idle for longer may be dead and are not reused, milliseconds. */
-const MAX_IDLE_MS = 5000;
+/** Connections that were idle for longer may be dead and are not reused by default. */
+const DEFAULT_MAX_IDLE_MS = 5000;
 
 /**
  * Sends one request with a JSON body and reads the JSON answer.
@@ -35,7 +37,7 @@
   pool: DirectPool,
   request: JsonRequest,
 ): Promise<Result<JsonAnswer, Failure>> {
-  const { method, url, timeoutMs, maxBodyBytes, signal } = request;
+  const { method, url, timeoutMs, maxBodyBytes, maxIdleMs = DEFAULT_MAX_IDLE_MS, signal } = request;
   const body = request.body === undefined ? null : Buffer.from(JSON.stringify(request.body));
   const requestHeaders = body === null ? [] : ['content-type', 'application/json'];
   return new Promise((resolve) => {
@@ -53,7 +55,7 @@
       resolve(result);
     };
     const cancel = pool.send(
-      { method, url, headers: requestHeaders, body, maxIdleMs: MAX_IDLE_MS },
+      { method, url, headers: requestHeaders, body, maxIdleMs },
       {
         onHead: (status, headers) => {
           head = { status, headers };
