--- a/packages/gateway/test/crashingPrompts.test.ts
+++ b/packages/gateway/test/crashingPrompts.test.ts
@@ -1,6 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { SimTimers } from '@limpetbay/standins';
 import { SimFleet } from './support/SimFleet.js';
+import { computeBegunShare } from './support/computeBegunShare.js';
+import { countLaterArrivals } from './support/countLaterArrivals.js';
 
 /** Time within which all entries must act on what one of them learned, milliseconds. */
 const STABLE_WINDOW_MS = 3000;
@@ -81,35 +83,20 @@
   }
 
   /** Counts requests with the crashing part that were sent to targets when all entries must know. */
-  function countLaterArrivals(): number {
-    const knownMs = getFifthEndMs() + STABLE_WINDOW_MS;
-    const startsMs = new Map(fleet.entries.map(({ name, startedMs }) => [name, startedMs]));
-    let count = 0;
-    for (const { entry, parts, sentMs } of fleet.arrivals) {
-      if (!parts.includes(CRASHING_PART) || sentMs <= knownMs) continue;
-      if (sentMs >= (startsMs.get(entry) ?? 0) + STABLE_WINDOW_MS) count += 1;
-    }
-    return count;
+  function countLater(): number {
+    return countLaterArrivals(fleet, getFifthEndMs(), ({ parts }) => parts.includes(CRASHING_PART));
   }
 
   /** Returns the share of sound requests in a period whose first attempt began an answer. */
   function computeSoundShare(fromMs: number, toMs: number): number {
-    const firstAttempts = new Map<string, boolean>();
-    for (const { requestId, hasBegun } of fleet.arrivals) {
-      if (!firstAttempts.has(requestId)) firstAttempts.set(requestId, hasBegun);
-    }
-    let sent = 0;
-    let begun = 0;
-    for (const { id, parts, sentMs } of fleet.requests) {
-      if (parts.includes(CRASHING_PART) || sentMs < fromMs || sentMs >= toMs) continue;
-      sent += 1;
-      if (firstAttempts.get(id) === true) begun += 1;
-    }
-    return sent === 0 ? 1 : begun / sent;
+    return computeBegunShare(
+      fleet,
+      ({ parts, sentMs }) => !parts.includes(CRASHING_PART) && sentMs >= fromMs && sentMs < toMs,
+    );
   }
 
   function expectContained(seriesMs: number): void {
-    expect(countLaterArrivals()).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
+    expect(countLater()).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
     const usual = computeSoundShare(seriesMs - CALM_MS, seriesMs);
     const later = computeSoundShare(
       getFifthEndMs() + 2 * STABLE_WINDOW_MS,
@@ -323,7 +310,7 @@
       const writesBefore = countWrites();
       const messagesBefore = fleet.peerMessages;
       await timers.advance(SERIES_MS / 2);
-      expect(countLaterArrivals()).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
+      expect(countLater()).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
       expect(fleet.ends.length).toBeLessThanOrEqual(MAX_ENDS);
       expect(countWrites() - writesBefore).toBeLessThanOrEqual(410);
       expect(fleet.peerMessages - messagesBefore).toBeLessThanOrEqual(20 * 410);
--- a/packages/gateway/test/crashingRequests.test.ts
+++ b/packages/gateway/test/crashingRequests.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { SimTimers } from '@limpetbay/standins';
 import { SimFleet } from './support/SimFleet.js';
+import { countLaterArrivals } from './support/countLaterArrivals.js';
 
 type Kind = NonNullable<Parameters<SimFleet['send']>[1]>;
 
@@ -70,15 +71,9 @@
   }
 
   /** Counts crashing requests that were sent to targets when all entries must know. */
-  function countLaterArrivals(): number {
+  function countLater(): number {
     const thirdEndMs = fleet.ends[MAX_ENDS - 1]?.atMs ?? Infinity;
-    const startsMs = new Map(fleet.entries.map(({ name, startedMs }) => [name, startedMs]));
-    let count = 0;
-    for (const { entry, body, sentMs } of fleet.arrivals) {
-      if (body !== CRASHING.body || sentMs <= thirdEndMs + STABLE_WINDOW_MS) continue;
-      if (sentMs >= (startsMs.get(entry) ?? 0) + STABLE_WINDOW_MS) count += 1;
-    }
-    return count;
+    return countLaterArrivals(fleet, thirdEndMs, ({ body }) => body === CRASHING.body);
   }
 
   /** Returns the share of the sound requests sent from a time on that were served. */
@@ -95,7 +90,7 @@
 
   function expectContained(): void {
     expect(fleet.ends.length).toBeLessThanOrEqual(MAX_ENDS);
-    expect(countLaterArrivals()).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
+    expect(countLater()).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
   }
 
   beforeEach(() => {
--- a/packages/gateway/test/lateCrashes.test.ts
+++ b/packages/gateway/test/lateCrashes.test.ts
@@ -1,6 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { SimTimers } from '@limpetbay/standins';
 import { SimFleet } from './support/SimFleet.js';
+import { computeBegunShare } from './support/computeBegunShare.js';
+import { countLaterArrivals } from './support/countLaterArrivals.js';
 
 /** Time within which all entries must act on what one of them learned, milliseconds. */
 const STABLE_WINDOW_MS = 3000;
@@ -84,34 +86,21 @@
     repeat(CRASHING_INTERVAL_MS, () => void fleet.send(['shared', part, 'also']));
   }
 
-  /** Counts arrivals at targets when every entry must know what ended them. */
-  function countLaterArrivals(cause: string, maxEnds: number): number {
+  function countLater(cause: string, maxEnds: number): number {
     const ends = fleet.ends.filter((end) => end.cause === cause);
-    const knownMs = (ends[maxEnds - 1]?.atMs ?? Infinity) + STABLE_WINDOW_MS;
-    const startsMs = new Map(fleet.entries.map(({ name, startedMs }) => [name, startedMs]));
-    let count = 0;
-    for (const { entry, parts, body, sentMs } of fleet.arrivals) {
-      if ((body !== cause && !parts.includes(cause)) || sentMs <= knownMs) continue;
-      if (sentMs >= (startsMs.get(entry) ?? 0) + STABLE_WINDOW_MS) count += 1;
-    }
-    return count;
+    return countLaterArrivals(
+      fleet,
+      ends[maxEnds - 1]?.atMs ?? Infinity,
+      ({ body, parts }) => body === cause || parts.includes(cause),
+    );
   }
 
   /** Returns the share of sound requests in a period whose first attempt began an answer. */
   function computeSoundShare(fromMs: number, toMs: number): number {
-    const begun = new Map<string, boolean>();
-    for (const { requestId, hasBegun } of fleet.arrivals) {
-      if (!begun.has(requestId)) begun.set(requestId, hasBegun);
-    }
-    let sentCount = 0;
-    let begunCount = 0;
-    for (const { id, parts, body, sentMs } of fleet.requests) {
+    return computeBegunShare(fleet, ({ parts, body, sentMs }) => {
       const isSound = parts.length === SHARED_PARTS.length && body !== CRASHING.body;
-      if (!isSound || sentMs < fromMs || sentMs >= toMs) continue;
-      sentCount += 1;
-      if (begun.get(id) === true) begunCount += 1;
-    }
-    return sentCount === 0 ? 1 : begunCount / sentCount;
+      return isSound && sentMs >= fromMs && sentMs < toMs;
+    });
   }
 
   function expectSoundServed(seriesMs: number): void {
@@ -146,9 +135,7 @@
       const seriesMs = timers.getNow();
       repeatCrashingPart(CRASHING_PART);
       await timers.advance(SERIES_MS);
-      expect(countLaterArrivals(CRASHING_PART, MAX_ENDS.part)).toBeLessThanOrEqual(
-        MAX_LATER_ARRIVALS,
-      );
+      expect(countLater(CRASHING_PART, MAX_ENDS.part)).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
       expectSoundServed(seriesMs);
     },
     SIMULATION_TIMEOUT_MS,
@@ -165,9 +152,7 @@
         void fleet.send(SHARED_PARTS, 'stream', Infinity, CRASHING);
       });
       await timers.advance(SERIES_MS);
-      expect(countLaterArrivals(CRASHING.body, MAX_ENDS.request)).toBeLessThanOrEqual(
-        MAX_LATER_ARRIVALS,
-      );
+      expect(countLater(CRASHING.body, MAX_ENDS.request)).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
       expectSoundServed(seriesMs);
     },
     SIMULATION_TIMEOUT_MS,
@@ -185,9 +170,7 @@
         void fleet.send([], 'stream', Infinity, { ...sound, ownParts: [CRASHING_PART] });
       });
       await timers.advance(SERIES_MS);
-      expect(countLaterArrivals(CRASHING_PART, MAX_ENDS.request)).toBeLessThanOrEqual(
-        MAX_LATER_ARRIVALS,
-      );
+      expect(countLater(CRASHING_PART, MAX_ENDS.request)).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
     },
     SIMULATION_TIMEOUT_MS,
   );
@@ -203,7 +186,7 @@
       for (const part of parts) repeatCrashingPart(part);
       await timers.advance(SERIES_MS);
       for (const part of parts) {
-        expect(countLaterArrivals(part, MAX_ENDS.part)).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
+        expect(countLater(part, MAX_ENDS.part)).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
       }
       expectSoundServed(seriesMs);
     },
@@ -223,9 +206,7 @@
       await timers.advance(500);
       for (let index = 0; index < killed; index += 1) fleet.startEntry(index);
       await timers.advance((3 * SERIES_MS) / 4);
-      expect(countLaterArrivals(CRASHING_PART, MAX_ENDS.part)).toBeLessThanOrEqual(
-        MAX_LATER_ARRIVALS,
-      );
+      expect(countLater(CRASHING_PART, MAX_ENDS.part)).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
       expectSoundServed(seriesMs);
     },
     SIMULATION_TIMEOUT_MS,
