--- a/packages/gateway/test/crashingPrompts.test.ts
+++ b/packages/gateway/test/crashingPrompts.test.ts
@@ -43,7 +43,6 @@
 describe('requests with a prompt part that ends targets', () => {
   const timers = new SimTimers();
   let fleet: SimFleet;
-  let traffic = { isOn: true };
 
   function createFleet(entries: number, targets = 16, seed = 21): Promise<void> {
     fleet = new SimFleet(timers, { entries, targets, seed });
@@ -56,13 +55,7 @@
 
   /** Sends requests until the traffic is turned off. */
   function repeat(intervalMs: number, listParts: () => string[]): void {
-    const current = traffic;
-    const send = (): void => {
-      if (!current.isOn) return;
-      void fleet.send(listParts());
-      setTimeout(send, intervalMs * (0.5 + fleet.random.next()));
-    };
-    send();
+    fleet.repeat(intervalMs, () => void fleet.send(listParts()));
   }
 
   /** Starts sound traffic and, after a calm time, a series of requests with the crashing part. */
@@ -106,13 +99,9 @@
     expect(later).toBeGreaterThan(MIN_SOUND_SHARE * usual);
   }
 
-  beforeEach(() => {
-    timers.begin();
-    traffic = { isOn: true };
-  });
+  beforeEach(() => timers.begin());
 
   afterEach(async () => {
-    traffic.isOn = false;
     fleet.stop();
     await timers.advance(20_000);
     timers.end();
@@ -277,7 +266,7 @@
       await createFleet(44);
       await startSeries();
       await timers.advance(SERIES_MS / 2);
-      traffic.isOn = false;
+      fleet.stopTraffic();
       const countSuspectRecords = (): number => fleet.store.listRecords('prompts/').length;
       expect(countSuspectRecords()).toBeGreaterThan(0);
       const records = countSuspectRecords();
--- a/packages/gateway/test/crashingRequests.test.ts
+++ b/packages/gateway/test/crashingRequests.test.ts
@@ -39,7 +39,6 @@
 describe('a request that ends targets', () => {
   const timers = new SimTimers();
   let fleet: SimFleet;
-  let traffic = { isOn: true };
 
   async function createFleet(entries: number, targets = 16, seed = 27): Promise<void> {
     fleet = new SimFleet(timers, { entries, targets, seed });
@@ -47,23 +46,12 @@
     await timers.advance(2000);
   }
 
-  /** Calls a function again and again until the traffic is turned off. */
-  function repeat(intervalMs: number, send: () => void): void {
-    const current = traffic;
-    const run = (): void => {
-      if (!current.isOn) return;
-      send();
-      setTimeout(run, intervalMs * (0.5 + fleet.random.next()));
-    };
-    run();
-  }
-
   /** Starts sound traffic and, after a calm time, a series of the crashing request. */
   async function startSeries(kind: Kind, copies = 1): Promise<void> {
     fleet.crashingBodies.add(CRASHING.body);
-    repeat(SOUND_INTERVAL_MS, () => void fleet.send(SHARED_PARTS, kind));
+    fleet.repeat(SOUND_INTERVAL_MS, () => void fleet.send(SHARED_PARTS, kind));
     await timers.advance(CALM_MS);
-    repeat(CRASHING_INTERVAL_MS, () => {
+    fleet.repeat(CRASHING_INTERVAL_MS, () => {
       for (let copy = 0; copy < copies; copy += 1) {
         void fleet.send(SHARED_PARTS, kind, Infinity, CRASHING);
       }
@@ -93,13 +81,9 @@
     expect(countLater()).toBeLessThanOrEqual(MAX_LATER_ARRIVALS);
   }
 
-  beforeEach(() => {
-    timers.begin();
-    traffic = { isOn: true };
-  });
+  beforeEach(() => timers.begin());
 
   afterEach(async () => {
-    traffic.isOn = false;
     fleet.stop();
     await timers.advance(20_000);
     timers.end();
@@ -154,7 +138,7 @@
       await createFleet(8);
       await startSeries('unsafe');
       await timers.advance(SERIES_MS / 2);
-      traffic.isOn = false;
+      fleet.stopTraffic();
       await timers.advance(STABLE_WINDOW_MS);
       const before = fleet.requests.length;
       void fleet.send(SHARED_PARTS, 'unsafe', Infinity, CRASHING);
@@ -243,8 +227,8 @@
     async () => {
       await createFleet(8, 48);
       const polls = { body: 'poll', apiKey: 'key' };
-      repeat(SOUND_INTERVAL_MS, () => void fleet.send(SHARED_PARTS, 'single'));
-      repeat(SOUND_INTERVAL_MS, () => void fleet.send([], 'single', Infinity, polls));
+      fleet.repeat(SOUND_INTERVAL_MS, () => void fleet.send(SHARED_PARTS, 'single'));
+      fleet.repeat(SOUND_INTERVAL_MS, () => void fleet.send([], 'single', Infinity, polls));
       await timers.advance(CALM_MS);
       for (let round = 0; round < 4; round += 1) {
         fleet.endTargets(6);
@@ -262,7 +246,7 @@
     'costs no store calls when targets of 410 entries end for other reasons',
     async () => {
       await createFleet(410, 32);
-      repeat(SOUND_INTERVAL_MS / 5, () => void fleet.send(SHARED_PARTS, 'single'));
+      fleet.repeat(SOUND_INTERVAL_MS / 5, () => void fleet.send(SHARED_PARTS, 'single'));
       await timers.advance(CALM_MS);
       const countWrites = (): number => {
         let writes = 0;
--- a/packages/gateway/test/lateCrashes.test.ts
+++ b/packages/gateway/test/lateCrashes.test.ts
@@ -59,31 +59,19 @@
 describe('targets that end late in an answer', () => {
   const timers = new SimTimers();
   let fleet: SimFleet;
-  let traffic = { isOn: true };
-
-  /** Calls a function again and again until the traffic is turned off. */
-  function repeat(intervalMs: number, send: () => void): void {
-    const current = traffic;
-    const run = (): void => {
-      if (!current.isOn) return;
-      send();
-      setTimeout(run, intervalMs * (0.5 + fleet.random.next()));
-    };
-    run();
-  }
 
   async function startFleet({ events, soundMs, seed }: Fault): Promise<void> {
     fleet = new SimFleet(timers, { entries: 8, targets: 16, seed });
     await fleet.start();
     fleet.eventsBeforeEnd = events;
     await timers.advance(2000);
-    repeat(soundMs, () => void fleet.send(SHARED_PARTS));
+    fleet.repeat(soundMs, () => void fleet.send(SHARED_PARTS));
     await timers.advance(CALM_MS);
   }
 
   /** Sends requests with a part that ends targets until the traffic is turned off. */
   function repeatCrashingPart(part: string): void {
-    repeat(CRASHING_INTERVAL_MS, () => void fleet.send(['shared', part, 'also']));
+    fleet.repeat(CRASHING_INTERVAL_MS, () => void fleet.send(['shared', part, 'also']));
   }
 
   function countLater(cause: string, maxEnds: number): number {
@@ -114,13 +102,9 @@
     expect(later).toBeGreaterThan(MIN_SOUND_SHARE * usual);
   }
 
-  beforeEach(() => {
-    timers.begin();
-    traffic = { isOn: true };
-  });
+  beforeEach(() => timers.begin());
 
   afterEach(async () => {
-    traffic.isOn = false;
     fleet.stop();
     await timers.advance(20_000);
     timers.end();
@@ -148,7 +132,7 @@
       await startFleet(fault);
       fleet.crashingBodies.add(CRASHING.body);
       const seriesMs = timers.getNow();
-      repeat(CRASHING_INTERVAL_MS, () => {
+      fleet.repeat(CRASHING_INTERVAL_MS, () => {
         void fleet.send(SHARED_PARTS, 'stream', Infinity, CRASHING);
       });
       await timers.advance(SERIES_MS);
@@ -164,9 +148,12 @@
     async (events) => {
       await startFleet({ events, soundMs: 10, seed: 30 + events });
       const sound = { body: 'same', apiKey: 'key' };
-      repeat(50, () => void fleet.send([], 'stream', Infinity, { ...sound, ownParts: ['sound'] }));
+      fleet.repeat(
+        50,
+        () => void fleet.send([], 'stream', Infinity, { ...sound, ownParts: ['sound'] }),
+      );
       fleet.crashingParts.add(CRASHING_PART);
-      repeat(CRASHING_INTERVAL_MS, () => {
+      fleet.repeat(CRASHING_INTERVAL_MS, () => {
         void fleet.send([], 'stream', Infinity, { ...sound, ownParts: [CRASHING_PART] });
       });
       await timers.advance(SERIES_MS);
--- a/packages/gateway/test/namedLimits.test.ts
+++ b/packages/gateway/test/namedLimits.test.ts
@@ -55,20 +55,13 @@
 describe('targets that name a limit', () => {
   const timers = new SimTimers();
   let fleet: SimFleet;
-  let traffic = { isOn: true };
   let limitedMs = 0;
 
   async function startLoad(load: Load): Promise<void> {
     fleet = new SimFleet(timers, { entries: load.entries, targets: load.targets, seed: SEED });
     await fleet.start();
     await timers.advance(START_MS);
-    const current = traffic;
-    const send = (): void => {
-      if (!current.isOn) return;
-      void fleet.send(['f'], load.kind);
-      setTimeout(send, (1000 / load.requestsPerSecond) * (0.5 + fleet.random.next()));
-    };
-    send();
+    fleet.repeat(1000 / load.requestsPerSecond, () => void fleet.send(['f'], load.kind));
     await timers.advance(CALM_MS);
     fleet.setLimit(load.limited, load.limit);
     limitedMs = timers.getNow();
@@ -118,13 +111,9 @@
     }
   }
 
-  beforeEach(() => {
-    timers.begin();
-    traffic = { isOn: true };
-  });
+  beforeEach(() => timers.begin());
 
   afterEach(async () => {
-    traffic.isOn = false;
     fleet.stop();
     await timers.advance(20_000);
     timers.end();
--- a/packages/gateway/test/restoredStore.test.ts
+++ b/packages/gateway/test/restoredStore.test.ts
@@ -62,7 +62,6 @@
 describe('entries whose store is restored from a copy', () => {
   const timers = new SimTimers();
   let fleet: SimFleet;
-  let traffic = { isOn: true };
 
   async function createFleet(entries: number, targets = 16): Promise<void> {
     fleet = new SimFleet(timers, { entries, targets, seed: 24 });
@@ -71,13 +70,7 @@
   }
 
   function repeat(intervalMs: number, parts: readonly string[]): void {
-    const current = traffic;
-    const send = (): void => {
-      if (!current.isOn) return;
-      void fleet.send(parts);
-      setTimeout(send, intervalMs * (0.5 + fleet.random.next()));
-    };
-    send();
+    fleet.repeat(intervalMs, () => void fleet.send(parts));
   }
 
   function listKeys(prefix: string): string[] {
@@ -89,13 +82,9 @@
     return { reads, writes: writes + leases };
   }
 
-  beforeEach(() => {
-    timers.begin();
-    traffic = { isOn: true };
-  });
+  beforeEach(() => timers.begin());
 
   afterEach(async () => {
-    traffic.isOn = false;
     fleet.stop();
     await timers.advance(LEASE_MS);
     timers.end();
@@ -158,7 +147,7 @@
       fleet.setLimit(2, LIMIT);
       await timers.advance(CALM_MS);
       expect(listKeys(simLayout.limitPrefix)).toHaveLength(2);
-      traffic.isOn = false;
+      fleet.stopTraffic();
       await timers.advance(CALM_MS);
       fleet.store.restore(copy);
       await timers.advance(REWRITE_MS);
--- a/packages/gateway/test/support/SimFleet.ts
+++ b/packages/gateway/test/support/SimFleet.ts
@@ -147,6 +147,8 @@
 
   #isStopped = false;
 
+  #hasTraffic = true;
+
   constructor(clock: Clock, shape: FleetShape) {
     this.#clock = clock;
     this.#shape = shape;
@@ -164,9 +166,25 @@
 
   stop(): void {
     this.#isStopped = true;
+    this.stopTraffic();
     for (const entry of this.entries) entry.kill();
   }
 
+  /**
+   * Calls a function at once, and again and again until the traffic stops.
+   *
+   * @param intervalMs mean time between two calls, milliseconds
+   */
+  repeat(intervalMs: number, send: () => void): void {
+    if (!this.#hasTraffic) return;
+    send();
+    setTimeout(() => this.repeat(intervalMs, send), intervalMs * (0.5 + this.random.next()));
+  }
+
+  stopTraffic(): void {
+    this.#hasTraffic = false;
+  }
+
   /** Starts the process of an entry, also again after `kill`. It knows nothing of its earlier run. */
   startEntry(index: number): void {
     const name = `entry-${index}`;
