Answer every request that was passed on before a connection of its caller ends

Callers saw connections that ended without an answer to a request that a target ran, while the entry went on or stopped as planned:

- A request that was sent before the last answer had ended was passed on at once.
In a stop that answer carries `Connection: close`, and the request was dropped.
If the caller left, Node.js told only the answer that was being written, so the request stayed at its target and kept the stop waiting until the end of the grace period.
- Invalid bytes, or the late head of a next request, behind a request that was passed on: Node.js wrote 400 or 408 as the answer to that request, though it ran, and destroyed the connection.
- An early answer (413, 408, or 503 in a stop) to a caller that still sent its body: the connection was closed with unread bytes, which resets it, and the caller lost the answer.
- After a pause of the process the idle timeout, the timeout of a head and that of a body ran before the sockets were read, and closed connections whose requests had arrived.

The cause is one: Node.js and the entry close a connection by the state of the bytes that arrive, without regard to the requests on it. `CallerConnection` holds the requests of a connection in order. A request is passed on once the answers before it are complete; an answer announces the end of the connection only if no request has arrived behind it; errors and timeouts wait for the answers of complete requests; and the last answer is followed by the end of the sending side, after which the connection is read until its caller closes it, for 1 s at most. A stop waits for that too. Timeouts look at the sockets once more before they act.

A caller that ends its sending side still counts as gone: the end looks the same as that of a caller that left, and targets must not go on for those.

--- a/packages/callers/src/answer/HttpCallerAnswer.ts
+++ b/packages/callers/src/answer/HttpCallerAnswer.ts
@@ -10,14 +10,14 @@
 export class HttpCallerAnswer implements CallerAnswer {
   readonly #response: ServerResponse;
 
-  /** Whether the entry is leaving; the connection is then closed after the answer. */
-  readonly #isLeaving: () => boolean;
+  /** Whether the connection is closed after the answer, because the entry is leaving. */
+  readonly #isLast: () => boolean;
 
   #isEventStream = false;
 
-  constructor(response: ServerResponse, isLeaving: () => boolean) {
+  constructor(response: ServerResponse, isLast: () => boolean) {
     this.#response = response;
-    this.#isLeaving = isLeaving;
+    this.#isLast = isLast;
   }
 
   start(status: number, headers: readonly Header[]): void {
@@ -26,7 +26,7 @@
       rawHeaders.push(name, value);
       if (name.toLowerCase() === 'content-type') this.#isEventStream = /event-stream/.test(value);
     }
-    if (this.#isLeaving()) rawHeaders.push('Connection', 'close');
+    if (this.#isLast()) rawHeaders.push('Connection', 'close');
     this.#response.writeHead(status, rawHeaders);
   }
 
--- /dev/null
+++ b/packages/callers/src/connection/CallerConnections.ts
@@ -0,0 +1,41 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { CallerConnection } from './CallerConnection.js';
+
+/** The connections of a server for callers. */
+export class CallerConnections {
+  readonly #connections = new Map<Socket, CallerConnection>();
+
+  /** Handles the timeouts and errors of the connections of a server. */
+  constructor(server: Server) {
+    server.on('connection', (socket: Socket) => this.#getConnection(socket));
+    server.on('timeout', (socket) => this.#getConnection(socket).handleIdleTimeout());
+    server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      this.#getConnection(socket as Socket).handleError(error),
+    );
+  }
+
+  /** Adds a request whose head has arrived. @returns its connection */
+  addRequest(message: IncomingMessage, response: ServerResponse): CallerConnection {
+    const connection = this.#getConnection(message.socket);
+    connection.addRequest(message, response);
+    return connection;
+  }
+
+  /** Returns the number of connections whose last answer is written, but not yet read. */
+  countClosing(): number {
+    let count = 0;
+    for (const connection of this.#connections.values()) if (connection.isClosing()) count += 1;
+    return count;
+  }
+
+  #getConnection(socket: Socket): CallerConnection {
+    let connection = this.#connections.get(socket);
+    if (connection === undefined) {
+      connection = new CallerConnection(socket);
+      this.#connections.set(socket, connection);
+      socket.on('close', () => this.#connections.delete(socket));
+    }
+    return connection;
+  }
+}
--- a/packages/callers/src/direct/DirectAnswer.ts
+++ b/packages/callers/src/direct/DirectAnswer.ts
@@ -9,12 +9,12 @@
 export class DirectAnswer {
   readonly #response: ServerResponse;
 
-  /** Whether the entry is leaving; the connection is then closed after the answer. */
-  readonly #isLeaving: () => boolean;
+  /** Whether the connection is closed after the answer, because the entry is leaving. */
+  readonly #isLast: () => boolean;
 
-  constructor(response: ServerResponse, isLeaving: () => boolean) {
+  constructor(response: ServerResponse, isLast: () => boolean) {
     this.#response = response;
-    this.#isLeaving = isLeaving;
+    this.#isLast = isLast;
   }
 
   isStarted(): boolean {
@@ -24,7 +24,7 @@
   /** Sends status and headers. @param headers alternating names and values */
   start(status: number, headers: readonly string[]): void {
     const rawHeaders = [...headers];
-    if (this.#isLeaving()) rawHeaders.push('Connection', 'close');
+    if (this.#isLast()) rawHeaders.push('Connection', 'close');
     this.#response.writeHead(status, rawHeaders);
   }
 
@@ -55,7 +55,6 @@
 
   /** Answers a caller that has stopped sending with an error, and closes the connection. */
   failAndClose(failure: Failure): void {
-    this.#response.once('finish', () => this.#response.destroy());
     this.fail(failure, ['Connection', 'close']);
   }
 
--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -8,6 +8,8 @@
 } from '@limpetbay/core';
 import { receiveBody } from '@limpetbay/runtime';
 import { OpenAnswers } from '../answer/OpenAnswers.js';
+import type { CallerConnection } from '../connection/CallerConnection.js';
+import { CallerConnections } from '../connection/CallerConnections.js';
 import { DirectAnswer } from './DirectAnswer.js';
 import type { DirectHandler } from './DirectHandler.js';
 
@@ -51,6 +53,8 @@
 
   readonly #answers = new OpenAnswers();
 
+  readonly #connections: CallerConnections;
+
   /** Answers to requests whose bodies have not arrived completely. */
   readonly #incomplete = new Map<ServerResponse, DirectAnswer>();
 
@@ -66,10 +70,13 @@
         noDelay: true,
       },
       (message, response) => {
-        const answer = new DirectAnswer(response, () => this.#isDraining);
-        answerErrors(answer, () => this.#readRequest(message, response, answer));
+        const connection = this.#connections.addRequest(message, response);
+        const isLast = (): boolean => this.#isDraining && !connection.hasFollowing(response);
+        const answer = new DirectAnswer(response, isLast);
+        answerErrors(answer, () => this.#readRequest(message, response, answer, connection));
       },
     );
+    this.#connections = new CallerConnections(this.#server);
   }
 
   /** Starts to listen. @throws if the address cannot be used */
@@ -91,9 +98,9 @@
     this.#server.headersTimeout = headTimeoutMs;
   }
 
-  /** Returns the number of requests without a complete answer. */
+  /** Returns the number of requests without a complete answer, or one that may still be lost. */
   countRequests(): number {
-    return this.#answers.count();
+    return this.#answers.count() + this.#connections.countClosing();
   }
 
   /** Closes every connection after its next answer, so that callers open new ones elsewhere. */
@@ -118,7 +125,12 @@
     }
   }
 
-  #readRequest(message: IncomingMessage, response: ServerResponse, answer: DirectAnswer): void {
+  #readRequest(
+    message: IncomingMessage,
+    response: ServerResponse,
+    answer: DirectAnswer,
+    connection: CallerConnection,
+  ): void {
     if (!hasValidHeaderNames(message.rawHeaders)) {
       answer.failAndClose(fail('bad_request', 'a header name is not valid').val);
       return;
@@ -141,9 +153,16 @@
       body.clear();
       if (!response.writableFinished) cancel?.();
     });
-    const bodyTimer = setTimeout(() => {
-      if (!response.headersSent) answer.failAndClose(fail('request_too_slow', 'body timeout').val);
-    }, this.#server.keepAliveTimeout);
+    const failSlowBody = (): void => {
+      const { bytesRead } = message.socket;
+      // Timers run before sockets are read, so more of the body may have arrived.
+      setImmediate(() => {
+        if (message.complete || response.headersSent || response.destroyed) return;
+        if (message.socket.bytesRead !== bytesRead) bodyTimer.refresh();
+        else answer.failAndClose(fail('request_too_slow', 'body timeout').val);
+      });
+    };
+    const bodyTimer = setTimeout(failSlowBody, this.#server.keepAliveTimeout);
     message.on('close', () => clearTimeout(bodyTimer));
     receiveBody(message, (chunk) => {
       bodyTimer.refresh();
@@ -153,9 +172,11 @@
     message.on('end', () => {
       clearTimeout(bodyTimer);
       this.#incomplete.delete(response);
-      if (response.headersSent || response.destroyed) return;
-      answerErrors(answer, () => {
-        cancel = this.#options.handler.acceptRequest(head, body.take(), answer);
+      connection.runInTurn(response, () => {
+        if (response.headersSent || response.destroyed) return;
+        answerErrors(answer, () => {
+          cancel = this.#options.handler.acceptRequest(head, body.take(), answer);
+        });
       });
     });
   }
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -3,6 +3,8 @@
 export { OpenAnswers } from './answer/OpenAnswers.js';
 export { abortResponse } from './answer/abortResponse.js';
 export { toErrorBody } from './answer/toErrorBody.js';
+export { CallerConnection } from './connection/CallerConnection.js';
+export { CallerConnections } from './connection/CallerConnections.js';
 export { DirectAnswer } from './direct/DirectAnswer.js';
 export type { DirectHandler } from './direct/DirectHandler.js';
 export { DirectServer } from './direct/DirectServer.js';
--- a/packages/callers/src/server/startCallerServer.ts
+++ b/packages/callers/src/server/startCallerServer.ts
@@ -4,6 +4,7 @@
 import { HttpCallerAnswer } from '../answer/HttpCallerAnswer.js';
 import { OpenAnswers } from '../answer/OpenAnswers.js';
 import { abortResponse } from '../answer/abortResponse.js';
+import { CallerConnections } from '../connection/CallerConnections.js';
 import { parseRequest } from '../request/parseRequest.js';
 import type { CallerHandler } from './CallerHandler.js';
 import type { CallerServer } from './CallerServer.js';
@@ -31,13 +32,18 @@
   const incomplete = new Set<HttpCallerAnswer>();
   const server = createServer((request, response) => {
     answers.add(response);
-    const answer = new HttpCallerAnswer(response, () => handler.isLeaving());
+    const connection = connections.addRequest(request, response);
+    const isLast = (): boolean => handler.isLeaving() && !connection.hasFollowing(response);
+    const answer = new HttpCallerAnswer(response, isLast);
     if (serveEntryPath(handler, request, response, answer)) return;
     incomplete.add(answer);
     response.on('close', () => incomplete.delete(answer));
     const serveBody = (body: ReadRequest['body']): void => {
       incomplete.delete(answer);
-      if (!answer.isStarted()) serveRequest({ handler, options, request, response, answer, body });
+      connection.runInTurn(response, () => {
+        if (answer.isStarted() || response.destroyed) return;
+        serveRequest({ handler, options, request, response, answer, body });
+      });
     };
     void readBody(request, options.maxBodyBytes)
       .then(serveBody)
@@ -46,6 +52,7 @@
         throw error;
       });
   });
+  const connections = new CallerConnections(server);
   server.requestTimeout = options.writeTimeoutMs;
   server.on('connection', (socket) => {
     socket.setNoDelay(true);
@@ -57,7 +64,7 @@
   const { port } = server.address() as AddressInfo;
   return {
     url: `http://${options.host}:${port}`,
-    countAnswers: () => answers.count(),
+    countAnswers: () => answers.count() + connections.countClosing(),
     drain: () => {
       const failure = fail('leaving', 'this entry is stopping; use another one', 0).val;
       for (const answer of incomplete) answer.fail(failure);
