Log the start, the end and the memory of each process

Operators saw a process end and had nothing to tell why: no line named the status, the lines of a failed start could be cut by the exit when their reader was behind, and neither the memory nor its limits stood in the log or the metrics. A kill at the memory limit, an end at the heap limit and a kill by an operator looked the same.

Each process now begins with "process starting" and ends with "process ended", with the status and the cause, also for invalid settings, an invalid command line and ends of Node.js itself. The exit waits up to 200 ms until the reader took the last lines; lines of the process may use 64 KiB of the buffer beyond those of other parts. The memory is sampled each second and logged every 5 s, each second near a limit, and with a warning from 80 % of a limit on. The heap limit is that of the old generation: heap_size_limit of V8 is 48 MiB above it, so a warning at 80 % of that would come after the end with small limits.

The daemons of the product's own deployment share all of this.

--- a/packages/dev/src/main.ts
+++ b/packages/dev/src/main.ts
@@ -4,10 +4,12 @@
 import { DevFleet } from './fleet/DevFleet.js';
 import { defaultFleetOptions } from './fleet/defaultFleetOptions.js';
 
+const VERSION = '0.1.0';
+
 const cli = command({
   name: 'limpetbay-dev',
   description: 'run a complete deployment with simulated engines and platform in one process',
-  version: '0.1.0',
+  version: VERSION,
   args: {
     port: option({
       type: number,
@@ -27,6 +29,12 @@
     const logLevel = quiet ? 'silent' : 'info';
     const fleet = new DevFleet({ ...defaultFleetOptions, port, logLevel });
     await runProcess({
+      program: {
+        role: 'limpetbay-dev',
+        version: VERSION,
+        settingsFile: null,
+        memoryLimitBytes: null,
+      },
       log: createLog('process', { format: 'text', level: logLevel }),
       metrics: new MetricRegistry(),
       reloader: null,
--- a/packages/runtime/src/log/createLog.ts
+++ b/packages/runtime/src/log/createLog.ts
@@ -17,6 +17,11 @@
   readonly stream?: Writable;
   /** Clock of the rate limit; `RealClock` by default. */
   readonly clock?: Clock;
+  /**
+   * Whether lines may use a reserve of the buffer that the other lines leave, for those that tell
+   * why a process ends; false by default.
+   */
+  readonly mayUseReserve?: boolean;
   /** Called for each line that is dropped. */
   readonly onDrop?: () => void;
 }
@@ -24,6 +29,9 @@
 /** Lines are dropped while more than this is buffered in the stream, bytes. */
 const MAX_BUFFERED_BYTES = 262_144;
 
+/** Bytes that are buffered in addition for lines that may use the reserve. */
+const RESERVE_BYTES = 65_536;
+
 /** Longer string values are truncated, characters. */
 const MAX_VALUE_LENGTH = 400;
 
@@ -40,6 +48,8 @@
 export function createLog(prefix: string, options: LogOptions): Log {
   const stream = options.stream ?? process.stderr;
   const limiter = new LogLimiter(options.clock ?? new RealClock());
+  const maxBufferedBytes =
+    MAX_BUFFERED_BYTES + (options.mayUseReserve === true ? RESERVE_BYTES : 0);
   const writeLine = (time: Date, level: string, sentence: string, fields?: Fields): void => {
     const timestamp = time.toISOString();
     const line =
@@ -55,7 +65,7 @@
         log: (entry) => {
           const [sentence, fields] = entry.args as [string, Fields | undefined];
           const kind = entry.type === 'info' ? 'routine' : 'failure';
-          if (stream.writableLength > MAX_BUFFERED_BYTES || !limiter.take(kind)) {
+          if (stream.writableLength > maxBufferedBytes || !limiter.take(kind)) {
             limiter.recordDrop();
             options.onDrop?.();
             return;
--- a/packages/runtime/src/metrics/MetricRegistry.ts
+++ b/packages/runtime/src/metrics/MetricRegistry.ts
@@ -41,6 +41,13 @@
     histogram.recordValue(Math.max(0, Math.round(value)));
   }
 
+  /** Reads the gauges whose names begin with a prefix. */
+  readGauges(prefix: string): Record<string, number> {
+    const values: Record<string, number> = {};
+    for (const [name, read] of this.#gauges) if (name.startsWith(prefix)) values[name] = read();
+    return values;
+  }
+
   /** Lists the counters with their labels and values. */
   listCounters(): [string, number][] {
     return [...this.#counters];
--- a/packages/runtime/src/process/ProcessSupervisor.ts
+++ b/packages/runtime/src/process/ProcessSupervisor.ts
@@ -10,8 +10,8 @@
   readonly metrics: MetricRegistry;
   /** Emits signals and uncaught errors; the global `process` outside of tests. */
   readonly events: EventEmitter;
-  /** Ends the process with a status. */
-  readonly exit: (status: number) => void;
+  /** Logs the cause and ends the process with a status, perhaps a moment later. */
+  readonly exit: (status: number, cause: string) => Promise<void>;
   /** Null for a program without a settings file. */
   readonly reloader: SettingsReloader<Settings> | null;
 }
@@ -34,6 +34,8 @@
 
   #isStopRequested = false;
 
+  #stopSignal = '';
+
   #running: SupervisedProcess<Settings> | null = null;
 
   constructor(options: ProcessSupervisorOptions<Settings>) {
@@ -52,8 +54,9 @@
     try {
       running = await start();
     } catch (error) {
-      this.#options.log.alert('could not start', { cause: describeError(error) });
-      this.#options.exit(FAILURE_EXIT_STATUS);
+      const cause = describeError(error);
+      this.#options.log.alert('could not start', { cause });
+      await this.#options.exit(FAILURE_EXIT_STATUS, `could not start: ${cause}`);
       return;
     }
     this.#running = running;
@@ -79,6 +82,7 @@
       return;
     }
     this.#isStopRequested = true;
+    this.#stopSignal = signal;
     log.report('signal received; stopping', { signal, state: this.#state });
     if (this.#state === 'running') void this.#stop();
   }
@@ -89,22 +93,27 @@
     try {
       await this.#running?.stop();
     } catch (error) {
-      this.#options.log.alert('graceful stop failed', { cause: describeError(error) });
-      this.#options.exit(FAILURE_EXIT_STATUS);
+      const cause = describeError(error);
+      this.#options.log.alert('graceful stop failed', { cause });
+      const end = `graceful stop after ${this.#stopSignal} failed: ${cause}`;
+      await this.#options.exit(FAILURE_EXIT_STATUS, end);
       return;
     }
-    this.#options.exit(0);
+    await this.#options.exit(0, `graceful stop after ${this.#stopSignal} finished`);
   }
 
   #handleError(error: unknown, kind: 'exception' | 'rejection'): void {
     const { log, metrics, exit } = this.#options;
     metrics.increase(`limpetbay_uncaught_errors_total{kind="${kind}"}`);
+    const cause = describeError(error);
     const isStarting = this.#state === 'starting';
     log.alert(isStarting ? 'uncaught error during the start' : 'uncaught error; continuing', {
       kind,
-      cause: describeError(error),
+      cause,
     });
-    if (isStarting) exit(FAILURE_EXIT_STATUS);
+    if (isStarting) {
+      void exit(FAILURE_EXIT_STATUS, `uncaught ${kind} during the start: ${cause}`);
+    }
   }
 }
 
--- a/packages/runtime/src/process/runDaemon.ts
+++ b/packages/runtime/src/process/runDaemon.ts
@@ -1,7 +1,8 @@
-import { command, flag, option, optional, run, string } from 'cmd-ts';
+import { command, flag, option, optional, string } from 'cmd-ts';
 import type { Clock, RandomSource } from '@limpetbay/core';
 import { RealClock } from '../clock/RealClock.js';
 import { SystemRandom } from '../clock/SystemRandom.js';
+import type { Log } from '../log/Log.js';
 import { createLog } from '../log/createLog.js';
 import { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { LogSettings } from '../settings/LogSettings.js';
@@ -9,12 +10,11 @@
 import { SettingsReloader } from '../settings/SettingsReloader.js';
 import { readSettings } from '../settings/readSettings.js';
 import type { SupervisedProcess } from './SupervisedProcess.js';
+import { refuseSettings } from './refuseSettings.js';
+import { runCommandLine } from './runCommandLine.js';
 import { runProcess } from './runProcess.js';
 
 const VERSION = '0.1.0';
-/** Exit status for missing or invalid settings. */
-const USAGE_EXIT_STATUS = 2;
-
 interface DaemonOptions<Settings> {
   /** Name of the binary, printed in its usage text and errors. */
   readonly name: string;
@@ -33,6 +33,10 @@
   options: DaemonOptions<Settings>,
 ): Promise<void> {
   const { name, description, format, start } = options;
+  const createProcessLog = (log: LogSettings): Log =>
+    createLog('process', { ...log, mayUseReserve: true });
+  // Without valid settings, the log has the format of their defaults.
+  const createDefaultLog = (): Log => createProcessLog({ format: 'text', level: 'info' });
   const cli = command({
     name,
     description,
@@ -47,22 +51,26 @@
     },
     handler: async ({ settings: file, check }) => {
       if (file === undefined) {
-        process.stderr.write(`${name}: the option --settings FILE is required\n`);
-        process.exit(USAGE_EXIT_STATUS);
+        await refuseSettings(
+          `${name}: the option --settings FILE is required`,
+          check ? null : createDefaultLog(),
+        );
+        return;
       }
       const loaded = readSettings(file, format);
       if (loaded.err) {
-        process.stderr.write(`${loaded.val.message}\n`);
-        process.exit(USAGE_EXIT_STATUS);
+        await refuseSettings(loaded.val.message, check ? null : createDefaultLog());
+        return;
       }
       if (check) {
         process.stdout.write(`${file}: settings are valid\n`);
         return;
       }
       const initial = loaded.val;
-      const log = createLog('process', initial.settings.log);
+      const log = createProcessLog(initial.settings.log);
       const metrics = new MetricRegistry();
       await runProcess({
+        program: { role: name, version: VERSION, settingsFile: file, memoryLimitBytes: null },
         log,
         metrics,
         reloader: new SettingsReloader({ file, format, initial, log, metrics }),
@@ -70,5 +78,5 @@
       });
     },
   });
-  await run(cli, process.argv.slice(2));
+  await runCommandLine(cli, createDefaultLog);
 }
--- a/packages/runtime/test/runProcess.test.ts
+++ b/packages/runtime/test/runProcess.test.ts
@@ -25,6 +25,7 @@
         applySettings: () => {},
       };
       await runProcess({
+        program: { role: 'test', version: '1', settingsFile: null, memoryLimitBytes: null },
         log, metrics, reloader: null,
         start: async () => { ${startBody}; return running; },
       });
