Bind each address of a program by itself, and again until it is free

Operators saw a program end with status 1 (`could not start`, EADDRINUSE) where another process held one of its addresses for a moment at its start; a busy metrics, directory or datagram port alone took an entry out of service.

Cause: a start bound all addresses in sequence, once, and ended at the first failure. A stop signal waited for the end of the start.

`AddressBinder` tries an address again on errors that may pass (EADDRINUSE, EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS, ENOMEM), independently of the others, with a line at once and then every 5 s, and a counter. An entry is ready and registered only once its caller port is bound, drops datagrams until they can be exchanged, and stops at once if no caller could connect. Other errors end the start as before. Errors of a listening server are logged; the second one used to reach the handler of uncaught errors. The daemons of the etcd deployment wait for their addresses in the same way; a stop signal aborts their start.

--- a/packages/agent/src/process/startAgent.ts
+++ b/packages/agent/src/process/startAgent.ts
@@ -10,9 +10,11 @@
   dispatchService,
   groupService,
   openServer,
+  type RunningServer,
 } from '@limpetbay/rpc';
 import {
   MetricRegistry,
+  createAddressBinder,
   createLog,
   startMetricsServer,
   waitUntil,
@@ -27,12 +29,18 @@
 /** Maximum wait for writing the last outcomes to the store before the agent stops. */
 const MAX_FLUSH_MS = 2000;
 
-/** Starts an agent from its settings. */
+/**
+ * Starts an agent from its settings. An address that is in use is tried again until it is bound.
+ *
+ * @param signal aborts the wait for the address
+ * @throws if it cannot listen on one of its addresses, or the wait was aborted
+ */
 export async function startAgent(
   settings: AgentSettings,
   clock: Clock,
   random: RandomSource,
   metrics = new MetricRegistry(),
+  signal: AbortSignal = new AbortController().signal,
 ): Promise<RunningProcess & SupervisedProcess<AgentSettings>> {
   const { agent: identity, platform } = settings;
   let { timing } = settings;
@@ -40,7 +48,16 @@
   const log = createLog(`agent ${identity.id}`, logOptions);
   const store = new EtcdStore({ address: platform.store, clock });
   const instanceList = new InstanceListClient({ url: platform.instances });
-  const server = await openServer(identity.address);
+  const binder = createAddressBinder(clock, log, metrics);
+  signal.addEventListener('abort', () => binder.close());
+  let server!: RunningServer;
+  await binder.bindAndWait({
+    name: 'peers',
+    address: identity.address,
+    bind: async () => {
+      server = await openServer(identity.address);
+    },
+  });
   const config = new ConfigService({
     store,
     instanceList,
@@ -112,6 +129,7 @@
     identity.metrics_port === 0
       ? null
       : await startMetricsServer(
+          binder,
           identity.address.slice(0, identity.address.lastIndexOf(':')),
           identity.metrics_port,
           metrics,
@@ -120,6 +138,7 @@
   config.start();
   log.report('started', { address: server.address, target: identity.target, zone: identity.zone });
   const close = (): void => {
+    binder.close();
     metricsServer?.close();
     groupRunner?.stop();
     agent.stop();
--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -6,7 +6,7 @@
   type BodyBudget,
   type RequestHead,
 } from '@limpetbay/core';
-import { receiveBody } from '@limpetbay/runtime';
+import { bindServer, receiveBody } from '@limpetbay/runtime';
 import { OpenAnswers } from '../answer/OpenAnswers.js';
 import { DirectAnswer } from './DirectAnswer.js';
 import type { DirectHandler } from './DirectHandler.js';
@@ -72,12 +72,14 @@
     );
   }
 
-  /** Starts to listen. @throws if the address cannot be used */
-  async start(): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(this.#options.port, this.#options.host, resolve);
-    });
+  /**
+   * Tries once to listen; may be called again if the address cannot be used.
+   *
+   * @param onError called for errors of the server while it listens
+   * @throws if the address cannot be used
+   */
+  bind(onError: (error: Error) => void): Promise<void> {
+    return bindServer(this.#server, this.#options.host, this.#options.port, onError);
   }
 
   /**
--- a/packages/callers/src/server/startCallerServer.ts
+++ b/packages/callers/src/server/startCallerServer.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { fail, type Failure, type Result } from '@limpetbay/core';
+import { bindServer } from '@limpetbay/runtime';
 import { HttpCallerAnswer } from '../answer/HttpCallerAnswer.js';
 import { OpenAnswers } from '../answer/OpenAnswers.js';
 import { abortResponse } from '../answer/abortResponse.js';
@@ -20,6 +21,8 @@
    * closed, and maximum time to receive a request, milliseconds.
    */
   readonly writeTimeoutMs: number;
+  /** Called for errors of the server while it listens. */
+  readonly onError?: (error: Error) => void;
 }
 
 /** Starts the HTTP server for callers. @throws if the address cannot be used */
@@ -50,10 +53,7 @@
   server.on('connection', (socket) => {
     socket.setNoDelay(true);
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(options.port, options.host, resolve);
-  });
+  await bindServer(server, options.host, options.port, options.onError ?? (() => {}));
   const { port } = server.address() as AddressInfo;
   return {
     url: `http://${options.host}:${port}`,
--- a/packages/callers/test/failingHandler.test.ts
+++ b/packages/callers/test/failingHandler.test.ts
@@ -63,7 +63,7 @@
       bodyBudget: new BodyBudget(1000),
     });
     server = direct;
-    await direct.start();
+    await direct.bind(() => {});
     expect(await call(`http://127.0.0.1:${PORT}`, '/')).toBe(500);
     await sleep(50);
     expect(direct.countRequests()).toBe(0);
--- a/packages/entry/src/process/startEntry.ts
+++ b/packages/entry/src/process/startEntry.ts
@@ -6,10 +6,10 @@
   type Clock,
   type RandomSource,
 } from '@limpetbay/core';
-import { startCallerServer } from '@limpetbay/callers';
+import { startCallerServer, type CallerServer } from '@limpetbay/callers';
 import { EtcdStore, InstanceListClient } from '@limpetbay/platform';
-import { ConfigService, createConfigSource, openServer } from '@limpetbay/rpc';
-import { MetricRegistry, createLog, waitUntil } from '@limpetbay/runtime';
+import { ConfigService, createConfigSource, openServer, type RunningServer } from '@limpetbay/rpc';
+import { MetricRegistry, createAddressBinder, createLog, waitUntil } from '@limpetbay/runtime';
 import { ConnectionPool } from '../connections/ConnectionPool.js';
 import { Entry } from '../loop/Entry.js';
 import type { EntrySettings } from '../settings/EntrySettings.js';
@@ -20,22 +20,33 @@
 const ADDRESS_EXPIRY_MARGIN_MS = 1000;
 
 /**
- * Starts an entry.
+ * Starts an entry. An address that is in use is tried again until it is bound.
  *
- * @throws if it cannot listen on one of its addresses
+ * @param signal aborts the wait for the addresses
+ * @throws if it cannot listen on one of its addresses, or the wait was aborted
  */
 export async function startEntry(
   settings: EntrySettings,
   clock: Clock,
   random: RandomSource,
   metrics = new MetricRegistry(),
+  signal: AbortSignal = new AbortController().signal,
 ): Promise<RunningEntry> {
   const { entry: entrySettings, platform } = settings;
   let { timing } = settings;
   const log = createLog(`entry ${entrySettings.id}`, settings.log);
   const store = new EtcdStore({ address: platform.store, clock });
   const instanceList = new InstanceListClient({ url: platform.instances });
-  const server = await openServer(entrySettings.address);
+  const binder = createAddressBinder(clock, log, metrics);
+  signal.addEventListener('abort', () => binder.close());
+  let server!: RunningServer;
+  await binder.bindAndWait({
+    name: 'peers',
+    address: entrySettings.address,
+    bind: async () => {
+      server = await openServer(entrySettings.address);
+    },
+  });
   const config = new ConfigService({
     store,
     instanceList,
@@ -71,11 +82,19 @@
       addressTtlMs: timing.address_ttl_ms,
     },
   });
-  const callers = await startCallerServer(entry, {
-    host: entrySettings.caller_host,
-    port: entrySettings.caller_port,
-    maxBodyBytes: entrySettings.max_body_bytes,
-    writeTimeoutMs: timing.write_timeout_ms,
+  let callers!: CallerServer;
+  await binder.bindAndWait({
+    name: 'callers',
+    address: `${entrySettings.caller_host}:${entrySettings.caller_port}`,
+    bind: async (onError) => {
+      callers = await startCallerServer(entry, {
+        host: entrySettings.caller_host,
+        port: entrySettings.caller_port,
+        maxBodyBytes: entrySettings.max_body_bytes,
+        writeTimeoutMs: timing.write_timeout_ms,
+        onError,
+      });
+    },
   });
   const callerUrl = resolveCallerUrl(entrySettings.caller_url, callers.url);
   entry.setCallerUrl(callerUrl);
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -85,6 +85,8 @@
 
   #isRegistered = false;
 
+  #isAccepting = true;
+
   #isStopping = false;
 
   #lastSubscribeMs = -Infinity;
@@ -231,9 +233,14 @@
     this.#advanceQueue();
   }
 
+  /** Sets whether callers can connect; until then the entry is not ready. */
+  setAccepting(isAccepting: boolean): void {
+    this.#isAccepting = isAccepting;
+  }
+
   /** Returns whether this entry can serve callers. */
   isReady(): boolean {
-    return this.#view.isComplete() && !this.#isStopping;
+    return this.#isAccepting && this.#view.isComplete() && !this.#isStopping;
   }
 
   getTable(): RouteTable | null {
--- a/packages/gateway/src/process/EntryCoreOptions.ts
+++ b/packages/gateway/src/process/EntryCoreOptions.ts
@@ -3,7 +3,7 @@
 import type { GatewayOptions } from './GatewayOptions.js';
 
 /** Dependencies and settings of an `EntryCore`. */
-export interface EntryCoreOptions extends GatewayOptions {
+export interface EntryCoreOptions extends Omit<GatewayOptions, 'binder'> {
   readonly network: EntryNetwork;
   /** Limits the memory of all bodies that are being received. */
   readonly bodyBudget: BodyBudget;
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -42,6 +42,8 @@
 
   readonly #socket: PeerSocket;
 
+  #isAccepting = false;
+
   #lastRequestMs = 0;
 
   /** Until when callers may keep an address that they were told under earlier limits. */
@@ -80,11 +82,31 @@
     });
   }
 
+  /**
+   * Starts to follow the store and to bind the addresses. The entry is ready only once callers can
+   * connect; it works without datagrams until they can be exchanged.
+   *
+   * @throws the error of a bind if it is not expected to pass
+   */
   async start(): Promise<void> {
-    await this.#server.start();
-    await this.#socket.start();
+    const { binder, self } = this.#options;
+    this.#core.setAccepting(false);
+    await binder.bind({
+      name: 'callers',
+      address: self.callerAddress,
+      bind: (onError) => this.#server.bind(onError),
+      onBound: () => {
+        this.#isAccepting = true;
+        this.#core.setAccepting(true);
+        this.#log.report('started', { address: self.callerAddress });
+      },
+    });
+    await binder.bind({
+      name: 'datagrams',
+      address: self.peerAddress,
+      bind: () => this.#socket.bind(),
+    });
     this.#core.start();
-    this.#log.report('started', { address: this.#options.self.callerAddress });
   }
 
   /** Changes the limits of the deployment; a stop in progress keeps those with which it began. */
@@ -112,16 +134,21 @@
 
   /**
    * Stops gracefully: withdraws the registration at once, but serves open and new requests until
-   * no more arrive or the grace period ends.
+   * no more arrive or the grace period ends. An entry to which no caller could connect stops at once.
    */
   async stop(): Promise<void> {
     const startMs = this.#options.clock.getNow();
+    this.#options.binder.close();
     this.#lastRequestMs = startMs;
     this.#server.drain();
     this.#log.report('stopping', { requests: this.#server.countRequests() });
     const forcedEndMs = startMs + this.#limits.graceMs;
     const answerDeadlineMs = forcedEndMs - ANSWER_MARGIN_MS;
     this.#core.beginStop(answerDeadlineMs);
+    if (!this.#isAccepting) {
+      this.#close();
+      return;
+    }
     const addressExpiryMs = Math.max(startMs + this.#limits.addressTtlMs, this.#earlierExpiryMs);
     await this.#waitUntil(forcedEndMs - CLOSE_MARGIN_MS, (nowMs) => {
       const hasNoNewRequests = nowMs - this.#lastRequestMs > NO_REQUESTS_MS;
@@ -131,6 +158,10 @@
     await this.#waitUntil(answerDeadlineMs, () => this.#server.countRequests() === 0);
     this.#server.refuseIncompleteRequests();
     await this.#waitUntil(forcedEndMs - DRAIN_MARGIN_MS, () => this.#server.countRequests() === 0);
+    this.#close();
+  }
+
+  #close(): void {
     this.#core.close();
     this.#socket.close();
     this.#log.report('stopped', { requests: this.#server.countRequests() });
--- a/packages/gateway/src/process/GatewayOptions.ts
+++ b/packages/gateway/src/process/GatewayOptions.ts
@@ -1,5 +1,5 @@
 import type { Clock, EntryRecord, RandomSource, Store } from '@limpetbay/core';
-import type { Log, MetricRegistry } from '@limpetbay/runtime';
+import type { AddressBinder, Log, MetricRegistry } from '@limpetbay/runtime';
 import type { RecordLayout } from '../feed/RecordLayout.js';
 import type { Timers } from '../ports/Timers.js';
 import type { WireCodec } from '../ports/WireCodec.js';
@@ -10,6 +10,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly timers: Timers;
+  readonly binder: AddressBinder;
   readonly store: Store;
   readonly codec: WireCodec;
   readonly layout: RecordLayout;
--- a/packages/rankagent/src/network/AgentServer.ts
+++ b/packages/rankagent/src/network/AgentServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { BodyBuffer, decodeJson } from '@limpetbay/core';
-import { receiveBody } from '@limpetbay/runtime';
+import { bindServer, receiveBody } from '@limpetbay/runtime';
 import type { AgentCalls } from '../ports/AgentCalls.js';
 import { OrderRequest } from '../ports/OrderRequest.js';
 
@@ -35,11 +35,14 @@
     });
   }
 
-  async start(): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(this.#options.port, this.#options.host, resolve);
-    });
+  /**
+   * Tries once to listen; may be called again if the address cannot be used.
+   *
+   * @param onError called for errors of the server while it listens
+   * @throws if the address cannot be used
+   */
+  bind(onError: (error: Error) => void): Promise<void> {
+    return bindServer(this.#server, this.#options.host, this.#options.port, onError);
   }
 
   close(): void {
--- a/packages/rankagent/src/network/SocketNetwork.ts
+++ b/packages/rankagent/src/network/SocketNetwork.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
+import type { AddressBinder } from '@limpetbay/runtime';
 import type { AgentCalls } from '../ports/AgentCalls.js';
 import type { PeerNetwork } from '../ports/PeerNetwork.js';
 import type { PeerTransport } from '../ports/PeerTransport.js';
@@ -10,6 +11,7 @@
 
 interface SocketNetworkOptions {
   readonly clock: Clock;
+  readonly binder: AddressBinder;
   /** Address and port of this agent, for datagrams and for calls. */
   readonly host: string;
   readonly port: number;
@@ -24,14 +26,28 @@
   }
 
   openTransport(events: PeerTransportEvents): PeerTransport {
-    const { host, port } = this.#options;
-    return new PeerSocket({ host, port, ...events });
+    const { host, port, binder } = this.#options;
+    const socket = new PeerSocket({ host, port, ...events });
+    return {
+      start: () =>
+        binder.bind({
+          name: 'datagrams',
+          address: `${host}:${port}`,
+          bind: () => socket.bind(),
+        }),
+      send: (message, addresses) => socket.send(message, addresses),
+      close: () => socket.close(),
+    };
   }
 
   async serve(calls: AgentCalls): Promise<() => void> {
-    const { host, port } = this.#options;
+    const { host, port, binder } = this.#options;
     const server = new AgentServer({ host, port, calls });
-    await server.start();
+    await binder.bind({
+      name: 'agents',
+      address: `${host}:${port}`,
+      bind: (onError) => server.bind(onError),
+    });
     return () => server.close();
   }
 
--- a/packages/rankagent/test/RankAgent.test.ts
+++ b/packages/rankagent/test/RankAgent.test.ts
@@ -8,7 +8,7 @@
   type RankOrder,
   type RankStatus,
 } from '@limpetbay/core';
-import { MetricRegistry, RealClock, type Log } from '@limpetbay/runtime';
+import { MetricRegistry, RealClock, createAddressBinder, type Log } from '@limpetbay/runtime';
 import { PeerSocket, decodeLoads } from '@limpetbay/rpc';
 import { SimGroup } from '@limpetbay/standins';
 import { RankAgent, SocketNetwork, type RankAgentOptions, type RankControl } from '../src/index.js';
@@ -180,7 +180,12 @@
       clock: new RealClock(),
       metrics: new MetricRegistry(),
       createLog: () => createTestLog(warnings),
-      network: new SocketNetwork({ clock: new RealClock(), host: getHost(rank), port: PEER_PORT }),
+      network: new SocketNetwork({
+        clock: new RealClock(),
+        binder: createAddressBinder(new RealClock(), NOOP_LOG, new MetricRegistry()),
+        host: getHost(rank),
+        port: PEER_PORT,
+      }),
       peerPort: PEER_PORT,
       linkBitsPerSecond: 100_000_000,
       rankAddress: addresses[rank] ?? '',
@@ -289,7 +294,7 @@
       onInvalid: () => {},
       onError: () => {},
     });
-    await subscriber.start();
+    await subscriber.bind();
     const agentAddresses = [0, 1, 2, 3].map((rank) => `${getHost(rank)}:${PEER_PORT}`);
     const startMs = performance.now();
     subscriber.send({ kind: 'subscribe' }, agentAddresses);
--- a/packages/rpc/src/datagram/PeerSocket.ts
+++ b/packages/rpc/src/datagram/PeerSocket.ts
@@ -25,6 +25,9 @@
 
   readonly #socket: Socket;
 
+  /** Whether messages can be exchanged; a socket that sends before it is bound gets another port. */
+  #isBound = false;
+
   #isClosed = false;
 
   constructor(options: PeerSocketOptions) {
@@ -33,25 +36,35 @@
     this.#socket.on('message', (data, { address, port }) =>
       this.#handleDatagram(data, `${address}:${port}`),
     );
-    this.#socket.on('error', (error) => options.onError(error.message));
+    this.#socket.on('error', (error) => {
+      if (this.#isBound) options.onError(error.message);
+    });
   }
 
-  /** Binds the socket; rejects if the address is in use. */
-  async start(): Promise<void> {
+  /**
+   * Tries once to bind the socket; may be called again if the address cannot be used.
+   *
+   * @throws if the address cannot be used
+   */
+  async bind(): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.#socket.once('error', reject);
-      this.#socket.bind(this.#options.port, this.#options.host, resolve);
+      this.#socket.bind(this.#options.port, this.#options.host, () => {
+        this.#socket.off('error', reject);
+        this.#isBound = true;
+        resolve();
+      });
     });
   }
 
   /**
-   * Sends a message without confirmation of delivery.
+   * Sends a message without confirmation of delivery. Until the socket is bound, it is dropped.
    *
    * @param addresses `IP:PORT` of the receivers
    */
   send(message: PeerMessage, addresses: Iterable<string>): void {
     // Handlers that finish after the process stopped may still send; their messages are dropped.
-    if (this.#isClosed) return;
+    if (this.#isClosed || !this.#isBound) return;
     const data = Buffer.from(encodePeerMessage(message));
     for (const address of addresses) {
       const parsed = parseAddress(address);
--- a/packages/rpc/test/PeerSocket.test.ts
+++ b/packages/rpc/test/PeerSocket.test.ts
@@ -14,18 +14,18 @@
 }
 
 describe('PeerSocket', () => {
-  it('rejects start on a port that is in use instead of waiting forever', async () => {
+  it('rejects a bind to a port that is in use instead of waiting forever', async () => {
     const port = 40_000 + (process.pid % 20_000);
     const first = createSocket(port);
-    await first.start();
+    await first.bind();
     const second = createSocket(port);
-    await expect(second.start()).rejects.toThrow(/EADDRINUSE/);
+    await expect(second.bind()).rejects.toThrow(/EADDRINUSE/);
     first.close();
   });
 
   it('drops messages sent after close instead of throwing', async () => {
     const socket = createSocket(0);
-    await socket.start();
+    await socket.bind();
     socket.close();
     expect(() => socket.send({ kind: 'subscribe' }, ['127.0.0.1:9'])).not.toThrow();
   });
@@ -46,7 +46,7 @@
         onInvalid: (address, cause) => invalid.push([address, cause]),
         onError: () => {},
       });
-      await sender.start();
+      await sender.bind();
       const arrival = once(receiver, 'message');
       sender.send({ kind: 'subscribe' }, [odd, `127.0.0.1:${receiver.address().port}`]);
       const [data] = (await arrival) as [Buffer];
--- a/packages/rpc/test/oddMessages.test.ts
+++ b/packages/rpc/test/oddMessages.test.ts
@@ -141,7 +141,7 @@
       onInvalid: (address, cause) => invalid.push([address, cause]),
       onError: (cause) => errors.push(cause),
     });
-    await receiver.start();
+    await receiver.bind();
     const sender = createSocket('udp4');
     await new Promise<void>((resolve) => {
       sender.bind(0, '127.0.0.1', resolve);
--- a/packages/runtime/src/metrics/startMetricsServer.ts
+++ b/packages/runtime/src/metrics/startMetricsServer.ts
@@ -1,22 +1,23 @@
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressBinder } from '../network/AddressBinder.js';
+import { bindServer } from '../network/bindServer.js';
 import type { MetricRegistry } from './MetricRegistry.js';
 
 interface MetricsServer {
-  readonly port: number;
   close(): void;
 }
 
 /**
  * Starts an HTTP server for `GET /metrics` and `GET /healthz`, for processes that have no other HTTP
- * server.
+ * server. An address that is in use is tried again in the background.
  *
  * @param port port to listen on; 0 selects a free port
  * @param describeHealth returns whether the process accepts new work (status 200, else 503), and the
  *   JSON body of `/healthz`
- * @throws the error of the bind, such as an address in use
+ * @throws the error of the bind if it is not expected to pass
  */
 export async function startMetricsServer(
+  binder: AddressBinder,
   host: string,
   port: number,
   metrics: MetricRegistry,
@@ -34,12 +35,12 @@
       response.writeHead(404).end();
     }
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
+  await binder.bind({
+    name: 'metrics',
+    address: `${host}:${port}`,
+    bind: (onError) => bindServer(server, host, port, onError),
   });
   return {
-    port: (server.address() as AddressInfo).port,
     close: () => {
       server.close();
       server.closeAllConnections();
--- a/packages/runtime/src/process/ProcessSupervisor.ts
+++ b/packages/runtime/src/process/ProcessSupervisor.ts
@@ -21,8 +21,8 @@
 /**
  * Decides for a program what each signal does, and keeps it running after an uncaught error.
  *
- * - A stop signal stops it gracefully, after its start if that is still in progress; the process
- *   then ends with status 0.
+ * - A stop signal aborts the start, or stops the program gracefully after it; the process then ends
+ *   with status 0.
  * - SIGHUP reads the settings again. It changes nothing during the start or a stop.
  * - An error that reached no handler is logged and counted. The requests that it does not concern
  *   go on; before the program has started, it ends the process with status 1.
@@ -32,6 +32,8 @@
 
   #state: 'starting' | 'running' | 'stopping' = 'starting';
 
+  readonly #startAbort = new AbortController();
+
   #isStopRequested = false;
 
   #running: SupervisedProcess<Settings> | null = null;
@@ -41,7 +43,7 @@
   }
 
   /** Handles signals and uncaught errors from now on, and starts the program. */
-  async run(start: () => Promise<SupervisedProcess<Settings>>): Promise<void> {
+  async run(start: (signal: AbortSignal) => Promise<SupervisedProcess<Settings>>): Promise<void> {
     const { events, reloader } = this.#options;
     for (const signal of Object.keys(signalActions)) {
       events.on(signal, () => this.#handleSignal(signal as NodeJS.Signals));
@@ -50,8 +52,13 @@
     events.on('unhandledRejection', (error: unknown) => this.#handleError(error, 'rejection'));
     let running: SupervisedProcess<Settings>;
     try {
-      running = await start();
+      running = await start(this.#startAbort.signal);
     } catch (error) {
+      if (this.#isStopRequested) {
+        this.#options.log.report('stopped during the start', { cause: (error as Error).message });
+        this.#options.exit(0);
+        return;
+      }
       this.#options.log.alert('could not start', { cause: describeError(error) });
       this.#options.exit(FAILURE_EXIT_STATUS);
       return;
@@ -81,6 +88,7 @@
     this.#isStopRequested = true;
     log.report('signal received; stopping', { signal, state: this.#state });
     if (this.#state === 'running') void this.#stop();
+    else this.#startAbort.abort();
   }
 
   async #stop(): Promise<void> {
--- a/packages/runtime/src/process/runDaemon.ts
+++ b/packages/runtime/src/process/runDaemon.ts
@@ -25,6 +25,7 @@
     clock: Clock,
     random: RandomSource,
     metrics: MetricRegistry,
+    signal: AbortSignal,
   ) => Promise<SupervisedProcess<Settings>>;
 }
 
@@ -66,7 +67,8 @@
         log,
         metrics,
         reloader: new SettingsReloader({ file, format, initial, log, metrics }),
-        start: () => start(initial.settings, new RealClock(), new SystemRandom(), metrics),
+        start: (signal) =>
+          start(initial.settings, new RealClock(), new SystemRandom(), metrics, signal),
       });
     },
   });
--- a/packages/runtime/src/process/runProcess.ts
+++ b/packages/runtime/src/process/runProcess.ts
@@ -9,7 +9,8 @@
   readonly metrics: MetricRegistry;
   /** Null for a program without a settings file. */
   readonly reloader: SettingsReloader<Settings> | null;
-  readonly start: () => Promise<SupervisedProcess<Settings>>;
+  /** @param signal aborts the start: a stop signal arrived during it */
+  readonly start: (signal: AbortSignal) => Promise<SupervisedProcess<Settings>>;
 }
 
 /** Starts the program of this process under a `ProcessSupervisor`. */
--- a/packages/runtime/test/runProcess.test.ts
+++ b/packages/runtime/test/runProcess.test.ts
@@ -26,7 +26,7 @@
       };
       await runProcess({
         log, metrics, reloader: null,
-        start: async () => { ${startBody}; return running; },
+        start: async (signal) => { ${startBody}; return running; },
       });
       log.report('serving');`;
     output = '';
@@ -79,6 +79,17 @@
     expect(output).toContain(sentence);
   });
 
+  // Guards against a stop that waits for an address that another process holds.
+  it('stops at once during a start that can be aborted', async () => {
+    launch(`
+      log.report('starting');
+      await new Promise((_, reject) => signal.addEventListener('abort', () => reject(signal.reason)))`);
+    await waitForOutput('starting');
+    child.kill('SIGTERM');
+    expect(await waitForEnd()).toBe(0);
+    expect(output).toContain('stopped during the start');
+  });
+
   // Guards against a signal during the start that ends the process before it can stop gracefully.
   it('stops after its start if the stop signal arrives during it', async () => {
     launch(`log.report('starting'); await new Promise((resolve) => setTimeout(resolve, 500))`);
