Continue a start after an uncaught error beside it

An error that reached no handler ended a program with status 1 while its start was in progress, although its callers may already be connected.

Such an error does not belong to the start: what the start itself throws rejects its promise. The error is logged and counted as in a running program. If it has kept the start from ending, the program ends with status 1 after 2 s.

The new case of `runProcess.test.ts` failed before with status 1 of the process; the case of a start that an exception ends still asks for status 1 and the same sentence.

--- a/packages/runtime/src/process/ProcessSupervisor.ts
+++ b/packages/runtime/src/process/ProcessSupervisor.ts
@@ -18,14 +18,17 @@
 
 const FAILURE_EXIT_STATUS = 1;
 
+/** A start that an uncaught error has ended never returns; this time is left to one that goes on. */
+const START_TIMEOUT_MS = 2000;
+
 /**
  * Decides for a program what each signal does, and keeps it running after an uncaught error.
  *
  * - A stop signal aborts the start, or stops the program gracefully after it; the process then ends
  *   with status 0.
  * - SIGHUP reads the settings again. It changes nothing during the start or a stop.
- * - An error that reached no handler is logged and counted. The requests that it does not concern
- *   go on; before the program has started, it ends the process with status 1.
+ * - An error that reached no handler is logged and counted, and everything that it does not concern
+ *   goes on. If the start does not end after it, the process ends with status 1.
  */
 export class ProcessSupervisor<Settings> {
   readonly #options: ProcessSupervisorOptions<Settings>;
@@ -105,14 +108,22 @@
   }
 
   #handleError(error: unknown, kind: 'exception' | 'rejection'): void {
-    const { log, metrics, exit } = this.#options;
+    const { log, metrics } = this.#options;
     metrics.increase(`limpetbay_uncaught_errors_total{kind="${kind}"}`);
     const isStarting = this.#state === 'starting';
-    log.alert(isStarting ? 'uncaught error during the start' : 'uncaught error; continuing', {
+    log.alert(`uncaught error${isStarting ? ' during the start' : ''}; continuing`, {
       kind,
       cause: describeError(error),
     });
-    if (isStarting) exit(FAILURE_EXIT_STATUS);
+    if (isStarting) this.#limitStart();
+  }
+
+  #limitStart(): void {
+    setTimeout(() => {
+      if (this.#state !== 'starting') return;
+      this.#options.log.alert('could not start: it did not end after an uncaught error');
+      this.#options.exit(FAILURE_EXIT_STATUS);
+    }, START_TIMEOUT_MS);
   }
 }
 
--- a/packages/runtime/test/runProcess.test.ts
+++ b/packages/runtime/test/runProcess.test.ts
@@ -79,6 +79,17 @@
     expect(output).toContain(sentence);
   });
 
+  // Guards against an error of another part during the start that ends a process that already serves.
+  it('continues after an uncaught error beside the start', async () => {
+    launch(`
+      setTimeout(() => { throw new Error('odd input') }, 100);
+      await new Promise((resolve) => setTimeout(resolve, 500));`);
+    await waitForOutput('serving');
+    expect(output).toContain('uncaught error during the start; continuing');
+    child.kill('SIGTERM');
+    expect(await waitForEnd()).toBe(0);
+  });
+
   // Guards against a stop that waits for an address that another process holds.
   it('stops at once during a start that can be aborted', async () => {
     launch(`
