Handle signals before a process logs that it starts

A SIGTERM or SIGHUP that follows the line `process starting` ended the process with the default action, because the line was written before the handlers were installed. Seen as two failures of runProcess.test.ts beside load, whose wait for `starting` matched the new line; the tests wait for their own line now.

The memory is sampled four times a second: at once a second the heap passed from 80 to 100 % of its limit between two samples in two of three tests beside load.

--- a/packages/runtime/src/metrics/MemoryMonitor.ts
+++ b/packages/runtime/src/metrics/MemoryMonitor.ts
@@ -44,7 +44,7 @@
     this.#options = options;
   }
 
-  /** Samples the memory; call it about once a second. */
+  /** Samples the memory; call it a few times a second. */
   check(): void {
     const { clock, log, heapLimitBytes, memoryLimitBytes } = this.#options;
     const sample = this.#options.sample();
--- a/packages/runtime/src/metrics/startProcessMonitor.ts
+++ b/packages/runtime/src/metrics/startProcessMonitor.ts
@@ -14,8 +14,8 @@
   readonly memoryLimitBytes: number | null;
 }
 
-/** Interval of the samples of the memory. */
-const SAMPLE_INTERVAL_MS = 1000;
+/** Interval of the samples of the memory; a heap may grow by a fifth of its limit in half a second. */
+const SAMPLE_INTERVAL_MS = 250;
 
 /** Resolution of the delay of the event loop; each measurement wakes the process. */
 const DELAY_RESOLUTION_MS = 100;
--- a/packages/runtime/src/process/runProcess.ts
+++ b/packages/runtime/src/process/runProcess.ts
@@ -37,18 +37,20 @@
     events: process,
     exit: (status) => process.exit(status),
   });
-  log.report('process starting', {
-    ...program,
-    pid: process.pid,
-    node: process.version,
-    kind: `${process.platform}-${process.arch}`,
-    heapLimitBytes: getHeapLimit(),
-  });
-  startProcessMonitor({ log, metrics, memoryLimitBytes: program.memoryLimitBytes });
   const supervisor = new ProcessSupervisor({
     ...options,
     events: process,
     exit: (status, cause) => end.finish(status, cause),
   });
-  return supervisor.run(start);
+  return supervisor.run((signal) => {
+    log.report('process starting', {
+      ...program,
+      pid: process.pid,
+      node: process.version,
+      kind: `${process.platform}-${process.arch}`,
+      heapLimitBytes: getHeapLimit(),
+    });
+    startProcessMonitor({ log, metrics, memoryLimitBytes: program.memoryLimitBytes });
+    return start(signal);
+  });
 }
--- a/packages/runtime/test/runProcess.test.ts
+++ b/packages/runtime/test/runProcess.test.ts
@@ -96,7 +96,7 @@
     launch(`
       log.report('starting');
       await new Promise((_, reject) => signal.addEventListener('abort', () => reject(signal.reason)))`);
-    await waitForOutput('starting');
+    await waitForOutput('"sentence":"starting"');
     child.kill('SIGTERM');
     expect(await waitForEnd()).toBe(0);
     expect(output).toContain('stopped during the start');
@@ -105,7 +105,7 @@
   // Guards against a signal during the start that ends the process before it can stop gracefully.
   it('stops after its start if the stop signal arrives during it', async () => {
     launch(`log.report('starting'); await new Promise((resolve) => setTimeout(resolve, 500))`);
-    await waitForOutput('starting');
+    await waitForOutput('"sentence":"starting"');
     child.kill('SIGHUP');
     child.kill('SIGTERM');
     expect(await waitForEnd()).toBe(0);
