Wait for a silent target of a stream that nothing can replace

A caller got the first events of a stream and then a closed connection, although its target was sound and went on after a pause of 1.9 s. The progress timeout (1.4 s at least) of a stream that may be resumed gave up the attempt before anything asked whether another could follow. With one target, no attempt or no retries left, the stream was broken off; in a stop always, because no new stream is started then.

The attempt now asks first. It is given up for silence only if another target can continue the answer: attempts, retry budget and a usable target are left, and the entry does not stop before a stream could finish. Otherwise the entry waits until the target goes on, the caller leaves, or the deadline passes. A failure of the connection still ends it at once.

The two tests of a silent target failed before with one of two events and an incomplete answer. The other tests of lostMoments.test.ts passed before the change as well; they cover targets that close, reset or refuse connections, silent links in a stop, a change of the idle timeout, forms of requests, and stops at several moments beside SIGHUP and a new configuration.

--- a/packages/gateway/src/request/AttemptListener.ts
+++ b/packages/gateway/src/request/AttemptListener.ts
@@ -5,6 +5,8 @@
 export interface AttemptListener {
   /** Called with complete events of a stream. @param lastId id of the last one; null if it has none */
   onEvents(head: AnswerHead, bytes: Buffer, lastId: string | null): void;
+  /** Returns whether another attempt may follow if this one is given up for its silence. */
+  canBeReplaced(): boolean;
   /** Called once, when the attempt has ended; no further call follows. */
   onResult(result: AttemptResult): void;
 }
--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -223,9 +223,12 @@
     context.metrics.record('limpetbay_first_byte_ms', context.clock.getNow() - this.#startMs);
   }
 
-  /** Restarts the progress timeout, if another target can repeat or continue the request. */
+  /**
+   * Restarts the progress timeout, if another target can repeat or continue the request. Without one,
+   * a silent target is waited for, as it may go on.
+   */
   #restartProgressTimeout(): void {
-    const { context, route, target } = this.#options;
+    const { context, route, target, listener } = this.#options;
     this.#cancelProgressTimeout?.();
     if (route.kind === 'unsafe') return;
     if (route.kind === 'stream' && !route.isResumable) return;
@@ -233,7 +236,8 @@
     const timeoutMs =
       route.kind === 'stream' ? Math.max(MIN_STREAM_PROGRESS_TIMEOUT_MS, objectiveMs) : objectiveMs;
     this.#cancelProgressTimeout = context.timers.schedule(timeoutMs, () => {
-      this.#abandon(`target ${target.id} made no progress for ${Math.round(timeoutMs)} ms`);
+      if (!listener.canBeReplaced()) this.#restartProgressTimeout();
+      else this.#abandon(`target ${target.id} made no progress for ${Math.round(timeoutMs)} ms`);
     });
   }
 
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -481,6 +481,7 @@
           this.#progressMs = this.#context.clock.getNow();
           this.#checkUnsent();
         },
+        canBeReplaced: () => this.#canReplaceAttempt(),
         onResult: (result) => this.#handleResult(target, result),
       },
     });
@@ -557,17 +558,38 @@
     else this.#answerFailure(result, next);
   }
 
-  #decideNext(outcome: AttemptOutcome): 'retry' | 'give_up' | 'no_budget' {
+  /**
+   * Returns whether another attempt may follow, if the running one is given up for the silence of its
+   * target. An answer that has not begun may end with a failure instead, unless this entry stops.
+   */
+  #canReplaceAttempt(): boolean {
     const { route, service } = this.#admission as Admission;
-    const decision = decideNextAttempt(route, {
+    if (route.kind === 'stream' && !this.#canFinishBeforeStop(route)) return false;
+    if (!this.#answer.isStarted()) return true;
+    const targets = this.#context.registry.listTargets(service.name);
+    return (
+      this.#decideAttempt('broken') === 'retry' &&
+      this.#context.getBudget(service.name).getTokens() >= 1 &&
+      targets.some((target) => !this.#excludedTargets.has(target.id) && this.#isStillUsable(target))
+    );
+  }
+
+  #decideNext(outcome: AttemptOutcome): 'retry' | 'give_up' | 'no_budget' {
+    const { service } = this.#admission as Admission;
+    const decision = this.#decideAttempt(outcome);
+    if (decision === 'give_up' || outcome === 'unreachable') return decision;
+    return this.#context.getBudget(service.name).take() ? 'retry' : 'no_budget';
+  }
+
+  #decideAttempt(outcome: AttemptOutcome): 'retry' | 'give_up' {
+    const { route } = this.#admission as Admission;
+    return decideNextAttempt(route, {
       outcome,
       sentCount: this.#sentAttempts,
       unreachableCount: this.#unreachableAttempts,
       isPositionUnknown: this.#answer.isStarted() && this.#lastEventId === null,
       remainingMs: this.#getDeadlineMs() - this.#context.clock.getNow(),
     });
-    if (decision === 'give_up' || outcome === 'unreachable') return decision;
-    return this.#context.getBudget(service.name).take() ? 'retry' : 'no_budget';
   }
 
   #answerFailure({ outcome, cause, ifLast, head, body }: FailedAttempt, next: string): void {
