Answer CONNECT with 405 instead of a closed connection

Node.js destroys the connection of a CONNECT request if the server has no handler for it, and with it any request on the connection that a target runs. The server now answers 405 once the answers before it are complete. The test failed before: the connection closed without a byte.

--- a/packages/callers/src/connection/CallerConnection.ts
+++ b/packages/callers/src/connection/CallerConnection.ts
@@ -14,6 +14,8 @@
 
 const BAD_REQUEST = 400;
 
+const METHOD_NOT_ALLOWED = 405;
+
 const REQUEST_TIMEOUT = 408;
 
 const ERROR_STATUSES: Readonly<Record<string, number>> = {
@@ -108,6 +110,12 @@
     else if (!this.#isInputDiscarded) this.#failInput(ERROR_STATUSES[code] ?? BAD_REQUEST);
   }
 
+  /** Answers a `CONNECT` request, at which Node.js has detached its handlers. */
+  rejectTunnel(): void {
+    this.#socket.on('error', () => this.#socket.destroy());
+    this.#failInput(METHOD_NOT_ALLOWED);
+  }
+
   #handleLateInput(): void {
     const count = this.#requestCount;
     const last = this.#getIncomplete();
--- a/packages/callers/src/connection/CallerConnections.ts
+++ b/packages/callers/src/connection/CallerConnections.ts
@@ -13,6 +13,7 @@
     server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.#getConnection(socket as Socket).handleError(error),
     );
+    server.on('connect', (_, socket) => this.#getConnection(socket as Socket).rejectTunnel());
   }
 
   /** Adds a request whose head has arrived. @returns its connection */
