Log why a request of a caller ended without an answer

Operators saw callers report closed connections and found nothing in the log of the entry: closes by Node.js (a parse error, a late head, a reset), refusals of the server itself (late or large bodies, bodies that were dropped) and requests that were open at the end of a planned stop had no line, and "caller disconnected" did not tell a reset from a close. So a lost request could not be traced to its cause.

Each such request now has one line with its id, the cause, the error, how far it came, the bytes sent and the time, and is counted by cause in limpetbay_connections_closed_total. A planned stop names up to 20 requests that are still open.

--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -295,6 +295,13 @@
     void this.#lease.stop();
   }
 
+  /** Returns the number of open connections to targets. */
+  countTargetConnections(): number {
+    let count = 0;
+    for (const pool of this.#pools.values()) count += pool.count();
+    return count;
+  }
+
   /** Ends all activity and closes the connections to targets. */
   close(): void {
     this.#mirror.stop();
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -1,4 +1,9 @@
-import { DirectServer, type DirectAnswer, type DirectHandler } from '@limpetbay/callers';
+import {
+  DirectServer,
+  type ClosedRequest,
+  type DirectAnswer,
+  type DirectHandler,
+} from '@limpetbay/callers';
 import { BodyBudget, splitAddress, type RequestHead } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
 import { IgnoredRecordLog, type Log } from '@limpetbay/runtime';
@@ -28,6 +33,9 @@
 /** Answers may be written until this long before the platform kills the process. */
 const DRAIN_MARGIN_MS = 400;
 
+/** Most requests that the last line of a stop names. */
+const MAX_NAMED_REQUESTS = 20;
+
 /** An entry that sends the requests of its callers directly to targets. */
 export class Gateway implements DirectHandler {
   readonly #options: GatewayOptions;
@@ -36,6 +44,8 @@
 
   readonly #log: Log;
 
+  readonly #connectionsLog: Log;
+
   readonly #core: EntryCore;
 
   readonly #server: DirectServer;
@@ -52,6 +62,7 @@
     this.#limits = options.limits;
     const { clock, codec, metrics, createLog } = options;
     this.#log = createLog('entry');
+    this.#connectionsLog = createLog('connections');
     const bodyBudget = new BodyBudget(MAX_INCOMPLETE_BODY_BYTES);
     const ignored = new IgnoredRecordLog({ clock, log: this.#log, metrics, component: 'entry' });
     this.#core = new EntryCore({
@@ -77,7 +88,10 @@
       readHead: (message) => codec.readRequest(message),
       getMaxBodyBytes: () => this.#core.getTable()?.config.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
       bodyBudget,
+      clock,
+      onClosed: (closed) => this.#reportClosed(closed),
     });
+    this.#registerGauges(bodyBudget);
   }
 
   async start(): Promise<void> {
@@ -131,11 +145,44 @@
     await this.#waitUntil(answerDeadlineMs, () => this.#server.countRequests() === 0);
     this.#server.refuseIncompleteRequests();
     await this.#waitUntil(forcedEndMs - DRAIN_MARGIN_MS, () => this.#server.countRequests() === 0);
+    this.#reportOpenRequests();
     this.#core.close();
     this.#socket.close();
     this.#log.report('stopped', { requests: this.#server.countRequests() });
   }
 
+  #registerGauges(bodyBudget: BodyBudget): void {
+    const gauges = {
+      limpetbay_open_caller_connections: () => this.#server.countConnections(),
+      limpetbay_open_requests: () => this.#server.countRequests(),
+      limpetbay_open_target_connections: () => this.#core.countTargetConnections(),
+      limpetbay_open_body_bytes: () => bodyBudget.countBytes(),
+      limpetbay_open_unsent_bytes: () => this.#server.countUnsentBytes(),
+    };
+    for (const [name, read] of Object.entries(gauges)) this.#options.metrics.register(name, read);
+  }
+
+  #reportClosed({ progress, ...closed }: ClosedRequest): void {
+    const { metrics } = this.#options;
+    metrics.increase(`limpetbay_connections_closed_total{cause="${closed.cause}"}`);
+    if (progress === 'answered') {
+      this.#connectionsLog.warn('request refused before it was complete', closed);
+    } else {
+      const fields = { ...closed, progress };
+      this.#connectionsLog.warn('connection closed without a complete answer', fields);
+    }
+  }
+
+  /** Names the requests whose connections end with the process. */
+  #reportOpenRequests(): void {
+    const open = this.#server.listOpenRequests();
+    if (open.length === 0) return;
+    this.#log.warn('stopping with open requests; their connections are closed', {
+      count: open.length,
+      requests: open.slice(0, MAX_NAMED_REQUESTS),
+    });
+  }
+
   async #waitUntil(latestMs: number, isDone: (nowMs: number) => boolean): Promise<void> {
     const { clock, timers } = this.#options;
     while (clock.getNow() < latestMs && !isDone(clock.getNow())) {
--- a/packages/runtime/src/metrics/startProcessMonitor.ts
+++ b/packages/runtime/src/metrics/startProcessMonitor.ts
@@ -18,7 +18,7 @@
 const SAMPLE_INTERVAL_MS = 1000;
 
 /** Resolution of the delay of the event loop; each measurement wakes the process. */
-const DELAY_RESOLUTION_MS = 100;
+const DELAY_RESOLUTION_MS = 250;
 
 const NANOSECONDS_PER_MS = 1_000_000;
 
