Handle signals before the bundle of a program loads

SIGHUP in the first 80 to 140 ms after the launch ended a program, with the status of the signal and no log line; so did signals that report no fault and ask for no stop (SIGVTALRM, SIGIO, SIGPWR, SIGSTKFLT, SIGXCPU) at any time.

Cause: Node.js starts with the default actions, and the statement that sets the handlers stood in the bundle, which was read and parsed first. The table of signals did not name the others.

--- a/packages/runtime/src/process/signalActions.ts
+++ b/packages/runtime/src/process/signalActions.ts
@@ -2,7 +2,8 @@
 
 /**
  * What each signal does, for all programs that run until they are stopped. Signals that are not
- * listed keep the default of Node.js.
+ * listed keep the default of Node.js: those that report a fault of the program end it, those of a
+ * terminal suspend it, and SIGPROF belongs to the profiler.
  */
 export const signalActions: Readonly<Partial<Record<NodeJS.Signals, SignalAction>>> = {
   SIGTERM: 'stop',
@@ -14,4 +15,9 @@
   SIGUSR1: 'ignore',
   SIGUSR2: 'ignore',
   SIGALRM: 'ignore',
+  SIGVTALRM: 'ignore',
+  SIGIO: 'ignore',
+  SIGPWR: 'ignore',
+  SIGSTKFLT: 'ignore',
+  SIGXCPU: 'ignore',
 };
--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -1,4 +1,8 @@
-/* Bundles each program of `platform/` into one file under `target/`. */
+/*
+ * Bundles each program of `platform/` into one ES module under `target/`, or the given folder, and beside it the small
+ * CommonJS program that is run: it handles signals before it loads the rest. Node.js starts such a
+ * program earlier than an ES module, and takes longer to read the whole bundle than for both.
+ */
 import { readdirSync } from 'node:fs';
 import { build } from 'esbuild';
 
@@ -39,9 +43,13 @@
   },
 };
 
+const [folder = 'target'] = process.argv.slice(2);
+
+const programs = ['entry', 'agent'];
+
 await build({
-  entryPoints: ['platform/src/entry.ts', 'platform/src/agent.ts'],
-  outdir: 'target',
+  entryPoints: programs.map((name) => `platform/src/${name}.ts`),
+  outdir: folder,
   outExtension: { '.js': '.mjs' },
   bundle: true,
   platform: 'node',
@@ -57,3 +65,20 @@
   sourcemap: 'linked',
   legalComments: 'none',
 });
+
+for (const name of programs) {
+  await build({
+    stdin: {
+      contents: `import '@limpetbay/runtime/ignoreEarlySignals'; import('./${name}.mjs');`,
+      resolveDir: '.',
+    },
+    outfile: `${folder}/${name}.cjs`,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    external: [`./${name}.mjs`],
+    alias,
+    minify: true,
+  });
+}
