Wait for a settings file that is being written at the start

A program that was started while the platform wrote its settings file found it missing, empty or half written, and ended with status 2.

The file was read once. Now a wrong file is read again every 50 ms for 2 s, with a warning at once; after that the program ends with status 2 and the same error. A last line without its end may be a value that is cut short: it counts as complete once the file has stayed the same for 100 ms. `--check` answers at once as before. Errors of standard output and error during the wait do not end the program.

--- a/packages/runtime/src/process/runDaemon.ts
+++ b/packages/runtime/src/process/runDaemon.ts
@@ -8,13 +8,18 @@
 import type { SettingsFormat } from '../settings/SettingsFormat.js';
 import { SettingsReloader } from '../settings/SettingsReloader.js';
 import { readSettings } from '../settings/readSettings.js';
+import { waitForSettings } from '../settings/waitForSettings.js';
 import type { SupervisedProcess } from './SupervisedProcess.js';
+import { ignoreOutputErrors } from './ignoreOutputErrors.js';
 import { runProcess } from './runProcess.js';
 
 const VERSION = '0.1.0';
 /** Exit status for missing or invalid settings. */
 const USAGE_EXIT_STATUS = 2;
 
+/** Log until the settings of the log are known. */
+const EARLY_LOG = { format: 'text', level: 'info' } as const;
+
 interface DaemonOptions<Settings> {
   /** Name of the binary, printed in its usage text and errors. */
   readonly name: string;
@@ -29,7 +34,10 @@
   ) => Promise<SupervisedProcess<Settings>>;
 }
 
-/** Runs the command line of a daemon: reads the settings and starts it under a supervisor. */
+/**
+ * Runs the command line of a daemon: reads the settings and starts it under a supervisor. Settings
+ * that stay invalid for 2 s end it with exit status 2.
+ */
 export async function runDaemon<Settings extends { readonly log: LogSettings }>(
   options: DaemonOptions<Settings>,
 ): Promise<void> {
@@ -51,7 +59,10 @@
         process.stderr.write(`${name}: the option --settings FILE is required\n`);
         process.exit(USAGE_EXIT_STATUS);
       }
-      const loaded = readSettings(file, format);
+      ignoreOutputErrors();
+      const loaded = check
+        ? readSettings(file, format)
+        : await waitForSettings(file, format, new RealClock(), createLog('process', EARLY_LOG));
       if (loaded.err) {
         process.stderr.write(`${loaded.val.message}\n`);
         process.exit(USAGE_EXIT_STATUS);
