Limit the memory of all bodies of an entry together

Callers that leave complete answers unread, or upload bodies that wait, filled the memory of an entry without a limit. A deployment that enforces limits.memory_mb by a kill then ends the entry, and all requests on it lose their connections.

Cause: the common limit counted bodies while they arrived. Complete answers that wait for their callers, complete requests that wait or run, unread events and incomplete events were outside of it, and a complete answer that is not read was kept for ever.

BodyBudget now counts all of them. Its limit derives from limits.memory_mb, which is read for the first time. Beyond it the largest body without progress is dropped, or else the largest one; a request is answered 429 only while no target can have run it. A caller that reads nothing of a complete answer for the idle timeout is disconnected.

--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -19,8 +19,10 @@
   readonly readHead: (message: IncomingMessage) => RequestHead;
   /** Returns the largest body that is accepted, bytes. */
   readonly getMaxBodyBytes: () => number;
-  /** Limits the memory of all incomplete bodies. */
+  /** Limits the memory of incomplete bodies and of answers that callers have not read. */
   readonly bodyBudget: BodyBudget;
+  /** Called when an answer is broken off because of its memory, or because it is not read. */
+  readonly onAnswerDropped?: (cause: 'memory' | 'unread', bytes: number) => void;
 }
 
 /** Largest request head; above the limit of any configuration. */
@@ -66,7 +68,11 @@
         noDelay: true,
       },
       (message, response) => {
-        const answer = new DirectAnswer(response, () => this.#isDraining);
+        const answer = new DirectAnswer(response, () => this.#isDraining, {
+          budget: options.bodyBudget,
+          getIdleTimeoutMs: () => this.#server.keepAliveTimeout,
+          onDropped: (cause, bytes) => options.onAnswerDropped?.(cause, bytes),
+        });
         answerErrors(answer, () => this.#readRequest(message, response, answer));
       },
     );
@@ -139,6 +145,7 @@
     response.on('close', () => {
       this.#incomplete.delete(response);
       body.clear();
+      answer.release();
       if (!response.writableFinished) cancel?.();
     });
     const bodyTimer = setTimeout(() => {
--- a/packages/callers/test/failingHandler.test.ts
+++ b/packages/callers/test/failingHandler.test.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { BodyBudget, type RequestHead } from '@limpetbay/core';
+import { BodyBudget, ManualClock, type RequestHead } from '@limpetbay/core';
 import { DirectServer, startCallerServer, type CallerHandler } from '../src/index.js';
 
 const PORT = 18_931;
@@ -60,7 +60,7 @@
       handler: { acceptRequest },
       readHead,
       getMaxBodyBytes: () => 1000,
-      bodyBudget: new BodyBudget(1000),
+      bodyBudget: new BodyBudget(1000, new ManualClock()),
     });
     server = direct;
     await direct.start();
--- a/packages/core/src/body/BodyBudget.ts
+++ b/packages/core/src/body/BodyBudget.ts
@@ -1,42 +1,72 @@
-/** A body in memory, as its budget sees it. */
-interface BudgetedBody {
-  countBytes(): number;
-  /** Drops the body, because all bodies together take too much memory. */
-  evict(): void;
+import type { Clock } from '../clock/Clock.js';
+import type { BudgetedBody } from './BudgetedBody.js';
+
+interface HeldBytes {
+  readonly bytes: number;
+  /** When the number of bytes last changed, monotonic milliseconds. */
+  readonly changedMs: number;
 }
 
+/** A body whose size did not change for this time makes no progress and is dropped first. */
+const STALLED_MS = 1000;
+
+/**
+ * Share of the budget for bodies that cannot be dropped. The rest is for others, so that a few large
+ * requests that run do not lead to the refusal of all small ones.
+ */
+const PINNED_SHARE = 3 / 4;
+
+/** Bodies up to this size may always be pinned, bytes. */
+const SMALL_BYTES = 16_384;
+
 /**
- * Limits the memory of all incomplete bodies of a process. Where they exceed it, the largest one is
- * dropped, so that bodies without an end do not displace ordinary ones.
+ * Limits the memory of all bodies of a process: those that arrive, those that wait and those that
+ * their receivers have not read. Where they exceed it, one is dropped: the largest of those that
+ * make no progress, or else the largest of all.
  */
 export class BodyBudget {
-  readonly #maxBytes: number;
+  #maxBytes: number;
+
+  readonly #clock: Clock;
 
-  readonly #bodies = new Set<BudgetedBody>();
+  readonly #bodies = new Map<BudgetedBody, HeldBytes>();
 
   #bytes = 0;
 
+  #evictions = 0;
+
   /** @param maxBytes largest sum of all bodies */
-  constructor(maxBytes: number) {
+  constructor(maxBytes: number, clock: Clock) {
     this.#maxBytes = maxBytes;
+    this.#clock = clock;
   }
 
-  /** Counts bytes that were added to a body; may evict that body or another one. */
-  acquire(body: BudgetedBody, bytes: number): void {
-    this.#bodies.add(body);
-    this.#bytes += bytes;
-    while (this.#bytes > this.#maxBytes) {
-      const largest = this.#findLargest();
-      if (largest === null) return;
-      this.#bodies.delete(largest);
-      largest.evict();
+  /** Sets the number of bytes that a body holds; may evict that body or another one. */
+  update(body: BudgetedBody, bytes: number): void {
+    this.#bytes += bytes - (this.#bodies.get(body)?.bytes ?? 0);
+    if (bytes === 0) this.#bodies.delete(body);
+    else this.#bodies.set(body, { bytes, changedMs: this.#clock.getNow() });
+    this.#evictExcess();
+  }
+
+  /** Returns whether a body of this size may be pinned beside those that are pinned already. */
+  canPin(bytes: number): boolean {
+    if (bytes <= SMALL_BYTES) return true;
+    let pinnedBytes = bytes;
+    for (const [body, held] of this.#bodies) {
+      if (body.isPinned?.() === true) pinnedBytes += held.bytes;
     }
+    return pinnedBytes <= this.#maxBytes * PINNED_SHARE;
   }
 
-  /** Gives back the bytes of a body that is complete or dropped. */
-  release(body: BudgetedBody, bytes: number): void {
-    this.#bodies.delete(body);
-    this.#bytes -= bytes;
+  /** Changes the limit; bodies beyond it are dropped at once. */
+  setMaxBytes(maxBytes: number): void {
+    this.#maxBytes = maxBytes;
+    this.#evictExcess();
+  }
+
+  getMaxBytes(): number {
+    return this.#maxBytes;
   }
 
   /** Returns the sum of all bodies, bytes. */
@@ -44,11 +74,35 @@
     return this.#bytes;
   }
 
-  #findLargest(): BudgetedBody | null {
-    let largest: BudgetedBody | null = null;
-    for (const body of this.#bodies) {
-      if (largest === null || body.countBytes() > largest.countBytes()) largest = body;
+  /** Returns the number of bodies that were dropped so far. */
+  countEvictions(): number {
+    return this.#evictions;
+  }
+
+  #evictExcess(): void {
+    while (this.#bytes > this.#maxBytes) {
+      const body = this.#chooseBody();
+      if (body === null) return;
+      this.#bytes -= this.#bodies.get(body)?.bytes ?? 0;
+      this.#bodies.delete(body);
+      this.#evictions += 1;
+      body.evict();
+    }
+  }
+
+  #chooseBody(): BudgetedBody | null {
+    const stalledSinceMs = this.#clock.getNow() - STALLED_MS;
+    let chosen: BudgetedBody | null = null;
+    let chosenBytes = 0;
+    let isChosenStalled = false;
+    for (const [body, { bytes, changedMs }] of this.#bodies) {
+      if (body.isPinned?.() === true) continue;
+      const isStalled = changedMs <= stalledSinceMs;
+      if (isStalled === isChosenStalled ? bytes <= chosenBytes : isChosenStalled) continue;
+      chosen = body;
+      chosenBytes = bytes;
+      isChosenStalled = isStalled;
     }
-    return largest;
+    return chosen;
   }
 }
--- a/packages/core/src/body/BodyBuffer.ts
+++ b/packages/core/src/body/BodyBuffer.ts
@@ -50,7 +50,7 @@
       start += part.length;
     }
     this.#bytes += chunk.length;
-    this.#options.budget?.acquire(this, chunk.length);
+    this.#options.budget?.update(this, this.#bytes);
     return true;
   }
 
@@ -65,12 +65,24 @@
     return body;
   }
 
+  /**
+   * Returns the body in blocks of up to 64 KiB and empties the buffer. Unlike `take`, it copies no
+   * larger body.
+   */
+  takeBlocks(): Buffer[] {
+    if (this.#bytes <= MAX_BLOCK_BYTES) return [this.take()];
+    const blocks = this.#blocks;
+    blocks.push((blocks.pop() as Buffer).subarray(0, this.#lastBytes));
+    this.clear();
+    return blocks;
+  }
+
   /** Drops the body. */
   clear(): void {
-    this.#options.budget?.release(this, this.#bytes);
     this.#blocks = [];
     this.#lastBytes = 0;
     this.#bytes = 0;
+    this.#options.budget?.update(this, 0);
   }
 
   evict(): void {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -36,6 +36,7 @@
 export { diffMaps } from './barrierswitch/diffMaps.js';
 export { BodyBudget } from './body/BodyBudget.js';
 export { BodyBuffer } from './body/BodyBuffer.js';
+export type { BudgetedBody } from './body/BudgetedBody.js';
 export { AttemptLog } from './claims/AttemptLog.js';
 export { BatchWriter } from './claims/BatchWriter.js';
 export type { Claim } from './claims/Claim.js';
--- a/packages/core/test/body/BodyBuffer.test.ts
+++ b/packages/core/test/body/BodyBuffer.test.ts
@@ -1,5 +1,5 @@
 import { expect, it, vi } from 'vitest';
-import { BodyBudget, BodyBuffer } from '../../src/index.js';
+import { BodyBudget, BodyBuffer, ManualClock } from '../../src/index.js';
 
 it('returns the bytes of all chunks in order', () => {
   const body = new BodyBuffer({ maxBytes: 1_000_000 });
@@ -31,7 +31,7 @@
 });
 
 it('is dropped where it is the largest one beyond the common limit', () => {
-  const budget = new BodyBudget(10);
+  const budget = new BodyBudget(10, new ManualClock());
   const onEvicted = vi.fn();
   const small = new BodyBuffer({ maxBytes: 100, budget });
   const large = new BodyBuffer({ maxBytes: 100, budget, onEvicted });
@@ -46,7 +46,7 @@
 });
 
 it('gives its bytes back to the common limit when it is taken', () => {
-  const budget = new BodyBudget(10);
+  const budget = new BodyBudget(10, new ManualClock());
   const body = new BodyBuffer({ maxBytes: 100, budget });
   body.append(Buffer.alloc(8));
   body.take();
@@ -54,3 +54,15 @@
   body.append(Buffer.alloc(8));
   expect(body.countBytes()).toBe(8);
 });
+
+// Guards against a body that is copied as a whole when it is complete.
+it('hands over a large body in blocks that have its bytes in order', () => {
+  const body = new BodyBuffer({ maxBytes: 1_000_000 });
+  const expected = Buffer.from(Array.from({ length: 300_001 }, (_, index) => index % 251));
+  body.append(expected.subarray(0, 100_000));
+  body.append(expected.subarray(100_000));
+  const blocks = body.takeBlocks();
+  expect(Buffer.concat(blocks).equals(expected)).toBe(true);
+  expect(Math.max(...blocks.map(({ length }) => length))).toBeLessThanOrEqual(65_536);
+  expect(body.countBytes()).toBe(0);
+});
--- a/packages/gateway/src/process/EntryCoreOptions.ts
+++ b/packages/gateway/src/process/EntryCoreOptions.ts
@@ -5,7 +5,7 @@
 /** Dependencies and settings of an `EntryCore`. */
 export interface EntryCoreOptions extends GatewayOptions {
   readonly network: EntryNetwork;
-  /** Limits the memory of all bodies that are being received. */
+  /** Limits the memory of all bodies: those that arrive, wait or are not read. */
   readonly bodyBudget: BodyBudget;
   /** Called when another configuration becomes active. */
   readonly onConfig: (table: RouteTable) => void;
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -4,15 +4,13 @@
 import { IgnoredRecordLog, type Log } from '@limpetbay/runtime';
 import { DirectPool, checkListener } from '@limpetbay/targets';
 import { EntryCore } from './EntryCore.js';
+import { computeBodyBytes } from './computeBodyBytes.js';
 import type { GatewayLimits } from './GatewayLimits.js';
 import type { GatewayOptions } from './GatewayOptions.js';
 
 /** Largest request body before the first configuration. */
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
-/** Memory of all bodies that are being received, from callers and targets, bytes. */
-const MAX_INCOMPLETE_BODY_BYTES = 67_108_864;
-
 /** Interval at which a stopping entry checks whether it may continue to stop. */
 const STOP_POLL_INTERVAL_MS = 100;
 
@@ -42,6 +40,8 @@
 
   readonly #socket: PeerSocket;
 
+  readonly #bodyBudget: BodyBudget;
+
   #lastRequestMs = 0;
 
   /** Until when callers may keep an address that they were told under earlier limits. */
@@ -52,7 +52,8 @@
     this.#limits = options.limits;
     const { clock, codec, metrics, createLog } = options;
     this.#log = createLog('entry');
-    const bodyBudget = new BodyBudget(MAX_INCOMPLETE_BODY_BYTES);
+    const bodyBudget = new BodyBudget(computeBodyBytes(options.limits.memoryBytes), clock);
+    this.#bodyBudget = bodyBudget;
     const ignored = new IgnoredRecordLog({ clock, log: this.#log, metrics, component: 'entry' });
     this.#core = new EntryCore({
       ...options,
@@ -77,6 +78,10 @@
       readHead: (message) => codec.readRequest(message),
       getMaxBodyBytes: () => this.#core.getTable()?.config.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
       bodyBudget,
+      onAnswerDropped: (cause, bytes) => {
+        metrics.increase(`limpetbay_dropped_answers_total{cause="${cause}"}`);
+        this.#log.warn('answer broken off; its caller did not read it in time', { cause, bytes });
+      },
     });
   }
 
@@ -93,6 +98,17 @@
     this.#earlierExpiryMs = Math.max(this.#earlierExpiryMs, expiryMs);
     this.#limits = limits;
     this.#core.setLimits(limits);
+    this.#bodyBudget.setMaxBytes(computeBodyBytes(limits.memoryBytes));
+  }
+
+  /** Returns the memory of all bodies and its limit, bytes, and how many were dropped so far. */
+  getBodyMemory(): { readonly bytes: number; readonly maxBytes: number; readonly dropped: number } {
+    const budget = this.#bodyBudget;
+    return {
+      bytes: budget.countBytes(),
+      maxBytes: budget.getMaxBytes(),
+      dropped: budget.countEvictions(),
+    };
   }
 
   /** Returns whether this entry can serve callers. */
--- a/packages/gateway/src/process/GatewayLimits.ts
+++ b/packages/gateway/src/process/GatewayLimits.ts
@@ -10,4 +10,6 @@
   readonly drainMs: number;
   /** How long callers cache the list of addresses, milliseconds. */
   readonly addressTtlMs: number;
+  /** Memory of the process, beyond which the deployment may end it, bytes; unknown if absent. */
+  readonly memoryBytes?: number;
 }
--- a/packages/gateway/src/request/AttemptResult.ts
+++ b/packages/gateway/src/request/AttemptResult.ts
@@ -10,8 +10,8 @@
 interface AnswerDetails {
   readonly progress: AttemptProgress;
   readonly trace: AnswerTrace;
-  /** What was not passed on as events. */
-  readonly body: Buffer;
+  /** What was not passed on as events, in blocks. */
+  readonly body: readonly Buffer[];
 }
 
 /** Result of an attempt: what its answer means, and the answer. */
--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -5,6 +5,7 @@
   evaluateHead,
   isContinuation,
   type AwaitedAnswer,
+  type BudgetedBody,
   type DirectRoute,
   type DirectTarget,
   type HeadMeaning,
@@ -62,6 +63,11 @@
 /** Time after which an answer that nobody waits for is given up; longer if its route allows more. */
 const UNUSED_ANSWER_TIMEOUT_MS = 10_000;
 
+/** Smaller incomplete events are not counted in the budget, since most streams have one at times. */
+const MIN_COUNTED_EVENT_BYTES = 16_384;
+
+const BUDGET_CAUSE = 'the bodies of all answers take too much memory';
+
 const UNUSED_ANSWER_CAUSE = 'nobody waits for the answer any more';
 
 /** One attempt: sends a request to one target and evaluates the answer. */
@@ -84,6 +90,9 @@
 
   readonly #body: BodyBuffer;
 
+  /** The incomplete event of a stream, as the budget sees it. */
+  readonly #event: BudgetedBody = { evict: () => this.#abandon(BUDGET_CAUSE) };
+
   #bodyBytes = 0;
 
   /** Whether nobody waits for the answer any more. */
@@ -104,7 +113,7 @@
     this.#body = new BodyBuffer({
       maxBytes: MAX_BODY_BYTES,
       budget: options.context.bodyBudget,
-      onEvicted: () => this.#abandon('the bodies of all answers take too much memory'),
+      onEvicted: () => this.#abandon(BUDGET_CAUSE),
     });
   }
 
@@ -185,6 +194,10 @@
       return;
     }
     const events = this.#splitter.push(data);
+    const eventBytes = this.#splitter.countPendingBytes();
+    const countedBytes = eventBytes < MIN_COUNTED_EVENT_BYTES ? 0 : eventBytes;
+    this.#options.context.bodyBudget.update(this.#event, countedBytes);
+    if (this.#hasEnded) return;
     if (this.#splitter.countBytesWithoutData() > MAX_BYTES_WITHOUT_DATA) {
       this.#abandon(`no complete event with data within ${MAX_BYTES_WITHOUT_DATA} bytes`);
       return;
@@ -257,7 +270,7 @@
     const answer = {
       progress: this.#getProgress(),
       trace: this.#traceAnswer(),
-      body: this.#body.take(),
+      body: this.#body.takeBlocks(),
     };
     this.#end();
     if (decision.kind === 'answered') {
@@ -297,6 +310,7 @@
   #end(): void {
     this.#hasEnded = true;
     this.#body.clear();
+    this.#options.context.bodyBudget.update(this.#event, 0);
     this.#cancelProgressTimeout?.();
     this.#options.context.picker.getStats(this.#options.target.id).recordEnd();
   }
--- a/packages/gateway/src/request/RequestContext.ts
+++ b/packages/gateway/src/request/RequestContext.ts
@@ -29,7 +29,7 @@
   readonly registry: TargetRegistry;
   readonly picker: TargetPicker;
   readonly queue: AdmissionQueue;
-  /** Limits the memory of all bodies that are being received. */
+  /** Limits the memory of all bodies: those that arrive, wait or are not read. */
   readonly bodyBudget: BodyBudget;
   readonly limits: SharedTargetLimits;
   readonly holds: TargetHolds;
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -8,6 +8,7 @@
   fail,
   isFingerprint,
   type AttemptOutcome,
+  type BudgetedBody,
   type DirectRoute,
   type DirectService,
   type DirectTarget,
@@ -66,6 +67,11 @@
 /** Least time to allow for a stream; more if streams of its route recently lasted longer. */
 const MIN_STREAM_DURATION_MS = 4500;
 
+/** Retry-After of a request whose body had no space among those of others. */
+const NO_SPACE_RETRY_AFTER_MS = 500;
+
+const EMPTY_BODY = Buffer.alloc(0);
+
 const API_KEY_REQUIRED = 'a valid API key is required';
 
 /** Processes one request: finds its route, runs its attempts and sends one answer. */
@@ -74,7 +80,13 @@
 
   readonly #head: RequestHead;
 
-  readonly #body: Buffer;
+  #body: Buffer;
+
+  /** The body as the budget sees it; once a target may have run the request, it is not dropped. */
+  readonly #heldBody: BudgetedBody = {
+    isPinned: () => this.#hasEnded || this.#sentAttempts > 0 || this.#mayHaveRun,
+    evict: () => this.#refuseWithoutSpace(),
+  };
 
   readonly #answer: DirectAnswer;
 
@@ -127,6 +139,8 @@
     this.#admission = this.#admit();
     if (this.#admission === null) return;
     const { service } = this.#admission;
+    this.#context.bodyBudget.update(this.#heldBody, this.#body.length);
+    if (this.#hasEnded) return;
     this.#context.getBudget(service.name).recordRequest();
     this.#unsubscribeStop = this.#context.stopDeadline.subscribe(() => this.#scheduleDeadline());
     this.#scheduleDeadline();
@@ -170,9 +184,20 @@
       return;
     }
     this.#attempt?.cancel();
+    this.#releaseBody();
     tracker.endTrial();
   }
 
+  #refuseWithoutSpace(): void {
+    this.#refuse('overloaded', 'too many bodies wait', NO_SPACE_RETRY_AFTER_MS);
+  }
+
+  /** Gives up the body, which a queue would otherwise keep until the request leaves it. */
+  #releaseBody(): void {
+    this.#body = EMPTY_BODY;
+    this.#context.bodyBudget.update(this.#heldBody, 0);
+  }
+
   #admit(): Admission | null {
     const table = this.#context.getTable();
     if (table === null) return this.#refuse('not_ready', 'no configuration yet', RETRY_AFTER_MS);
@@ -435,6 +460,15 @@
   }
 
   #startAttempt(admission: Admission, target: DirectTarget, reason: string): void {
+    if (
+      this.#sentAttempts === 0 &&
+      !this.#mayHaveRun &&
+      !this.#context.bodyBudget.canPin(this.#body.length)
+    ) {
+      admission.tracker.endTrial();
+      this.#refuseWithoutSpace();
+      return;
+    }
     const nowMs = this.#context.clock.getNow();
     this.#firstAttemptMs ??= nowMs;
     const timeoutMs = Math.floor(this.#getDeadlineMs() - nowMs);
@@ -496,6 +530,7 @@
 
   #handleResult(target: DirectTarget, result: AttemptResult): void {
     this.#attempt = null;
+    if (this.#hasEnded) this.#releaseBody();
     const { route, tracker } = this.#admission as Admission;
     if (result.kind === 'answered') {
       tracker.handleDone(route, result.head.status);
@@ -665,6 +700,8 @@
     this.#hasEnded = true;
     this.#cancelDeadline?.();
     this.#unsubscribeStop?.();
+    // An attempt that goes on still holds the body.
+    if (this.#attempt === null) this.#releaseBody();
   }
 }
 
--- a/packages/gateway/test/support/SimEntry.ts
+++ b/packages/gateway/test/support/SimEntry.ts
@@ -76,7 +76,7 @@
       clock,
       random,
       timers: new RealTimers(),
-      bodyBudget: new BodyBudget(BODY_BUDGET_BYTES),
+      bodyBudget: new BodyBudget(BODY_BUDGET_BYTES, clock),
       store: this.link,
       codec: simCodec,
       layout: simLayout,
