Answer a request at once when the code for its answer fails

A request whose answer could not be handled got no answer until its timeout, and then 503, which states that it did not run, although its target had run it.

Cause: an exception in the callback of a target's answer went to the process, where it is logged, but left the request open and without a mark that it may have run.

RequestRun now ends the request with 500 and passes the error on. An answered attempt marks the request as run before its answer is written. platform/test/failingAnswers.test.ts forwards a header value that Node.js does not write; before, all three kinds of routes were answered 503 after 1.5 s.

--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -506,21 +506,38 @@
       },
       call: { method: this.#head.method, url: this.#head.url, headers, body: this.#body },
       listener: {
-        onEvents: (head, bytes, lastId) => {
-          if (this.#hasEnded) return;
-          admission.tracker.handleEvents();
-          if (!this.#answer.isStarted()) this.#answer.start(head.status, head.forwarded);
-          this.#lastEventId = lastId;
-          this.#answer.write(bytes);
-          this.#progressMs = this.#context.clock.getNow();
-          this.#checkUnsent();
-        },
-        onResult: (result) => this.#handleResult(target, result),
+        onEvents: (head, bytes, lastId) =>
+          this.#runStep(() => {
+            if (this.#hasEnded) return;
+            admission.tracker.handleEvents();
+            if (!this.#answer.isStarted()) this.#answer.start(head.status, head.forwarded);
+            this.#lastEventId = lastId;
+            this.#answer.write(bytes);
+            this.#progressMs = this.#context.clock.getNow();
+            this.#checkUnsent();
+          }),
+        onResult: (result) => this.#runStep(() => this.#handleResult(target, result)),
       },
     });
     this.#attempt.start();
   }
 
+  /**
+   * Runs a step of the request. If it throws, the caller gets an answer at once, which does not say
+   * that the request did not run; the error goes to the process.
+   */
+  #runStep(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      if (!this.#hasEnded) {
+        this.#refuse('internal', 'the answer of the target could not be handled');
+        this.#stopAttempt(this.#admission as Admission);
+      }
+      throw error;
+    }
+  }
+
   /** Breaks off a stream whose caller does not read it, instead of keeping all of it. */
   #checkUnsent(): void {
     if (this.#answer.countUnsentBytes() <= MAX_UNSENT_BYTES) return;
@@ -533,6 +550,7 @@
     if (this.#hasEnded) this.#releaseBody();
     const { route, tracker } = this.#admission as Admission;
     if (result.kind === 'answered') {
+      this.#mayHaveRun = true;
       tracker.handleDone(route, result.head.status);
       if (!this.#hasEnded) this.#finish(target, result);
     } else if (tracker.isSuspect(result)) void this.#handleSuspectCut(target, result);
