Keep descriptors of an entry for its targets and the store

Callers that open many connections took all descriptors of an entry. Requests of other callers, on connections that were open before, were then refused with 503 (no_target), since no connection to a target could be opened, and calls of the store needed a new connection as well.

Cause: nothing limited the connections of callers; limits.max_fds was not read.

--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -23,6 +23,8 @@
   readonly bodyBudget: BodyBudget;
   /** Called when an answer is broken off because of its memory, or because it is not read. */
   readonly onAnswerDropped?: (cause: 'memory' | 'unread', bytes: number) => void;
+  /** Called when a connection beyond the limit is closed. */
+  readonly onConnectionDropped?: () => void;
 }
 
 /** Largest request head; above the limit of any configuration. */
@@ -76,6 +78,12 @@
         answerErrors(answer, () => this.#readRequest(message, response, answer));
       },
     );
+    this.#server.on('drop', () => options.onConnectionDropped?.());
+  }
+
+  /** Sets the most open connections; others are closed when they are accepted. */
+  setMaxConnections(maxConnections: number): void {
+    this.#server.maxConnections = maxConnections;
   }
 
   /** Starts to listen. @throws if the address cannot be used */
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -5,12 +5,16 @@
 import { DirectPool, checkListener } from '@limpetbay/targets';
 import { EntryCore } from './EntryCore.js';
 import { computeBodyBytes } from './computeBodyBytes.js';
+import { computeCallerConnections } from './computeCallerConnections.js';
 import type { GatewayLimits } from './GatewayLimits.js';
 import type { GatewayOptions } from './GatewayOptions.js';
 
 /** Largest request body before the first configuration. */
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
+/** Least time between two log lines about connections of callers that are refused. */
+const REFUSED_LOG_INTERVAL_MS = 10_000;
+
 /** Interval at which a stopping entry checks whether it may continue to stop. */
 const STOP_POLL_INTERVAL_MS = 100;
 
@@ -44,6 +48,11 @@
 
   #lastRequestMs = 0;
 
+  #refusedConnections = 0;
+
+  /** When these were logged last, monotonic milliseconds. */
+  #refusedLogMs = -Infinity;
+
   /** Until when callers may keep an address that they were told under earlier limits. */
   #earlierExpiryMs = -Infinity;
 
@@ -82,7 +91,9 @@
         metrics.increase(`limpetbay_dropped_answers_total{cause="${cause}"}`);
         this.#log.warn('answer broken off; its caller did not read it in time', { cause, bytes });
       },
+      onConnectionDropped: () => this.#handleRefusedConnection(),
     });
+    this.#limitConnections(options.limits);
   }
 
   async start(): Promise<void> {
@@ -99,6 +110,7 @@
     this.#limits = limits;
     this.#core.setLimits(limits);
     this.#bodyBudget.setMaxBytes(computeBodyBytes(limits.memoryBytes));
+    this.#limitConnections(limits);
   }
 
   /** Returns the memory of all bodies and its limit, bytes, and how many were dropped so far. */
@@ -152,6 +164,24 @@
     this.#log.report('stopped', { requests: this.#server.countRequests() });
   }
 
+  #limitConnections({ maxDescriptors }: GatewayLimits): void {
+    if (maxDescriptors === undefined) return;
+    this.#server.setMaxConnections(computeCallerConnections(maxDescriptors));
+  }
+
+  #handleRefusedConnection(): void {
+    const { clock, metrics } = this.#options;
+    metrics.increase('limpetbay_refused_connections_total');
+    this.#refusedConnections += 1;
+    const nowMs = clock.getNow();
+    if (nowMs - this.#refusedLogMs < REFUSED_LOG_INTERVAL_MS) return;
+    this.#refusedLogMs = nowMs;
+    this.#log.warn('caller connections refused; too many are open', {
+      connections: this.#refusedConnections,
+    });
+    this.#refusedConnections = 0;
+  }
+
   async #waitUntil(latestMs: number, isDone: (nowMs: number) => boolean): Promise<void> {
     const { clock, timers } = this.#options;
     while (clock.getNow() < latestMs && !isDone(clock.getNow())) {
--- a/packages/gateway/src/process/GatewayLimits.ts
+++ b/packages/gateway/src/process/GatewayLimits.ts
@@ -12,4 +12,6 @@
   readonly addressTtlMs: number;
   /** Memory of the process, beyond which the deployment may end it, bytes; unknown if absent. */
   readonly memoryBytes?: number;
+  /** Most open descriptors of the process; unknown if absent. */
+  readonly maxDescriptors?: number;
 }
