Limit the memory of what an agent receives

Orders that other agents send, each within its limit of 16 MiB, filled the memory of an agent, which the deployment then ends by a kill.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -37,6 +37,7 @@
 export { BodyBudget } from './body/BodyBudget.js';
 export { BodyBuffer } from './body/BodyBuffer.js';
 export type { BudgetedBody } from './body/BudgetedBody.js';
+export { computeBodyBytes } from './body/computeBodyBytes.js';
 export { AttemptLog } from './claims/AttemptLog.js';
 export { BatchWriter } from './claims/BatchWriter.js';
 export type { Claim } from './claims/Claim.js';
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,7 +20,6 @@
 export type { GatewayLimits } from './process/GatewayLimits.js';
 export type { GatewayOptions } from './process/GatewayOptions.js';
 export { RealTimers } from './process/RealTimers.js';
-export { computeBodyBytes } from './process/computeBodyBytes.js';
 export { computeCallerConnections } from './process/computeCallerConnections.js';
 export { SharedRates } from './rates/SharedRates.js';
 export type { AnswerTrace } from './request/AnswerTrace.js';
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -1,10 +1,9 @@
 import { DirectServer, type DirectAnswer, type DirectHandler } from '@limpetbay/callers';
-import { BodyBudget, splitAddress, type RequestHead } from '@limpetbay/core';
+import { BodyBudget, computeBodyBytes, splitAddress, type RequestHead } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
 import { IgnoredRecordLog, type Log } from '@limpetbay/runtime';
 import { DirectPool, checkListener } from '@limpetbay/targets';
 import { EntryCore } from './EntryCore.js';
-import { computeBodyBytes } from './computeBodyBytes.js';
 import { computeCallerConnections } from './computeCallerConnections.js';
 import type { GatewayLimits } from './GatewayLimits.js';
 import type { GatewayOptions } from './GatewayOptions.js';
--- a/packages/rankagent/src/network/AgentServer.ts
+++ b/packages/rankagent/src/network/AgentServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { BodyBuffer, decodeJson } from '@limpetbay/core';
+import { BodyBuffer, decodeJson, type BodyBudget } from '@limpetbay/core';
 import { receiveBody } from '@limpetbay/runtime';
 import type { AgentCalls } from '../ports/AgentCalls.js';
 import { OrderRequest } from '../ports/OrderRequest.js';
@@ -8,6 +8,8 @@
   readonly host: string;
   readonly port: number;
   readonly calls: AgentCalls;
+  /** Limits the memory of all incomplete bodies. */
+  readonly bodyBudget: BodyBudget;
 }
 
 /** Larger than the map of the largest group. */
@@ -22,12 +24,21 @@
   constructor(options: AgentServerOptions) {
     this.#options = options;
     this.#server = createServer((request, response) => {
-      const body = new BodyBuffer({ maxBytes: MAX_BODY_BYTES });
+      const refuse = (status: number): void => {
+        if (response.headersSent) return;
+        response.once('finish', () => response.destroy());
+        writeJson(response, status, {});
+      };
+      const body = new BodyBuffer({
+        maxBytes: MAX_BODY_BYTES,
+        budget: options.bodyBudget,
+        onEvicted: () => refuse(429),
+      });
+      response.on('close', () => body.clear());
       receiveBody(request, (chunk) => {
-        if (response.headersSent || body.append(chunk)) return;
+        if (response.headersSent || response.destroyed || body.append(chunk)) return;
         body.clear();
-        response.once('finish', () => response.destroy());
-        writeJson(response, 413, {});
+        refuse(413);
       });
       request.on('end', () => {
         if (!response.headersSent) void this.#serveRequest(request, response, body.take());
--- a/packages/rankagent/src/network/HttpAgent.ts
+++ b/packages/rankagent/src/network/HttpAgent.ts
@@ -2,6 +2,7 @@
   Ok,
   describeIssue,
   fail,
+  type BodyBudget,
   type Clock,
   type Failure,
   type RankOrder,
@@ -20,9 +21,12 @@
 export class HttpAgent implements RemoteAgent {
   readonly #pool: DirectPool;
 
-  /** @param address `IP:PORT` */
-  constructor(address: string, clock: Clock) {
+  readonly #bodyBudget: BodyBudget;
+
+  /** @param address `IP:PORT` @param bodyBudget limits the memory of all answers */
+  constructor(address: string, clock: Clock, bodyBudget: BodyBudget) {
     this.#pool = new DirectPool(address, clock);
+    this.#bodyBudget = bodyBudget;
   }
 
   order(order: RankOrder, epoch: number, timeoutMs: number): Promise<Result<OrderReply, Failure>> {
@@ -47,6 +51,7 @@
     const answer = await requestJson(this.#pool, {
       ...{ method, url, body, timeoutMs },
       maxBodyBytes: MAX_ANSWER_BYTES,
+      bodyBudget: this.#bodyBudget,
     });
     if (answer.err) return answer;
     const reply = schema.safeParse(answer.val.body);
--- a/packages/rankagent/src/network/SocketNetwork.ts
+++ b/packages/rankagent/src/network/SocketNetwork.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@limpetbay/core';
+import type { BodyBudget, Clock } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
 import type { AgentCalls } from '../ports/AgentCalls.js';
 import type { PeerNetwork } from '../ports/PeerNetwork.js';
@@ -13,6 +13,8 @@
   /** Address and port of this agent, for datagrams and for calls. */
   readonly host: string;
   readonly port: number;
+  /** Limits the memory of all bodies that arrive. */
+  readonly bodyBudget: BodyBudget;
 }
 
 /** Network of the operating system: datagrams over UDP, calls over HTTP. */
@@ -29,13 +31,14 @@
   }
 
   async serve(calls: AgentCalls): Promise<() => void> {
-    const { host, port } = this.#options;
-    const server = new AgentServer({ host, port, calls });
+    const { host, port, bodyBudget } = this.#options;
+    const server = new AgentServer({ host, port, calls, bodyBudget });
     await server.start();
     return () => server.close();
   }
 
   openAgent(address: string): RemoteAgent {
-    return new HttpAgent(address, this.#options.clock);
+    const { clock, bodyBudget } = this.#options;
+    return new HttpAgent(address, clock, bodyBudget);
   }
 }
--- a/packages/rankagent/test/RankAgent.test.ts
+++ b/packages/rankagent/test/RankAgent.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import {
+  BodyBudget,
   ManualClock,
   Ok,
   fail,
@@ -19,6 +20,7 @@
 /** Differs between test runs, because the host addresses are the same in all of them. */
 const PEER_PORT = 20_000 + (process.pid % 20_000);
 const PASS_MS = 20;
+const BODY_BUDGET_BYTES = 33_554_432;
 const NOOP_LOG = { report: () => {}, warn: () => {}, alert: () => {} };
 
 function createTestLog(warnings: string[]): Log {
@@ -180,7 +182,12 @@
       clock: new RealClock(),
       metrics: new MetricRegistry(),
       createLog: () => createTestLog(warnings),
-      network: new SocketNetwork({ clock: new RealClock(), host: getHost(rank), port: PEER_PORT }),
+      network: new SocketNetwork({
+        clock: new RealClock(),
+        host: getHost(rank),
+        port: PEER_PORT,
+        bodyBudget: new BodyBudget(BODY_BUDGET_BYTES, new RealClock()),
+      }),
       peerPort: PEER_PORT,
       linkBitsPerSecond: 100_000_000,
       rankAddress: addresses[rank] ?? '',
--- a/packages/targets/src/direct/requestJson.ts
+++ b/packages/targets/src/direct/requestJson.ts
@@ -1,4 +1,12 @@
-import { BodyBuffer, Ok, fail, parseJson, type Failure, type Result } from '@limpetbay/core';
+import {
+  BodyBuffer,
+  Ok,
+  fail,
+  parseJson,
+  type BodyBudget,
+  type Failure,
+  type Result,
+} from '@limpetbay/core';
 import type { DirectPool } from './DirectPool.js';
 
 interface JsonRequest {
@@ -10,6 +18,8 @@
   readonly timeoutMs: number;
   /** Largest body of an answer; a longer one fails the request. */
   readonly maxBodyBytes: number;
+  /** Limit that the answer shares with other bodies; none by default. */
+  readonly bodyBudget?: BodyBudget;
   /** Longest idle time of a connection that is reused, milliseconds; 5 s by default. */
   readonly maxIdleMs?: number;
   /** Cancels the request, which then fails with `outcome_unknown`. */
@@ -37,11 +47,16 @@
   pool: DirectPool,
   request: JsonRequest,
 ): Promise<Result<JsonAnswer, Failure>> {
-  const { method, url, timeoutMs, maxBodyBytes, maxIdleMs = DEFAULT_MAX_IDLE_MS, signal } = request;
+  const { method, url, timeoutMs, maxBodyBytes, bodyBudget, signal } = request;
+  const { maxIdleMs = DEFAULT_MAX_IDLE_MS } = request;
   const body = request.body === undefined ? null : Buffer.from(JSON.stringify(request.body));
   const requestHeaders = body === null ? [] : ['content-type', 'application/json'];
   return new Promise((resolve) => {
-    const answerBody = new BodyBuffer({ maxBytes: maxBodyBytes });
+    const answerBody = new BodyBuffer({
+      maxBytes: maxBodyBytes,
+      ...(bodyBudget === undefined ? {} : { budget: bodyBudget }),
+      onEvicted: () => abandon('the bodies of all answers take too much memory'),
+    });
     let head: Pick<JsonAnswer, 'status' | 'headers'> = { status: 0, headers: {} };
     const abandon = (reason: string): void => {
       cancel();
@@ -51,6 +66,7 @@
     const timer = setTimeout(() => abandon(`no complete answer within ${timeoutMs} ms`), timeoutMs);
     const finish = (result: Result<JsonAnswer, Failure>): void => {
       clearTimeout(timer);
+      answerBody.clear();
       signal?.removeEventListener('abort', handleAbort);
       resolve(result);
     };
