--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -25,12 +25,16 @@
   readonly readHead: (message: IncomingMessage) => RequestHead;
   /** Returns the largest body that is accepted, bytes. */
   readonly getMaxBodyBytes: () => number;
-  /** Limits the memory of all incomplete bodies. */
+  /** Limits the memory of incomplete bodies and of answers that callers have not read. */
   readonly bodyBudget: BodyBudget;
   /** Called for each request that ends without an answer, or that this server refuses. */
   readonly onClosed?: (closed: ClosedRequest) => void;
   /** Clock of the times of requests; `RealClock` by default. */
   readonly clock?: Clock;
+  /** Called when an answer is broken off because of its memory, or because it is not read. */
+  readonly onAnswerDropped?: (cause: 'memory' | 'unread', bytes: number) => void;
+  /** Called when a connection beyond the limit is closed. */
+  readonly onConnectionDropped?: () => void;
 }
 
 /** Largest request head; above the limit of any configuration. */
@@ -82,7 +86,11 @@
       (message, response) => {
         const connection = this.#connections.addRequest(message, response);
         const isLast = (): boolean => this.#isDraining && !connection.hasFollowing(response);
-        const answer = new DirectAnswer(response, isLast);
+        const answer = new DirectAnswer(response, isLast, {
+          budget: options.bodyBudget,
+          getIdleTimeoutMs: () => this.#server.keepAliveTimeout,
+          onDropped: (cause, bytes) => options.onAnswerDropped?.(cause, bytes),
+        });
         this.#answerErrors(response, answer, () =>
           this.#readRequest(message, response, answer, connection),
         );
@@ -94,6 +102,12 @@
       readId: (message) => options.readHead(message).id,
       onClosed: (closed) => options.onClosed?.(closed),
     });
+    this.#server.on('drop', () => options.onConnectionDropped?.());
+  }
+
+  /** Sets the most open connections; others are closed when they are accepted. */
+  setMaxConnections(maxConnections: number): void {
+    this.#server.maxConnections = maxConnections;
   }
 
   /**
@@ -191,6 +205,7 @@
     response.on('close', () => {
       this.#incomplete.delete(response);
       body.clear();
+      answer.release();
       if (!response.writableFinished) cancel?.();
     });
     const failSlowBody = (): void => {
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -4,19 +4,20 @@
   type DirectAnswer,
   type DirectHandler,
 } from '@limpetbay/callers';
-import { BodyBudget, splitAddress, type RequestHead } from '@limpetbay/core';
+import { BodyBudget, computeBodyBytes, splitAddress, type RequestHead } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
 import { IgnoredRecordLog, type Log } from '@limpetbay/runtime';
 import { DirectPool, checkListener } from '@limpetbay/targets';
 import { EntryCore } from './EntryCore.js';
+import { computeCallerConnections } from './computeCallerConnections.js';
 import type { GatewayLimits } from './GatewayLimits.js';
 import type { GatewayOptions } from './GatewayOptions.js';
 
 /** Largest request body before the first configuration. */
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
-/** Memory of all bodies that are being received, from callers and targets, bytes. */
-const MAX_INCOMPLETE_BODY_BYTES = 67_108_864;
+/** Least time between two log lines about connections of callers that are refused. */
+const REFUSED_LOG_INTERVAL_MS = 10_000;
 
 /** Interval at which a stopping entry checks whether it may continue to stop. */
 const STOP_POLL_INTERVAL_MS = 100;
@@ -54,8 +55,15 @@
 
   #isAccepting = false;
 
+  readonly #bodyBudget: BodyBudget;
+
   #lastRequestMs = 0;
 
+  #refusedConnections = 0;
+
+  /** When these were logged last, monotonic milliseconds. */
+  #refusedLogMs = -Infinity;
+
   /** Until when callers may keep an address that they were told under earlier limits. */
   #earlierExpiryMs = -Infinity;
 
@@ -65,7 +73,11 @@
     const { clock, codec, metrics, createLog } = options;
     this.#log = createLog('entry');
     this.#connectionsLog = createLog('connections');
-    const bodyBudget = new BodyBudget(MAX_INCOMPLETE_BODY_BYTES);
+    const bodyBudget = new BodyBudget(
+      computeBodyBytes(options.limits.memoryLimitBytes ?? null),
+      clock,
+    );
+    this.#bodyBudget = bodyBudget;
     const ignored = new IgnoredRecordLog({ clock, log: this.#log, metrics, component: 'entry' });
     this.#core = new EntryCore({
       ...options,
@@ -92,7 +104,13 @@
       bodyBudget,
       clock,
       onClosed: (closed) => this.#reportClosed(closed),
+      onAnswerDropped: (cause, bytes) => {
+        metrics.increase(`limpetbay_dropped_answers_total{cause="${cause}"}`);
+        this.#log.warn('answer broken off; its caller did not read it in time', { cause, bytes });
+      },
+      onConnectionDropped: () => this.#handleRefusedConnection(),
     });
+    this.#limitConnections(options.limits);
     this.#registerGauges(bodyBudget);
   }
 
@@ -129,6 +147,18 @@
     this.#earlierExpiryMs = Math.max(this.#earlierExpiryMs, expiryMs);
     this.#limits = limits;
     this.#core.setLimits(limits);
+    this.#bodyBudget.setMaxBytes(computeBodyBytes(limits.memoryLimitBytes ?? null));
+    this.#limitConnections(limits);
+  }
+
+  /** Returns the memory of all bodies and its limit, bytes, and how many were dropped so far. */
+  getBodyMemory(): { readonly bytes: number; readonly maxBytes: number; readonly dropped: number } {
+    const budget = this.#bodyBudget;
+    return {
+      bytes: budget.countBytes(),
+      maxBytes: budget.getMaxBytes(),
+      dropped: budget.countEvictions(),
+    };
   }
 
   /** Returns whether this entry can serve callers. */
@@ -214,6 +244,24 @@
     });
   }
 
+  #limitConnections({ maxDescriptors }: GatewayLimits): void {
+    if (maxDescriptors === undefined) return;
+    this.#server.setMaxConnections(computeCallerConnections(maxDescriptors));
+  }
+
+  #handleRefusedConnection(): void {
+    const { clock, metrics } = this.#options;
+    metrics.increase('limpetbay_refused_connections_total');
+    this.#refusedConnections += 1;
+    const nowMs = clock.getNow();
+    if (nowMs - this.#refusedLogMs < REFUSED_LOG_INTERVAL_MS) return;
+    this.#refusedLogMs = nowMs;
+    this.#log.warn('caller connections refused; too many are open', {
+      connections: this.#refusedConnections,
+    });
+    this.#refusedConnections = 0;
+  }
+
   async #waitUntil(latestMs: number, isDone: (nowMs: number) => boolean): Promise<void> {
     const { clock, timers } = this.#options;
     while (clock.getNow() < latestMs && !isDone(clock.getNow())) {
--- a/packages/gateway/src/process/GatewayLimits.ts
+++ b/packages/gateway/src/process/GatewayLimits.ts
@@ -10,4 +10,8 @@
   readonly drainMs: number;
   /** How long callers cache the list of addresses, milliseconds. */
   readonly addressTtlMs: number;
+  /** Memory of the process, beyond which the deployment may end it, bytes; unknown if absent. */
+  readonly memoryLimitBytes?: number | null;
+  /** Most open descriptors of the process; unknown if absent. */
+  readonly maxDescriptors?: number;
 }
