Treat a connection without a request as idle

A caller that opens a connection ahead of its first request got 408 on it after the timeout of a head (1 s in the test), although the idle timeout was not over. Node.js counts the time of the first head from the opening of the connection. Such a connection now ends silently by the idle timeout. A head that has begun is still limited.

The test failed before: 408 instead of the answer to a request that was sent 2.3 s after the opening, with an idle timeout of 2 s.

--- a/packages/callers/src/connection/CallerConnection.ts
+++ b/packages/callers/src/connection/CallerConnection.ts
@@ -43,8 +43,12 @@
 
   #isClosing = false;
 
-  constructor(socket: Socket) {
+  /** Returns the longest time that a connection without a request stays open, milliseconds. */
+  readonly #getIdleTimeoutMs: () => number;
+
+  constructor(socket: Socket, getIdleTimeoutMs: () => number) {
     this.#socket = socket;
+    this.#getIdleTimeoutMs = getIdleTimeoutMs;
     // Node.js calls it after an answer that ends the connection.
     Object.assign(socket, { destroySoon: () => this.closeGracefully() });
     socket.on('close', () => {
@@ -58,6 +62,8 @@
   addRequest(message: IncomingMessage, response: ServerResponse): void {
     this.#requestCount += 1;
     this.#isHeadLate = false;
+    // Node.js clears only the idle timeout that it has set itself.
+    if (this.#requestCount === 1) this.#socket.setTimeout(0);
     const request = { message, response };
     this.#open.push(request);
     response.on('close', () => this.#removeRequest(request));
@@ -122,7 +128,8 @@
     // Timers run before sockets are read, so the rest may have arrived.
     setImmediate(() => {
       if (this.#requestCount !== count || last?.message.complete || this.#socket.destroyed) return;
-      if (last === null && this.#open.length > 0) this.#isHeadLate = true;
+      if (this.#socket.bytesRead === 0) this.#socket.setTimeout(this.#getIdleTimeoutMs());
+      else if (last === null && this.#open.length > 0) this.#isHeadLate = true;
       else this.#failInput(REQUEST_TIMEOUT);
     });
   }
--- a/packages/callers/src/connection/CallerConnections.ts
+++ b/packages/callers/src/connection/CallerConnections.ts
@@ -4,10 +4,13 @@
 
 /** The connections of a server for callers. */
 export class CallerConnections {
+  readonly #server: Server;
+
   readonly #connections = new Map<Socket, CallerConnection>();
 
   /** Handles the timeouts and errors of the connections of a server. */
   constructor(server: Server) {
+    this.#server = server;
     server.on('connection', (socket: Socket) => this.#getConnection(socket));
     server.on('timeout', (socket) => this.#getConnection(socket).handleIdleTimeout());
     server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
@@ -33,7 +36,7 @@
   #getConnection(socket: Socket): CallerConnection {
     let connection = this.#connections.get(socket);
     if (connection === undefined) {
-      connection = new CallerConnection(socket);
+      connection = new CallerConnection(socket, () => this.#server.keepAliveTimeout);
       this.#connections.set(socket, connection);
       socket.on('close', () => this.#connections.delete(socket));
     }
