Send no request on a connection to a target that is ending

The entry counted a connection as idle when an answer was complete. The agent of Node.js decides a moment later whether it keeps the connection, and ends it after such an answer. A request in between was queued behind the connection and failed with it, and counted as sent, because the connection had been established.

A connection is now idle once the agent has kept it. One that the target has begun to close is not reused, and a request counts as sent only when it has a connection.

--- a/packages/targets/src/direct/DirectConnection.ts
+++ b/packages/targets/src/direct/DirectConnection.ts
@@ -76,13 +76,26 @@
   constructor(address: string, events: ConnectionEvents) {
     this.#address = parseAddress(address);
     this.#events = events;
-    this.#agent.on('free', (socket: Socket) => socket.on('data', this.#closeOnData));
+    this.#agent.on('free', (socket: Socket) => {
+      // The agent has ended the connection if the answer announced its end.
+      if (this.#isClosed || !socket.writable) {
+        this.close();
+        return;
+      }
+      socket.on('data', this.#closeOnData);
+      this.#events.onIdle();
+    });
+  }
+
+  /** Returns whether the target has not begun to close the connection. */
+  isUsable(): boolean {
+    return this.#socket !== null && this.#socket.readable && this.#socket.writable;
   }
 
   /** Sends a call. @returns a function that cancels the call and closes the connection */
   send(call: DirectCall, listener: DirectListener): () => void {
     let isFinished = false;
-    let isConnected = this.#socket !== null;
+    let isConnected = false;
     const reportFailure = (message: string): void => {
       if (isFinished) return;
       isFinished = true;
@@ -110,6 +123,7 @@
     };
     request.on('socket', (socket) => {
       this.#watchSocket(socket);
+      isConnected = !socket.connecting;
       earlierBytes = socket.bytesRead;
       socket.removeListener('data', this.#closeOnData);
       socket.on('data', checkHead);
@@ -157,7 +171,6 @@
           if (isFinished) return;
           isFinished = true;
           listener.onEnd();
-          if (!this.#isClosed) this.#events.onIdle();
         },
         onFailure: reportFailure,
       });
--- a/packages/targets/src/direct/DirectPool.ts
+++ b/packages/targets/src/direct/DirectPool.ts
@@ -53,10 +53,14 @@
   }
 
   #takeIdle(maxIdleMs: number): DirectConnection | null {
-    const newest = this.#idle[this.#idle.length - 1];
-    if (newest === undefined || this.#clock.getNow() - newest.idleSinceMs > maxIdleMs) return null;
-    this.#idle.pop();
-    return newest.connection;
+    for (;;) {
+      const newest = this.#idle[this.#idle.length - 1];
+      if (newest === undefined) return null;
+      if (this.#clock.getNow() - newest.idleSinceMs > maxIdleMs) return null;
+      this.#idle.pop();
+      if (newest.connection.isUsable()) return newest.connection;
+      newest.connection.close();
+    }
   }
 
   #openConnection(): DirectConnection {
