--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,11 +1,29 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 import localRules from './tools/eslint-rules.js';
 
-const codeFiles = ['platform/src/**/*.ts', 'packages/*/src/**/*.ts', 'bench/src/**/*.ts'];
-const testFiles = ['platform/test/**/*.ts', 'packages/*/test/**/*.ts', 'bench/test/**/*.ts'];
+const codeFiles = [
+  'platform/src/**/*.ts',
+  'packages/*/src/**/*.ts',
+  'bench/src/**/*.ts',
+  'soak/src/**/*.ts',
+];
+const testFiles = [
+  'platform/test/**/*.ts',
+  'packages/*/test/**/*.ts',
+  'bench/test/**/*.ts',
+  'soak/test/**/*.ts',
+];
 
 export default [
-  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'vitest.config.ts'] },
+  {
+    ignores: [
+      '**/dist/**',
+      'target/**',
+      'soak/failures/**',
+      '**/node_modules/**',
+      'vitest.config.ts',
+    ],
+  },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- /dev/null
+++ b/soak/src/check/RunRecord.ts
@@ -0,0 +1,10 @@
+/** A request that a target began to run. */
+export interface RunRecord {
+  readonly target: string;
+  /** Steady clock, milliseconds. */
+  readonly startMs: number;
+  /** When the answer was written whole; null while it is not. */
+  endMs: number | null;
+  /** Whether the target broke off the answer itself. */
+  isBrokenOff: boolean;
+}
--- /dev/null
+++ b/soak/src/index.ts
@@ -0,0 +1,1 @@
+export { SoakRun } from './SoakRun.js';
--- /dev/null
+++ b/soak/src/processes/Fleet.ts
@@ -0,0 +1,129 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { closeSync, openSync, readFileSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import type { Instance } from './Instance.js';
+
+const ROOT = new URL('../../../', import.meta.url).pathname;
+
+/**
+ * Bit in the masks of `/proc` that shows that a signal is handled. Node.js itself catches SIGTERM
+ * from its start on, only to end by it, so SIGQUIT shows whether the program handles a stop.
+ */
+const BIT_OF_SIGNAL: ReadonlyMap<string, bigint> = new Map([
+  ['SIGHUP', 0n],
+  ['SIGTERM', 2n],
+]);
+
+const BYTES_PER_KB = 1024;
+
+/** Starts, signals and ends processes; it ends no process that it did not start. */
+export class Fleet {
+  readonly instances: Instance[] = [];
+
+  readonly #children = new Set<ChildProcess>();
+
+  readonly #folder: string;
+
+  readonly #commands: Readonly<Record<Instance['role'], readonly string[]>>;
+
+  readonly #settings = new Map<string, Map<string, string>>();
+
+  /** Called when a process has ended. */
+  onEnd: (instance: Instance, code: number | null, signal: NodeJS.Signals | null) => void =
+    () => {};
+
+  /**
+   * @param folder folder for the logs and settings files
+   * @param commands program and arguments of each role
+   */
+  constructor(folder: string, commands: Readonly<Record<Instance['role'], readonly string[]>>) {
+    this.#folder = folder;
+    this.#commands = commands;
+  }
+
+  /** Adds an instance and writes its settings file; `startProcess` starts its process. */
+  add(
+    fields: Pick<Instance, 'role' | 'name' | 'host' | 'ports' | 'memoryBytes'>,
+    settings: Readonly<Record<string, string>>,
+  ): Instance {
+    const instance: Instance = {
+      ...fields,
+      settingsFile: join(this.#folder, `${fields.name}.conf`),
+      logFile: join(this.#folder, `${fields.name}.log`),
+      child: null,
+      orders: new Set(),
+      earlySignals: new Set(),
+      obstacles: 0,
+      beforeStart: null,
+      restartMs: 0,
+      mustServeFromMs: null,
+      peakBytes: 0,
+    };
+    this.instances.push(instance);
+    this.writeSettings(instance, settings);
+    return instance;
+  }
+
+  /** Changes fields of the settings file of an instance; the others stay. */
+  writeSettings(instance: Instance, fields: Readonly<Record<string, string>>): void {
+    const known = this.#settings.get(instance.name) ?? new Map<string, string>();
+    this.#settings.set(instance.name, known);
+    for (const [name, value] of Object.entries(fields)) known.set(name, value);
+    let text = '';
+    for (const [name, value] of known) text += `${name}=${value}\n`;
+    writeFileSync(instance.settingsFile, text);
+  }
+
+  startProcess(instance: Instance): void {
+    const [program, ...args] = this.#commands[instance.role];
+    const log = openSync(instance.logFile, 'a');
+    const child = spawn(program!, args, {
+      cwd: ROOT,
+      env: {
+        PATH: process.env.PATH,
+        HOME: process.env.HOME,
+        LIMPETBAY_NODE_FILE: instance.settingsFile,
+      },
+      stdio: ['ignore', log, log],
+    });
+    closeSync(log);
+    this.#children.add(child);
+    Object.assign(instance, { child });
+    instance.orders.clear();
+    instance.earlySignals.clear();
+    child.on('exit', (code, signal) => {
+      this.#children.delete(child);
+      Object.assign(instance, { child: null });
+      this.onEnd(instance, code, signal);
+    });
+  }
+
+  /** Sends a signal; records whether the process cannot handle it yet. */
+  sendSignal(instance: Instance, signal: NodeJS.Signals): void {
+    const bit = BIT_OF_SIGNAL.get(signal);
+    const status = this.#readStatus(instance);
+    const ignored = BigInt(`0x${/^SigIgn:\s+(\w+)$/m.exec(status)?.[1] ?? '0'}`);
+    const caught = BigInt(`0x${/^SigCgt:\s+(\w+)$/m.exec(status)?.[1] ?? '0'}`);
+    const isHandled = bit === undefined || (((ignored | caught) >> bit) & 1n) === 1n;
+    if (!isHandled) instance.earlySignals.add(signal);
+    instance.child?.kill(signal);
+  }
+
+  /** Reads the peak of the resident memory of a running process. @returns bytes */
+  readPeak(instance: Instance): number {
+    return Number(/^VmHWM:\s+(\d+) kB$/m.exec(this.#readStatus(instance))?.[1] ?? 0) * BYTES_PER_KB;
+  }
+
+  /** Kills all processes that are still running. */
+  close(): void {
+    for (const child of this.#children) child.kill('SIGKILL');
+  }
+
+  #readStatus(instance: Instance): string {
+    try {
+      return readFileSync(`/proc/${instance.child?.pid}/status`, 'utf8');
+    } catch {
+      return '';
+    }
+  }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -16,6 +16,7 @@
       'platform/test/**/*.test.ts',
       'packages/*/test/**/*.test.ts',
       'bench/test/**/*.test.ts',
+      'soak/test/**/*.test.ts',
     ],
     testTimeout: 20_000,
     maxWorkers: 4,
