--- a/soak/src/SoakOptions.ts
+++ b/soak/src/SoakOptions.ts
@@ -12,4 +12,6 @@
   readonly folder: string;
   /** Program and arguments of each role. */
   readonly commands: Readonly<Record<'entry' | 'agent', readonly string[]>>;
+  /** An instance has to serve so long after its start and the end of all obstacles, milliseconds. */
+  readonly recoveryMs: number;
 }
--- a/soak/src/SoakRun.ts
+++ b/soak/src/SoakRun.ts
@@ -22,9 +22,6 @@
 
 const BOUNDS: Bounds = { stableWindowMs: 3000, graceMs: GRACE_S * 1000, lossSlackMs: 200 };
 
-/** An instance serves again so long after its start and the end of all obstacles, milliseconds. */
-const RECOVERY_MS = 12_000;
-
 const MEGABYTE = 1_048_576;
 
 const MEMORY_BYTES = { entry: 350 * MEGABYTE, agent: 218 * MEGABYTE };
@@ -277,6 +274,7 @@
   /** Asks an instance whether it serves; it has to, some time after its last obstacle. */
   async #poll(instance: Instance, player: FaultPlayer): Promise<void> {
     const { child } = instance;
+    const { recoveryMs } = this.#options;
     const isServing = child !== null && (await this.#isServing(instance));
     const isExcused = instance.obstacles > 0 || instance.orders.size > 0 || player.isStoreDown;
     const nowMs = performance.now();
@@ -284,8 +282,8 @@
     else if (isExcused) Object.assign(instance, { mustServeFromMs: nowMs });
     else if (instance.mustServeFromMs === null) {
       Object.assign(instance, { mustServeFromMs: nowMs });
-    } else if (nowMs - instance.mustServeFromMs > RECOVERY_MS) {
-      this.#addViolation('FAULT', `${instance.name} does not serve after ${RECOVERY_MS} ms`);
+    } else if (nowMs - instance.mustServeFromMs > recoveryMs) {
+      this.#addViolation('FAULT', `${instance.name} does not serve after ${recoveryMs} ms`);
       Object.assign(instance, { mustServeFromMs: nowMs });
     }
   }
@@ -307,7 +305,7 @@
 
   /** Waits until all instances serve, or one was found not to. @returns the time */
   async #waitUntilServing(): Promise<number> {
-    const endMs = performance.now() + 2 * RECOVERY_MS;
+    const endMs = performance.now() + 2 * this.#options.recoveryMs;
     while (performance.now() < endMs) {
       await sleep(POLL_MS);
       const waiting = this.#fleet.instances.filter(
--- a/soak/src/faults/FaultPlayer.ts
+++ b/soak/src/faults/FaultPlayer.ts
@@ -80,7 +80,9 @@
     else if (plan.kind === 'endless') target.endless += Math.min(plan.count, 2);
     else if (plan.kind === 'largeAnswers') await this.#askForLargeAnswers(entry, plan);
     else if (plan.kind === 'uploads') await this.#upload(entry, plan);
-    else if (plan.kind === 'resets') await this.#resetCalls(entry, plan);
+    else if (plan.kind === 'silence') {
+      (plan.choice < 0.5 ? this.#options.store : target).suspendLinks();
+    } else if (plan.kind === 'resets') await this.#resetCalls(entry, plan);
   }
 
   #reload(instance: Instance): void {
--- a/soak/src/processes/Fleet.ts
+++ b/soak/src/processes/Fleet.ts
@@ -1,5 +1,5 @@
 import { spawn, type ChildProcess } from 'node:child_process';
-import { closeSync, openSync, readFileSync, writeFileSync } from 'node:fs';
+import { closeSync, openSync, readFileSync, renameSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import type { Instance } from './Instance.js';
 
@@ -71,7 +71,9 @@
     for (const [name, value] of Object.entries(fields)) known.set(name, value);
     let text = '';
     for (const [name, value] of known) text += `${name}=${value}\n`;
-    writeFileSync(instance.settingsFile, text);
+    // A rename, so that no start reads a part of the file.
+    writeFileSync(`${instance.settingsFile}.new`, text);
+    renameSync(`${instance.settingsFile}.new`, instance.settingsFile);
   }
 
   startProcess(instance: Instance): void {
--- a/soak/src/schedule/profiles.ts
+++ b/soak/src/schedule/profiles.ts
@@ -5,6 +5,15 @@
 /** Two changes of a desired state, or two reloads, may be closer together than their bounds. */
 const SHORT_GAP_MS = 700;
 
+const LIMIT_SIZES = {
+  entries: 24,
+  agents: 12,
+  targets: 16,
+  callersPerEntry: 6,
+  faultGapMs: 120,
+  maxBurst: 200,
+};
+
 const planned: Profile = {
   entries: 3,
   agents: 1,
@@ -15,6 +24,12 @@
   kinds: ['hup', 'hup', 'settings', 'stop', 'config', 'drain'],
 };
 
+const allKinds = [
+  ...signalKinds,
+  ...(['freeze', 'store', 'store', 'drain', 'crash', 'endless'] as const),
+  ...(['largeAnswers', 'uploads', 'resets'] as const),
+];
+
 /**
  * Profiles by name. The schedule of a seed depends on its profile: a changed profile gives the
  * seeds of `seeds.json` another schedule, so new kinds of faults get a new profile.
@@ -22,4 +37,8 @@
 export const profiles: ReadonlyMap<string, Profile> = new Map([
   ['planned', planned],
   ['signals', { ...planned, agents: 2, kinds: signalKinds }],
+  ['full', { ...planned, agents: 2, maxBurst: 60, kinds: allKinds }],
+  ['links', { ...planned, kinds: [...planned.kinds, 'silence', 'silence', 'resets', 'crash'] }],
+  // A few dozen processes; their peak stays under half of a machine of 32 GB.
+  ['limits', { ...planned, ...LIMIT_SIZES, kinds: allKinds }],
 ]);
--- a/soak/src/standins/StoreServer.ts
+++ b/soak/src/standins/StoreServer.ts
@@ -41,6 +41,8 @@
 
   readonly #sockets = new Set<Socket>();
 
+  readonly #silent = new WeakSet<Socket>();
+
   #changes: Change[] = [];
 
   #revision = 1;
@@ -87,6 +89,11 @@
     else if (!isListening) await this.start();
   }
 
+  /** Lets the open connections go silent; new ones work. */
+  suspendLinks(): void {
+    for (const socket of this.#sockets) this.#silent.add(socket);
+  }
+
   put(key: string, value: string | object, lease = 0): void {
     this.#revision += 1;
     const text = typeof value === 'string' ? value : JSON.stringify(value);
@@ -119,7 +126,7 @@
   }
 
   #handle(request: IncomingMessage, response: ServerResponse, body: string): void {
-    if (this.#mode === 'hang') return;
+    if (this.#mode === 'hang' || this.#silent.has(request.socket)) return;
     if (this.#mode === 'garbage') {
       request.socket.end(GARBAGE);
       return;
@@ -134,6 +141,7 @@
 
   #send(response: ServerResponse, [status, answer]: Answer): void {
     if (response.destroyed || response.writableEnded) return;
+    if (response.socket !== null && this.#silent.has(response.socket)) return;
     response.writeHead(status, { 'content-type': 'application/json', 'store-era': '1' });
     response.end(JSON.stringify(answer));
   }
--- a/soak/src/standins/TargetServer.ts
+++ b/soak/src/standins/TargetServer.ts
@@ -1,9 +1,10 @@
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Ledger } from '../check/Ledger.js';
 import type { RunRecord } from '../check/RunRecord.js';
+import { LinkProxy } from './LinkProxy.js';
 import { buildAnswer } from './buildAnswer.js';
 import { buildEvents } from './buildEvents.js';
 import type { StoreServer } from './StoreServer.js';
@@ -33,6 +34,9 @@
 
   readonly #sockets = new Set<Socket>();
 
+  #proxy: LinkProxy | null = null;
+
+  /** @param port port of the proxy in front of the server, which takes a free one */
   constructor(
     readonly name: string,
     private readonly host: string,
@@ -64,9 +68,12 @@
     });
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
-      server.listen(this.port, this.host, resolve);
+      server.listen(0, this.host, resolve);
     });
     this.#server = server;
+    const { port } = server.address() as AddressInfo;
+    this.#proxy = new LinkProxy(this.host, this.port, port);
+    await this.#proxy.start();
     this.#register('ready');
   }
 
@@ -94,7 +101,15 @@
     span.endMs = performance.now();
   }
 
+  /** Lets the open connections go silent. */
+  suspendLinks(): void {
+    const nowMs = performance.now();
+    this.ledger.addSpan(this.name, 'unplanned', nowMs, nowMs);
+    this.#proxy?.suspendLinks();
+  }
+
   close(): void {
+    this.#proxy?.close();
     const server = this.#server;
     this.#server = null;
     this.#state = 'down';
