--- a/soak/src/schedule/profiles.ts
+++ b/soak/src/schedule/profiles.ts
@@ -39,6 +39,16 @@
   ['signals', { ...planned, agents: 2, kinds: signalKinds }],
   ['full', { ...planned, agents: 2, maxBurst: 60, kinds: allKinds }],
   ['links', { ...planned, kinds: [...planned.kinds, 'silence', 'silence', 'resets', 'crash'] }],
+  [
+    'memory',
+    {
+      ...planned,
+      entries: 2,
+      faultGapMs: 1500,
+      maxBurst: 200,
+      kinds: ['largeAnswers', 'largeAnswers', 'uploads', 'uploads', 'endless', 'hup'],
+    },
+  ],
   // A few dozen processes; their peak stays under half of a machine of 32 GB.
   ['limits', { ...planned, ...LIMIT_SIZES, kinds: allKinds }],
 ]);
