Read what has arrived before a late timer acts

After a pause of an entry, requests whose targets had answered in the meantime were answered 504, and kept connections were closed with a request on them.

Cause: after a pause Node.js may run all timers before it reads from any connection, so timeouts gave up answers that had arrived.

scheduleTimer puts off an action that is more than 10 ms late until the next reads. An idle connection of a caller is closed only if the next reads bring nothing.

--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import {
   BodyBuffer,
@@ -78,6 +79,7 @@
         answerErrors(answer, () => this.#readRequest(message, response, answer));
       },
     );
+    this.#server.on('timeout', closeUnlessRead);
     this.#server.on('drop', () => options.onConnectionDropped?.());
   }
 
@@ -176,6 +178,17 @@
   }
 }
 
+/**
+ * Closes an idle connection after its timeout. After a pause of the process the timeout may come
+ * before the read of a request that has arrived.
+ */
+function closeUnlessRead(socket: Socket): void {
+  const { bytesRead } = socket;
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+}
+
 /** Runs a step of a request. If it throws, the caller gets 500; the error goes to the process. */
 function answerErrors(answer: DirectAnswer, run: () => void): void {
   try {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -19,6 +19,7 @@
 export { createEventLoop } from './process/createEventLoop.js';
 export { runDaemon } from './process/runDaemon.js';
 export { runProcess } from './process/runProcess.js';
+export { scheduleTimer } from './process/scheduleTimer.js';
 export { signalActions } from './process/signalActions.js';
 export { waitUntil } from './process/waitUntil.js';
 export { AddressSetting } from './settings/AddressSetting.js';
--- a/packages/targets/src/direct/DirectConnection.ts
+++ b/packages/targets/src/direct/DirectConnection.ts
@@ -8,7 +8,7 @@
   type Failure,
   type Result,
 } from '@limpetbay/core';
-import { receiveBody } from '@limpetbay/runtime';
+import { receiveBody, scheduleTimer } from '@limpetbay/runtime';
 import { hasBody } from '../connection/hasBody.js';
 import { probeReset } from '../connection/probeReset.js';
 import { resetProbeMs } from '../connection/resetProbeMs.js';
@@ -115,15 +115,14 @@
       socket.on('data', checkHead);
       request.once('close', () => socket.removeListener('data', checkHead));
       if (!socket.connecting) return;
-      const timer = setTimeout(
-        () => reportFailure('the connection was not established in time'),
-        CONNECT_TIMEOUT_MS,
+      const cancelTimer = scheduleTimer(CONNECT_TIMEOUT_MS, () =>
+        reportFailure('the connection was not established in time'),
       );
       socket.once('connect', () => {
-        clearTimeout(timer);
+        cancelTimer();
         isConnected = true;
       });
-      socket.once('close', () => clearTimeout(timer));
+      socket.once('close', cancelTimer);
     });
     let isWhole = (): boolean => false;
     request.on('error', (error) => {
--- a/packages/targets/src/direct/requestJson.ts
+++ b/packages/targets/src/direct/requestJson.ts
@@ -7,6 +7,7 @@
   type Failure,
   type Result,
 } from '@limpetbay/core';
+import { scheduleTimer } from '@limpetbay/runtime';
 import type { DirectPool } from './DirectPool.js';
 
 interface JsonRequest {
@@ -63,9 +64,11 @@
       finish(fail('outcome_unknown', `${url}: ${reason}`));
     };
     const handleAbort = (): void => abandon('cancelled');
-    const timer = setTimeout(() => abandon(`no complete answer within ${timeoutMs} ms`), timeoutMs);
+    const cancelTimer = scheduleTimer(timeoutMs, () =>
+      abandon(`no complete answer within ${timeoutMs} ms`),
+    );
     const finish = (result: Result<JsonAnswer, Failure>): void => {
-      clearTimeout(timer);
+      cancelTimer();
       answerBody.clear();
       signal?.removeEventListener('abort', handleAbort);
       resolve(result);
