Drop a large body before small ones that wait

An upload beyond the memory limit displaced all small requests that had waited for 1 s, one after the other, since any body without progress was dropped before any with progress. A body without progress now counts eightfold. packages/core/test/body/BodyBudget.test.ts: ten small bodies were dropped in place of the large one before.

--- a/packages/core/src/body/BodyBudget.ts
+++ b/packages/core/src/body/BodyBudget.ts
@@ -7,9 +7,15 @@
   readonly changedMs: number;
 }
 
-/** A body whose size did not change for this time makes no progress and is dropped first. */
+/** A body whose size did not change for this time makes no progress. */
 const STALLED_MS = 1000;
 
+/**
+ * A body without progress is dropped like one that is larger by this factor. Without a limit to the
+ * factor, one large body would displace all small ones that wait.
+ */
+const STALLED_WEIGHT = 8;
+
 /**
  * Share of the budget for bodies that cannot be dropped. The rest is for others, so that a few large
  * requests that run do not lead to the refusal of all small ones.
@@ -21,8 +27,8 @@
 
 /**
  * Limits the memory of all bodies of a process: those that arrive, those that wait and those that
- * their receivers have not read. Where they exceed it, one is dropped: the largest of those that
- * make no progress, or else the largest of all.
+ * their receivers have not read. Where they exceed it, the largest one is dropped; those that make no
+ * progress count as larger.
  */
 export class BodyBudget {
   #maxBytes: number;
@@ -93,15 +99,12 @@
   #chooseBody(): BudgetedBody | null {
     const stalledSinceMs = this.#clock.getNow() - STALLED_MS;
     let chosen: BudgetedBody | null = null;
-    let chosenBytes = 0;
-    let isChosenStalled = false;
+    let chosenWeight = 0;
     for (const [body, { bytes, changedMs }] of this.#bodies) {
-      if (body.isPinned?.() === true) continue;
-      const isStalled = changedMs <= stalledSinceMs;
-      if (isStalled === isChosenStalled ? bytes <= chosenBytes : isChosenStalled) continue;
+      const weight = changedMs <= stalledSinceMs ? bytes * STALLED_WEIGHT : bytes;
+      if (weight <= chosenWeight || body.isPinned?.() === true) continue;
       chosen = body;
-      chosenBytes = bytes;
-      isChosenStalled = isStalled;
+      chosenWeight = weight;
     }
     return chosen;
   }
--- a/packages/core/test/body/BodyBudget.test.ts
+++ b/packages/core/test/body/BodyBudget.test.ts
@@ -32,6 +32,14 @@
   expect(budget.countEvictions()).toBe(1);
 });
 
+// Guards against one large body that displaces all small requests that wait.
+it('drops a large body before small ones without progress', () => {
+  for (let index = 0; index < 50; index += 1) budget.update(createBody(`small ${index}`), 1000);
+  clock.advance(STALLED_MS);
+  budget.update(createBody('large'), 60_000);
+  expect(evicted).toEqual(['large']);
+});
+
 // Guards against an answer of 429 to a request that may have run.
 it('counts bodies in use, and drops others in their place', () => {
   budget.update(createBody('running', true), 60_000);
