--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -33,6 +33,7 @@
 export { runCommandLine } from './process/runCommandLine.js';
 export { runDaemon } from './process/runDaemon.js';
 export { runProcess } from './process/runProcess.js';
+export { scheduleTimer } from './process/scheduleTimer.js';
 export { signalActions } from './process/signalActions.js';
 export { waitUntil } from './process/waitUntil.js';
 export { AddressSetting } from './settings/AddressSetting.js';
