Bind the addresses of the gRPC daemons again, and abort it in limpetbay-dev

The entry and the agent of the etcd deployment still ended with status 1 where another process held the address of their gRPC server for a moment: grpc-js names the cause only in the text of its error, so it did not count as one that may pass. `openServer` adds the code. `limpetbay-dev` hands the signal that aborts a start on to its entries.

--- a/packages/dev/src/fleet/DevFleet.ts
+++ b/packages/dev/src/fleet/DevFleet.ts
@@ -7,7 +7,7 @@
   type ServiceDocument,
 } from '@limpetbay/core';
 import { EtcdStore } from '@limpetbay/platform';
-import { RealClock, SystemRandom, type RunningProcess } from '@limpetbay/runtime';
+import { MetricRegistry, RealClock, SystemRandom, type RunningProcess } from '@limpetbay/runtime';
 import { EngineGroup, InstanceListServer, PlainService, StoreServer } from '@limpetbay/standins';
 import { createDocuments } from './createDocuments.js';
 import type { DevFleetOptions } from './DevFleetOptions.js';
@@ -76,9 +76,10 @@
   /**
    * Starts the stand-ins, accepts the documents, and starts all agents and entries.
    *
+   * @param signal aborts the wait for an address that is in use
    * @throws Error if not all entries serve both services within 20 s
    */
-  async start(): Promise<void> {
+  async start(signal?: AbortSignal): Promise<void> {
     await this.store.start();
     await this.instances.start();
     await this.engines.start();
@@ -94,7 +95,8 @@
     for (const zone of zones) {
       for (let index = 0; index < entriesPerZone; index += 1) {
         const isFirst = this.entries.size === 0;
-        await this.startEntry(`entry-${zone}-${index}`, zone, isFirst ? this.#options.port : 0);
+        const port = isFirst ? this.#options.port : 0;
+        await this.startEntry(`entry-${zone}-${index}`, zone, port, signal);
       }
     }
     await this.#waitUntilReady();
@@ -153,8 +155,9 @@
    * Starts an entry and adds it to the instance list.
    *
    * @param port caller port; 0 chooses a free port
+   * @param signal aborts the wait for a port that is in use
    */
-  async startEntry(id: string, zone: string, port = 0): Promise<void> {
+  async startEntry(id: string, zone: string, port = 0, signal?: AbortSignal): Promise<void> {
     const settings = EntrySettings.parse({
       entry: {
         id,
@@ -168,7 +171,8 @@
       log: { level: this.#options.logLevel },
       timing: { address_ttl_ms: this.#options.addressTtlMs },
     });
-    const entry = await startEntry(settings, this.#clock, this.#random);
+    const metrics = new MetricRegistry();
+    const entry = await startEntry(settings, this.#clock, this.#random, metrics, signal);
     this.entries.set(id, entry);
     this.#addInstance({
       id: settings.entry.id,
--- a/packages/dev/src/main.ts
+++ b/packages/dev/src/main.ts
@@ -30,8 +30,8 @@
       log: createLog('process', { format: 'text', level: logLevel }),
       metrics: new MetricRegistry(),
       reloader: null,
-      start: async () => {
-        await fleet.start();
+      start: async (signal) => {
+        await fleet.start(signal);
         return { stop: () => fleet.stop(), applySettings: () => {} };
       },
     });
--- a/packages/rpc/src/channel/openServer.ts
+++ b/packages/rpc/src/channel/openServer.ts
@@ -7,7 +7,7 @@
  * Starts the gRPC server of a process. The caller adds services to it afterwards.
  *
  * @param address `IP:PORT` to listen on; port 0 selects a free port
- * @throws the error of the bind, such as an address in use
+ * @throws the error of the bind, such as an address in use, with its `code`
  */
 export async function openServer(address: string): Promise<RunningServer> {
   const server = new Server({
@@ -19,7 +19,7 @@
   const port = await new Promise<number>((resolve, reject) => {
     server.bindAsync(address, ServerCredentials.createInsecure(), (error, boundPort) => {
       if (error === null) resolve(boundPort);
-      else reject(error);
+      else reject(addCode(error));
     });
   });
   return {
@@ -32,3 +32,9 @@
     close: () => server.forceShutdown(),
   };
 }
+
+/** Adds the code of the operating system, which grpc-js reports only in the text of the error. */
+function addCode(error: Error): Error {
+  const code = /\b(?:listen|bind) (E[A-Z]+)\b/.exec(error.message)?.[1];
+  return code === undefined ? error : Object.assign(error, { code });
+}
