Excuse late ends of connections while a process waited for a processor

The bound of 200 ms of LOST holds for machines that are not slowed. Memory limits count megabytes of 1,000,000 bytes, as the programs do.

--- a/soak/src/SoakRun.ts
+++ b/soak/src/SoakRun.ts
@@ -22,7 +22,7 @@
 
 const BOUNDS: Bounds = { stableWindowMs: 3000, graceMs: GRACE_S * 1000, lossSlackMs: 200 };
 
-const MEGABYTE = 1_048_576;
+const MEGABYTE = 1_000_000;
 
 const MEMORY_BYTES = { entry: 350 * MEGABYTE, agent: 218 * MEGABYTE };
 
@@ -31,7 +31,7 @@
 const POLL_MS = 200;
 const SAMPLE_MS = 50;
 
-/** The runner counts as held up if a sample is later than this, milliseconds. */
+/** The runner, or a process, counts as held up if it got no processor for this time, milliseconds. */
 const MAX_SAMPLE_DELAY_MS = 100;
 
 const POLL_TIMEOUT_MS = 2000;
@@ -255,9 +255,15 @@
     const nowMs = performance.now();
     const { stalls } = this.#ledger;
     const lateMs = nowMs - this.#lastSampleMs - SAMPLE_MS;
-    if (lateMs > MAX_SAMPLE_DELAY_MS) stalls.push({ startMs: this.#lastSampleMs, endMs: nowMs });
+    const previousMs = this.#lastSampleMs;
+    if (lateMs > MAX_SAMPLE_DELAY_MS) stalls.push({ startMs: previousMs, endMs: nowMs });
     this.#lastSampleMs = nowMs;
     for (const instance of this.#fleet.instances) {
+      const waitedMs = this.#fleet.readWaitedMs(instance);
+      if (waitedMs - instance.waitedMs > MAX_SAMPLE_DELAY_MS) {
+        this.#ledger.addSpan(instance.name, 'starved', previousMs, nowMs);
+      }
+      Object.assign(instance, { waitedMs });
       const peakBytes = this.#fleet.readPeak(instance);
       const isNew = peakBytes > instance.memoryBytes && instance.peakBytes <= instance.memoryBytes;
       Object.assign(instance, { peakBytes: Math.max(peakBytes, instance.peakBytes) });
--- a/soak/src/check/Ledger.ts
+++ b/soak/src/check/Ledger.ts
@@ -4,8 +4,11 @@
 /** A span in which something was done to an instance or target. */
 interface Span {
   readonly object: string;
-  /** `unplanned`: a kill, freeze or fault of links; the others are planned work. */
-  readonly kind: 'unplanned' | 'stop' | 'reload' | 'config';
+  /**
+   * `unplanned`: a kill, freeze or fault of links; `starved`: the process waited for a processor;
+   * the others are planned work.
+   */
+  readonly kind: 'unplanned' | 'starved' | 'stop' | 'reload' | 'config';
   readonly startMs: number;
   /** Infinity while it lasts. */
   endMs: number;
--- a/soak/src/check/checkRequests.ts
+++ b/soak/src/check/checkRequests.ts
@@ -30,6 +30,8 @@
 
 const UNPLANNED: ReadonlySet<string> = new Set(['unplanned']);
 
+const STARVED: ReadonlySet<string> = new Set(['starved']);
+
 const PLANNED: ReadonlySet<string> = new Set(['stop', 'reload', 'config']);
 
 /** Returns whether a target was at work on the request when the end of the grace was near. */
@@ -63,7 +65,8 @@
   if (isTouched(ledger, UNPLANNED, objects, fromMs, endMs)) return null;
   if (runs.length === 0) {
     if (sentMs === null || endMs - sentMs <= bounds.lossSlackMs) return null;
-    // The runner may have seen the end later than it came.
+    // The rule does not count machines that are slowed; the runner may have seen the end too late.
+    if (isTouched(ledger, STARVED, new Set([request.entry]), sentMs, endMs)) return null;
     const isStalled = ledger.stalls.some(
       (stall) => stall.startMs <= endMs && stall.endMs >= sentMs,
     );
--- a/soak/src/processes/Fleet.ts
+++ b/soak/src/processes/Fleet.ts
@@ -16,6 +16,8 @@
 
 const BYTES_PER_KB = 1024;
 
+const NS_PER_MS = 1_000_000;
+
 /** Starts, signals and ends processes; it ends no process that it did not start. */
 export class Fleet {
   readonly instances: Instance[] = [];
@@ -57,6 +59,7 @@
       beforeStart: null,
       restartMs: 0,
       mustServeFromMs: null,
+      waitedMs: 0,
       peakBytes: 0,
     };
     this.instances.push(instance);
@@ -103,7 +106,7 @@
   /** Sends a signal; records whether the process cannot handle it yet. */
   sendSignal(instance: Instance, signal: NodeJS.Signals): void {
     const bit = BIT_OF_SIGNAL.get(signal);
-    const status = this.#readStatus(instance);
+    const status = this.#readFile(instance, 'status');
     const ignored = BigInt(`0x${/^SigIgn:\s+(\w+)$/m.exec(status)?.[1] ?? '0'}`);
     const caught = BigInt(`0x${/^SigCgt:\s+(\w+)$/m.exec(status)?.[1] ?? '0'}`);
     const isHandled = bit === undefined || (((ignored | caught) >> bit) & 1n) === 1n;
@@ -113,7 +116,16 @@
 
   /** Reads the peak of the resident memory of a running process. @returns bytes */
   readPeak(instance: Instance): number {
-    return Number(/^VmHWM:\s+(\d+) kB$/m.exec(this.#readStatus(instance))?.[1] ?? 0) * BYTES_PER_KB;
+    return (
+      Number(/^VmHWM:\s+(\d+) kB$/m.exec(this.#readFile(instance, 'status'))?.[1] ?? 0) *
+      BYTES_PER_KB
+    );
+  }
+
+  /** Reads how long the main thread of a process has waited for a processor. @returns milliseconds */
+  readWaitedMs(instance: Instance): number {
+    const [, waitedNs = 0] = this.#readFile(instance, 'schedstat').split(' ');
+    return Number(waitedNs) / NS_PER_MS;
   }
 
   /** Kills all processes that are still running. */
@@ -121,9 +133,9 @@
     for (const child of this.#children) child.kill('SIGKILL');
   }
 
-  #readStatus(instance: Instance): string {
+  #readFile(instance: Instance, name: 'status' | 'schedstat'): string {
     try {
-      return readFileSync(`/proc/${instance.child?.pid}/status`, 'utf8');
+      return readFileSync(`/proc/${instance.child?.pid}/${name}`, 'utf8');
     } catch {
       return '';
     }
