--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -1,17 +1,23 @@
-import { DirectServer, type DirectAnswer, type DirectHandler } from '@limpetbay/callers';
-import { BodyBudget, splitAddress, type RequestHead } from '@limpetbay/core';
+import {
+  DirectServer,
+  type ClosedRequest,
+  type DirectAnswer,
+  type DirectHandler,
+} from '@limpetbay/callers';
+import { BodyBudget, computeBodyBytes, splitAddress, type RequestHead } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
 import { IgnoredRecordLog, type Log } from '@limpetbay/runtime';
 import { DirectPool, checkListener } from '@limpetbay/targets';
 import { EntryCore } from './EntryCore.js';
+import { computeCallerConnections } from './computeCallerConnections.js';
 import type { GatewayLimits } from './GatewayLimits.js';
 import type { GatewayOptions } from './GatewayOptions.js';
 
 /** Largest request body before the first configuration. */
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
-/** Memory of all bodies that are being received, from callers and targets, bytes. */
-const MAX_INCOMPLETE_BODY_BYTES = 67_108_864;
+/** Least time between two log lines about connections of callers that are refused. */
+const REFUSED_LOG_INTERVAL_MS = 10_000;
 
 /** Interval at which a stopping entry checks whether it may continue to stop. */
 const STOP_POLL_INTERVAL_MS = 100;
@@ -28,6 +34,9 @@
 /** Answers may be written until this long before the platform kills the process. */
 const DRAIN_MARGIN_MS = 400;
 
+/** Most requests that the last line of a stop names. */
+const MAX_NAMED_REQUESTS = 20;
+
 /** An entry that sends the requests of its callers directly to targets. */
 export class Gateway implements DirectHandler {
   readonly #options: GatewayOptions;
@@ -36,6 +45,8 @@
 
   readonly #log: Log;
 
+  readonly #connectionsLog: Log;
+
   readonly #core: EntryCore;
 
   readonly #server: DirectServer;
@@ -44,8 +55,15 @@
 
   #isAccepting = false;
 
+  readonly #bodyBudget: BodyBudget;
+
   #lastRequestMs = 0;
 
+  #refusedConnections = 0;
+
+  /** When these were logged last, monotonic milliseconds. */
+  #refusedLogMs = -Infinity;
+
   /** Until when callers may keep an address that they were told under earlier limits. */
   #earlierExpiryMs = -Infinity;
 
@@ -54,7 +72,12 @@
     this.#limits = options.limits;
     const { clock, codec, metrics, createLog } = options;
     this.#log = createLog('entry');
-    const bodyBudget = new BodyBudget(MAX_INCOMPLETE_BODY_BYTES);
+    this.#connectionsLog = createLog('connections');
+    const bodyBudget = new BodyBudget(
+      computeBodyBytes(options.limits.memoryLimitBytes ?? null),
+      clock,
+    );
+    this.#bodyBudget = bodyBudget;
     const ignored = new IgnoredRecordLog({ clock, log: this.#log, metrics, component: 'entry' });
     this.#core = new EntryCore({
       ...options,
@@ -79,7 +102,16 @@
       readHead: (message) => codec.readRequest(message),
       getMaxBodyBytes: () => this.#core.getTable()?.config.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
       bodyBudget,
+      clock,
+      onClosed: (closed) => this.#reportClosed(closed),
+      onAnswerDropped: (cause, bytes) => {
+        metrics.increase(`limpetbay_dropped_answers_total{cause="${cause}"}`);
+        this.#log.warn('answer broken off; its caller did not read it in time', { cause, bytes });
+      },
+      onConnectionDropped: () => this.#handleRefusedConnection(),
     });
+    this.#limitConnections(options.limits);
+    this.#registerGauges(bodyBudget);
   }
 
   /**
@@ -115,6 +147,18 @@
     this.#earlierExpiryMs = Math.max(this.#earlierExpiryMs, expiryMs);
     this.#limits = limits;
     this.#core.setLimits(limits);
+    this.#bodyBudget.setMaxBytes(computeBodyBytes(limits.memoryLimitBytes ?? null));
+    this.#limitConnections(limits);
+  }
+
+  /** Returns the memory of all bodies and its limit, bytes, and how many were dropped so far. */
+  getBodyMemory(): { readonly bytes: number; readonly maxBytes: number; readonly dropped: number } {
+    const budget = this.#bodyBudget;
+    return {
+      bytes: budget.countBytes(),
+      maxBytes: budget.getMaxBytes(),
+      dropped: budget.countEvictions(),
+    };
   }
 
   /** Returns whether this entry can serve callers. */
@@ -162,11 +206,62 @@
   }
 
   #close(): void {
+    this.#reportOpenRequests();
     this.#core.close();
     this.#socket.close();
     this.#log.report('stopped', { requests: this.#server.countRequests() });
   }
 
+  #registerGauges(bodyBudget: BodyBudget): void {
+    const gauges = {
+      limpetbay_open_caller_connections: () => this.#server.countConnections(),
+      limpetbay_open_requests: () => this.#server.countRequests(),
+      limpetbay_open_target_connections: () => this.#core.countTargetConnections(),
+      limpetbay_open_body_bytes: () => bodyBudget.countBytes(),
+      limpetbay_open_unsent_bytes: () => this.#server.countUnsentBytes(),
+    };
+    for (const [name, read] of Object.entries(gauges)) this.#options.metrics.register(name, read);
+  }
+
+  #reportClosed({ progress, ...closed }: ClosedRequest): void {
+    const { metrics } = this.#options;
+    metrics.increase(`limpetbay_connections_closed_total{cause="${closed.cause}"}`);
+    if (progress === 'answered') {
+      this.#connectionsLog.warn('request refused before it was complete', closed);
+    } else {
+      const fields = { ...closed, progress };
+      this.#connectionsLog.warn('connection closed without a complete answer', fields);
+    }
+  }
+
+  /** Names the requests whose connections end with the process. */
+  #reportOpenRequests(): void {
+    const open = this.#server.listOpenRequests();
+    if (open.length === 0) return;
+    this.#log.warn('stopping with open requests; their connections are closed', {
+      count: open.length,
+      requests: open.slice(0, MAX_NAMED_REQUESTS),
+    });
+  }
+
+  #limitConnections({ maxDescriptors }: GatewayLimits): void {
+    if (maxDescriptors === undefined) return;
+    this.#server.setMaxConnections(computeCallerConnections(maxDescriptors));
+  }
+
+  #handleRefusedConnection(): void {
+    const { clock, metrics } = this.#options;
+    metrics.increase('limpetbay_refused_connections_total');
+    this.#refusedConnections += 1;
+    const nowMs = clock.getNow();
+    if (nowMs - this.#refusedLogMs < REFUSED_LOG_INTERVAL_MS) return;
+    this.#refusedLogMs = nowMs;
+    this.#log.warn('caller connections refused; too many are open', {
+      connections: this.#refusedConnections,
+    });
+    this.#refusedConnections = 0;
+  }
+
   async #waitUntil(latestMs: number, isDone: (nowMs: number) => boolean): Promise<void> {
     const { clock, timers } = this.#options;
     while (clock.getNow() < latestMs && !isDone(clock.getNow())) {
