--- a/soak/src/SoakRun.ts
+++ b/soak/src/SoakRun.ts
@@ -31,7 +31,7 @@
 const POLL_MS = 200;
 const SAMPLE_MS = 50;
 
-/** The runner, or a process, counts as held up if it got no processor for this time, milliseconds. */
+/** The runner counts as held up if a sample is later than this, milliseconds. */
 const MAX_SAMPLE_DELAY_MS = 100;
 
 const POLL_TIMEOUT_MS = 2000;
@@ -259,11 +259,9 @@
     if (lateMs > MAX_SAMPLE_DELAY_MS) stalls.push({ startMs: previousMs, endMs: nowMs });
     this.#lastSampleMs = nowMs;
     for (const instance of this.#fleet.instances) {
-      const waitedMs = this.#fleet.readWaitedMs(instance);
-      if (waitedMs - instance.waitedMs > MAX_SAMPLE_DELAY_MS) {
+      if (this.#fleet.checkStarved(instance)) {
         this.#ledger.addSpan(instance.name, 'starved', previousMs, nowMs);
       }
-      Object.assign(instance, { waitedMs });
       const peakBytes = this.#fleet.readPeak(instance);
       const isNew = peakBytes > instance.memoryBytes && instance.peakBytes <= instance.memoryBytes;
       Object.assign(instance, { peakBytes: Math.max(peakBytes, instance.peakBytes) });
--- a/soak/src/callers/callEntry.ts
+++ b/soak/src/callers/callEntry.ts
@@ -42,7 +42,8 @@
         : '';
       const isUnsafe = method === 'POST' && !path.startsWith('/note/');
       const isKept = call.reusedSocket;
-      const times = { startMs, sentMs, endMs };
+      const { pauseMs = 0 } = options;
+      const times = { pauseMs, startMs, sentMs, endMs };
       resolve({ id, path, entry, isUnsafe, isKept, ...times, outcome, status, cause, defect });
       call.destroy();
     };
--- a/soak/src/check/RequestRecord.ts
+++ b/soak/src/check/RequestRecord.ts
@@ -7,6 +7,8 @@
   readonly isUnsafe: boolean;
   /** Whether its connection had answered an earlier request. */
   readonly isKept: boolean;
+  /** Time for which the caller read nothing of the answer, milliseconds. */
+  readonly pauseMs: number;
   readonly startMs: number;
   /** When the last byte was handed to the system; null if that did not happen. */
   readonly sentMs: number | null;
--- a/soak/src/check/checkRequests.ts
+++ b/soak/src/check/checkRequests.ts
@@ -10,6 +10,12 @@
 /** Requests sent later than this after a SIGTERM are excused in the last part of the grace. */
 const STOP_ACCEPT_MS = 3000;
 
+/**
+ * An entry may break off the answer of a caller that reads nothing for longer than this, so that
+ * such answers do not fill its memory.
+ */
+const MAX_PAUSE_MS = 1000;
+
 const LAST_GRACE_SHARE = 5 / 6;
 
 const REFUSALS: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -57,6 +63,7 @@
   bounds: Bounds,
 ): 'planned' | 'kept' | null {
   if (request.outcome !== 'closed') return null;
+  if (request.pauseMs > MAX_PAUSE_MS) return null;
   const runs = ledger.runs.get(request.id) ?? [];
   if (runs.some(({ isBrokenOff }) => isBrokenOff)) return null;
   const { startMs, sentMs, endMs } = request;
--- a/soak/src/processes/Fleet.ts
+++ b/soak/src/processes/Fleet.ts
@@ -16,7 +16,9 @@
 
 const BYTES_PER_KB = 1024;
 
-const NS_PER_MS = 1_000_000;
+/** Waits for a processor that are longer than this, and times on it that are shorter, are noted. */
+const MAX_WAIT_NS = 50_000_000;
+const MIN_RUN_NS = 5_000_000;
 
 /** Starts, signals and ends processes; it ends no process that it did not start. */
 export class Fleet {
@@ -30,6 +32,11 @@
 
   readonly #settings = new Map<string, Map<string, string>>();
 
+  readonly #schedules = new WeakMap<
+    Instance,
+    { readonly ranNs: number; readonly waitedNs: number; readonly isRunnable: boolean }
+  >();
+
   /** Called when a process has ended. */
   onEnd: (instance: Instance, code: number | null, signal: NodeJS.Signals | null) => void =
     () => {};
@@ -59,7 +66,6 @@
       beforeStart: null,
       restartMs: 0,
       mustServeFromMs: null,
-      waitedMs: 0,
       peakBytes: 0,
     };
     this.instances.push(instance);
@@ -122,10 +128,18 @@
     );
   }
 
-  /** Reads how long the main thread of a process has waited for a processor. @returns milliseconds */
-  readWaitedMs(instance: Instance): number {
-    const [, waitedNs = 0] = this.#readFile(instance, 'schedstat').split(' ');
-    return Number(waitedNs) / NS_PER_MS;
+  /**
+   * Returns whether the main thread of a process got almost no processor since the last call,
+   * though it could run then and now, or waited for a processor for some time in between.
+   */
+  checkStarved(instance: Instance): boolean {
+    const last = this.#schedules.get(instance);
+    const [ranNs = 0, waitedNs = 0] = this.#readFile(instance, 'schedstat').split(' ').map(Number);
+    const isRunnable = /^State:\s+R/m.test(this.#readFile(instance, 'status'));
+    this.#schedules.set(instance, { ranNs, waitedNs, isRunnable });
+    if (last === undefined || ranNs < last.ranNs) return false;
+    if (waitedNs - last.waitedNs > MAX_WAIT_NS) return true;
+    return isRunnable && last.isRunnable && ranNs - last.ranNs < MIN_RUN_NS;
   }
 
   /** Kills all processes that are still running. */
--- a/soak/src/processes/Instance.ts
+++ b/soak/src/processes/Instance.ts
@@ -24,8 +24,6 @@
   restartMs: number;
   /** From when on the process has to serve, steady clock in milliseconds; null once it does. */
   mustServeFromMs: number | null;
-  /** Time for which the current process has waited for a processor, milliseconds. */
-  waitedMs: number;
   /** Peak of the resident memory of all its processes, bytes. */
   peakBytes: number;
 }
