--- a/soak/src/SoakRun.ts
+++ b/soak/src/SoakRun.ts
@@ -22,7 +22,7 @@
 
 const BOUNDS: Bounds = { stableWindowMs: 3000, graceMs: GRACE_S * 1000, lossSlackMs: 200 };
 
-const MEGABYTE = 1_048_576;
+const MEGABYTE = 1_000_000;
 
 const MEMORY_BYTES = { entry: 350 * MEGABYTE, agent: 218 * MEGABYTE };
 
@@ -255,9 +255,13 @@
     const nowMs = performance.now();
     const { stalls } = this.#ledger;
     const lateMs = nowMs - this.#lastSampleMs - SAMPLE_MS;
-    if (lateMs > MAX_SAMPLE_DELAY_MS) stalls.push({ startMs: this.#lastSampleMs, endMs: nowMs });
+    const previousMs = this.#lastSampleMs;
+    if (lateMs > MAX_SAMPLE_DELAY_MS) stalls.push({ startMs: previousMs, endMs: nowMs });
     this.#lastSampleMs = nowMs;
     for (const instance of this.#fleet.instances) {
+      if (this.#fleet.checkStarved(instance)) {
+        this.#ledger.addSpan(instance.name, 'starved', previousMs, nowMs);
+      }
       const peakBytes = this.#fleet.readPeak(instance);
       const isNew = peakBytes > instance.memoryBytes && instance.peakBytes <= instance.memoryBytes;
       Object.assign(instance, { peakBytes: Math.max(peakBytes, instance.peakBytes) });
--- a/soak/src/processes/Fleet.ts
+++ b/soak/src/processes/Fleet.ts
@@ -16,6 +16,10 @@
 
 const BYTES_PER_KB = 1024;
 
+/** Waits for a processor that are longer than this, and times on it that are shorter, are noted. */
+const MAX_WAIT_NS = 50_000_000;
+const MIN_RUN_NS = 5_000_000;
+
 /** Starts, signals and ends processes; it ends no process that it did not start. */
 export class Fleet {
   readonly instances: Instance[] = [];
@@ -28,6 +32,11 @@
 
   readonly #settings = new Map<string, Map<string, string>>();
 
+  readonly #schedules = new WeakMap<
+    Instance,
+    { readonly ranNs: number; readonly waitedNs: number; readonly isRunnable: boolean }
+  >();
+
   /** Called when a process has ended. */
   onEnd: (instance: Instance, code: number | null, signal: NodeJS.Signals | null) => void =
     () => {};
@@ -103,7 +112,7 @@
   /** Sends a signal; records whether the process cannot handle it yet. */
   sendSignal(instance: Instance, signal: NodeJS.Signals): void {
     const bit = BIT_OF_SIGNAL.get(signal);
-    const status = this.#readStatus(instance);
+    const status = this.#readFile(instance, 'status');
     const ignored = BigInt(`0x${/^SigIgn:\s+(\w+)$/m.exec(status)?.[1] ?? '0'}`);
     const caught = BigInt(`0x${/^SigCgt:\s+(\w+)$/m.exec(status)?.[1] ?? '0'}`);
     const isHandled = bit === undefined || (((ignored | caught) >> bit) & 1n) === 1n;
@@ -113,7 +122,24 @@
 
   /** Reads the peak of the resident memory of a running process. @returns bytes */
   readPeak(instance: Instance): number {
-    return Number(/^VmHWM:\s+(\d+) kB$/m.exec(this.#readStatus(instance))?.[1] ?? 0) * BYTES_PER_KB;
+    return (
+      Number(/^VmHWM:\s+(\d+) kB$/m.exec(this.#readFile(instance, 'status'))?.[1] ?? 0) *
+      BYTES_PER_KB
+    );
+  }
+
+  /**
+   * Returns whether the main thread of a process got almost no processor since the last call,
+   * though it could run then and now, or waited for a processor for some time in between.
+   */
+  checkStarved(instance: Instance): boolean {
+    const last = this.#schedules.get(instance);
+    const [ranNs = 0, waitedNs = 0] = this.#readFile(instance, 'schedstat').split(' ').map(Number);
+    const isRunnable = /^State:\s+R/m.test(this.#readFile(instance, 'status'));
+    this.#schedules.set(instance, { ranNs, waitedNs, isRunnable });
+    if (last === undefined || ranNs < last.ranNs) return false;
+    if (waitedNs - last.waitedNs > MAX_WAIT_NS) return true;
+    return isRunnable && last.isRunnable && ranNs - last.ranNs < MIN_RUN_NS;
   }
 
   /** Kills all processes that are still running. */
@@ -121,9 +147,9 @@
     for (const child of this.#children) child.kill('SIGKILL');
   }
 
-  #readStatus(instance: Instance): string {
+  #readFile(instance: Instance, name: 'status' | 'schedstat'): string {
     try {
-      return readFileSync(`/proc/${instance.child?.pid}/status`, 'utf8');
+      return readFileSync(`/proc/${instance.child?.pid}/${name}`, 'utf8');
     } catch {
       return '';
     }
