--- a/packages/runtime/src/process/ProcessSupervisor.ts
+++ b/packages/runtime/src/process/ProcessSupervisor.ts
@@ -18,20 +18,25 @@
 
 const FAILURE_EXIT_STATUS = 1;
 
+/** A start that an uncaught error has ended never returns; this time is left to one that goes on. */
+const START_TIMEOUT_MS = 2000;
+
 /**
  * Decides for a program what each signal does, and keeps it running after an uncaught error.
  *
- * - A stop signal stops it gracefully, after its start if that is still in progress; the process
- *   then ends with status 0.
+ * - A stop signal aborts the start, or stops the program gracefully after it; the process then ends
+ *   with status 0.
  * - SIGHUP reads the settings again. It changes nothing during the start or a stop.
- * - An error that reached no handler is logged and counted. The requests that it does not concern
- *   go on; before the program has started, it ends the process with status 1.
+ * - An error that reached no handler is logged and counted, and everything that it does not concern
+ *   goes on. If the start does not end after it, the process ends with status 1.
  */
 export class ProcessSupervisor<Settings> {
   readonly #options: ProcessSupervisorOptions<Settings>;
 
   #state: 'starting' | 'running' | 'stopping' = 'starting';
 
+  readonly #startAbort = new AbortController();
+
   #isStopRequested = false;
 
   #stopSignal = '';
@@ -43,7 +48,7 @@
   }
 
   /** Handles signals and uncaught errors from now on, and starts the program. */
-  async run(start: () => Promise<SupervisedProcess<Settings>>): Promise<void> {
+  async run(start: (signal: AbortSignal) => Promise<SupervisedProcess<Settings>>): Promise<void> {
     const { events, reloader } = this.#options;
     for (const signal of Object.keys(signalActions)) {
       events.on(signal, () => this.#handleSignal(signal as NodeJS.Signals));
@@ -52,8 +57,13 @@
     events.on('unhandledRejection', (error: unknown) => this.#handleError(error, 'rejection'));
     let running: SupervisedProcess<Settings>;
     try {
-      running = await start();
+      running = await start(this.#startAbort.signal);
     } catch (error) {
+      if (this.#isStopRequested) {
+        this.#options.log.report('stopped during the start', { cause: (error as Error).message });
+        await this.#options.exit(0, `stop during the start after ${this.#stopSignal}`);
+        return;
+      }
       const cause = describeError(error);
       this.#options.log.alert('could not start', { cause });
       await this.#options.exit(FAILURE_EXIT_STATUS, `could not start: ${cause}`);
@@ -85,6 +95,7 @@
     this.#stopSignal = signal;
     log.report('signal received; stopping', { signal, state: this.#state });
     if (this.#state === 'running') void this.#stop();
+    else this.#startAbort.abort();
   }
 
   async #stop(): Promise<void> {
@@ -103,17 +114,25 @@
   }
 
   #handleError(error: unknown, kind: 'exception' | 'rejection'): void {
-    const { log, metrics, exit } = this.#options;
+    const { log, metrics } = this.#options;
     metrics.increase(`limpetbay_uncaught_errors_total{kind="${kind}"}`);
     const cause = describeError(error);
     const isStarting = this.#state === 'starting';
-    log.alert(isStarting ? 'uncaught error during the start' : 'uncaught error; continuing', {
+    log.alert(`uncaught error${isStarting ? ' during the start' : ''}; continuing`, {
       kind,
       cause,
     });
-    if (isStarting) {
-      void exit(FAILURE_EXIT_STATUS, `uncaught ${kind} during the start: ${cause}`);
-    }
+    if (isStarting) this.#limitStart(`uncaught ${kind}: ${cause}`);
+  }
+
+  /** @param error the uncaught error, in words */
+  #limitStart(error: string): void {
+    setTimeout(() => {
+      if (this.#state !== 'starting') return;
+      const cause = `the start did not end after an ${error}`;
+      this.#options.log.alert('could not start: it did not end after an uncaught error');
+      void this.#options.exit(FAILURE_EXIT_STATUS, cause);
+    }, START_TIMEOUT_MS);
   }
 }
 
--- a/packages/runtime/src/process/runDaemon.ts
+++ b/packages/runtime/src/process/runDaemon.ts
@@ -9,12 +9,15 @@
 import type { SettingsFormat } from '../settings/SettingsFormat.js';
 import { SettingsReloader } from '../settings/SettingsReloader.js';
 import { readSettings } from '../settings/readSettings.js';
+import { waitForSettings } from '../settings/waitForSettings.js';
 import type { SupervisedProcess } from './SupervisedProcess.js';
+import { ignoreOutputErrors } from './ignoreOutputErrors.js';
 import { refuseSettings } from './refuseSettings.js';
 import { runCommandLine } from './runCommandLine.js';
 import { runProcess } from './runProcess.js';
 
 const VERSION = '0.1.0';
+
 interface DaemonOptions<Settings> {
   /** Name of the binary, printed in its usage text and errors. */
   readonly name: string;
@@ -25,10 +28,14 @@
     clock: Clock,
     random: RandomSource,
     metrics: MetricRegistry,
+    signal: AbortSignal,
   ) => Promise<SupervisedProcess<Settings>>;
 }
 
-/** Runs the command line of a daemon: reads the settings and starts it under a supervisor. */
+/**
+ * Runs the command line of a daemon: reads the settings and starts it under a supervisor. Settings
+ * that stay invalid for 2 s end it with exit status 2.
+ */
 export async function runDaemon<Settings extends { readonly log: LogSettings }>(
   options: DaemonOptions<Settings>,
 ): Promise<void> {
@@ -57,7 +64,10 @@
         );
         return;
       }
-      const loaded = readSettings(file, format);
+      ignoreOutputErrors();
+      const loaded = check
+        ? readSettings(file, format)
+        : await waitForSettings(file, format, new RealClock(), createDefaultLog());
       if (loaded.err) {
         await refuseSettings(loaded.val.message, check ? null : createDefaultLog());
         return;
@@ -74,7 +84,8 @@
         log,
         metrics,
         reloader: new SettingsReloader({ file, format, initial, log, metrics }),
-        start: () => start(initial.settings, new RealClock(), new SystemRandom(), metrics),
+        start: (signal) =>
+          start(initial.settings, new RealClock(), new SystemRandom(), metrics, signal),
       });
     },
   });
--- a/packages/runtime/src/process/runProcess.ts
+++ b/packages/runtime/src/process/runProcess.ts
@@ -15,7 +15,8 @@
   readonly metrics: MetricRegistry;
   /** Null for a program without a settings file. */
   readonly reloader: SettingsReloader<Settings> | null;
-  readonly start: () => Promise<SupervisedProcess<Settings>>;
+  /** @param signal aborts the start: a stop signal arrived during it */
+  readonly start: (signal: AbortSignal) => Promise<SupervisedProcess<Settings>>;
 }
 
 /** Starts the program of this process under a `ProcessSupervisor`. */
@@ -36,18 +37,21 @@
     events: process,
     exit: (status) => process.exit(status),
   });
-  log.report('process starting', {
-    ...program,
-    pid: process.pid,
-    node: process.version,
-    kind: `${process.platform}-${process.arch}`,
-    heapLimitBytes: getHeapLimit(),
-  });
-  startProcessMonitor({ log, metrics, memoryLimitBytes: program.memoryLimitBytes });
   const supervisor = new ProcessSupervisor({
     ...options,
     events: process,
     exit: (status, cause) => end.finish(status, cause),
   });
-  return supervisor.run(start);
+  return supervisor.run((signal) => {
+    // Signals are handled from here on, so the line tells when they may be sent.
+    log.report('process starting', {
+      ...program,
+      pid: process.pid,
+      node: process.version,
+      kind: `${process.platform}-${process.arch}`,
+      heapLimitBytes: getHeapLimit(),
+    });
+    startProcessMonitor({ log, metrics, memoryLimitBytes: program.memoryLimitBytes });
+    return start(signal);
+  });
 }
