--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -8,6 +8,7 @@
   fail,
   isFingerprint,
   type AttemptOutcome,
+  type BudgetedBody,
   type DirectRoute,
   type DirectService,
   type DirectTarget,
@@ -66,6 +67,11 @@
 /** Least time to allow for a stream; more if streams of its route recently lasted longer. */
 const MIN_STREAM_DURATION_MS = 4500;
 
+/** Retry-After of a request whose body had no space among those of others. */
+const NO_SPACE_RETRY_AFTER_MS = 500;
+
+const EMPTY_BODY = Buffer.alloc(0);
+
 const API_KEY_REQUIRED = 'a valid API key is required';
 
 /** Processes one request: finds its route, runs its attempts and sends one answer. */
@@ -74,7 +80,13 @@
 
   readonly #head: RequestHead;
 
-  readonly #body: Buffer;
+  #body: Buffer;
+
+  /** The body as the budget sees it; once a target may have run the request, it is not dropped. */
+  readonly #heldBody: BudgetedBody = {
+    isPinned: () => this.#hasEnded || this.#sentAttempts > 0 || this.#mayHaveRun,
+    evict: () => this.#refuseWithoutSpace(),
+  };
 
   readonly #answer: DirectAnswer;
 
@@ -127,6 +139,8 @@
     this.#admission = this.#admit();
     if (this.#admission === null) return;
     const { service } = this.#admission;
+    this.#context.bodyBudget.update(this.#heldBody, this.#body.length);
+    if (this.#hasEnded) return;
     this.#context.getBudget(service.name).recordRequest();
     this.#unsubscribeStop = this.#context.stopDeadline.subscribe(() => this.#scheduleDeadline());
     this.#scheduleDeadline();
@@ -170,9 +184,20 @@
       return;
     }
     this.#attempt?.cancel();
+    this.#releaseBody();
     tracker.endTrial();
   }
 
+  #refuseWithoutSpace(): void {
+    this.#refuse('overloaded', 'too many bodies wait', NO_SPACE_RETRY_AFTER_MS);
+  }
+
+  /** Gives up the body, which a queue would otherwise keep until the request leaves it. */
+  #releaseBody(): void {
+    this.#body = EMPTY_BODY;
+    this.#context.bodyBudget.update(this.#heldBody, 0);
+  }
+
   #admit(): Admission | null {
     const table = this.#context.getTable();
     if (table === null) return this.#refuse('not_ready', 'no configuration yet', RETRY_AFTER_MS);
@@ -435,6 +460,15 @@
   }
 
   #startAttempt(admission: Admission, target: DirectTarget, reason: string): void {
+    if (
+      this.#sentAttempts === 0 &&
+      !this.#mayHaveRun &&
+      !this.#context.bodyBudget.canPin(this.#body.length)
+    ) {
+      admission.tracker.endTrial();
+      this.#refuseWithoutSpace();
+      return;
+    }
     const nowMs = this.#context.clock.getNow();
     this.#firstAttemptMs ??= nowMs;
     const timeoutMs = Math.floor(this.#getDeadlineMs() - nowMs);
@@ -472,21 +506,39 @@
       },
       call: { method: this.#head.method, url: this.#head.url, headers, body: this.#body },
       listener: {
-        onEvents: (head, bytes, lastId) => {
-          if (this.#hasEnded) return;
-          admission.tracker.handleEvents();
-          if (!this.#answer.isStarted()) this.#answer.start(head.status, head.forwarded);
-          this.#lastEventId = lastId;
-          this.#answer.write(bytes);
-          this.#progressMs = this.#context.clock.getNow();
-          this.#checkUnsent();
-        },
-        onResult: (result) => this.#handleResult(target, result),
+        onEvents: (head, bytes, lastId) =>
+          this.#runStep(() => {
+            if (this.#hasEnded) return;
+            admission.tracker.handleEvents();
+            if (!this.#answer.isStarted()) this.#answer.start(head.status, head.forwarded);
+            this.#lastEventId = lastId;
+            this.#answer.write(bytes);
+            this.#progressMs = this.#context.clock.getNow();
+            this.#checkUnsent();
+          }),
+        canBeReplaced: () => this.#canReplaceAttempt(),
+        onResult: (result) => this.#runStep(() => this.#handleResult(target, result)),
       },
     });
     this.#attempt.start();
   }
 
+  /**
+   * Runs a step of the request. If it throws, the caller gets an answer at once, which does not say
+   * that the request did not run; the error goes to the process.
+   */
+  #runStep(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      if (!this.#hasEnded) {
+        this.#refuse('internal', 'the answer of the target could not be handled');
+        this.#stopAttempt(this.#admission as Admission);
+      }
+      throw error;
+    }
+  }
+
   /** Breaks off a stream whose caller does not read it, instead of keeping all of it. */
   #checkUnsent(): void {
     if (this.#answer.countUnsentBytes() <= MAX_UNSENT_BYTES) return;
@@ -496,8 +548,10 @@
 
   #handleResult(target: DirectTarget, result: AttemptResult): void {
     this.#attempt = null;
+    if (this.#hasEnded) this.#releaseBody();
     const { route, tracker } = this.#admission as Admission;
     if (result.kind === 'answered') {
+      this.#mayHaveRun = true;
       tracker.handleDone(route, result.head.status);
       if (!this.#hasEnded) this.#finish(target, result);
     } else if (tracker.isSuspect(result)) void this.#handleSuspectCut(target, result);
@@ -557,17 +611,38 @@
     else this.#answerFailure(result, next);
   }
 
-  #decideNext(outcome: AttemptOutcome): 'retry' | 'give_up' | 'no_budget' {
+  /**
+   * Returns whether another attempt may follow, if the running one is given up for the silence of its
+   * target. An answer that has not begun may end with a failure instead, unless this entry stops.
+   */
+  #canReplaceAttempt(): boolean {
     const { route, service } = this.#admission as Admission;
-    const decision = decideNextAttempt(route, {
+    if (route.kind === 'stream' && !this.#canFinishBeforeStop(route)) return false;
+    if (!this.#answer.isStarted()) return true;
+    const targets = this.#context.registry.listTargets(service.name);
+    return (
+      this.#decideAttempt('broken') === 'retry' &&
+      this.#context.getBudget(service.name).getTokens() >= 1 &&
+      targets.some((target) => !this.#excludedTargets.has(target.id) && this.#isStillUsable(target))
+    );
+  }
+
+  #decideNext(outcome: AttemptOutcome): 'retry' | 'give_up' | 'no_budget' {
+    const { service } = this.#admission as Admission;
+    const decision = this.#decideAttempt(outcome);
+    if (decision === 'give_up' || outcome === 'unreachable') return decision;
+    return this.#context.getBudget(service.name).take() ? 'retry' : 'no_budget';
+  }
+
+  #decideAttempt(outcome: AttemptOutcome): 'retry' | 'give_up' {
+    const { route } = this.#admission as Admission;
+    return decideNextAttempt(route, {
       outcome,
       sentCount: this.#sentAttempts,
       unreachableCount: this.#unreachableAttempts,
       isPositionUnknown: this.#answer.isStarted() && this.#lastEventId === null,
       remainingMs: this.#getDeadlineMs() - this.#context.clock.getNow(),
     });
-    if (decision === 'give_up' || outcome === 'unreachable') return decision;
-    return this.#context.getBudget(service.name).take() ? 'retry' : 'no_budget';
   }
 
   #answerFailure({ outcome, cause, ifLast, head, body }: FailedAttempt, next: string): void {
@@ -665,6 +740,8 @@
     this.#hasEnded = true;
     this.#cancelDeadline?.();
     this.#unsubscribeStop?.();
+    // An attempt that goes on still holds the body.
+    if (this.#attempt === null) this.#releaseBody();
   }
 }
 
--- a/packages/rankagent/src/network/SocketNetwork.ts
+++ b/packages/rankagent/src/network/SocketNetwork.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@limpetbay/core';
+import type { BodyBudget, Clock } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
 import type { AddressBinder } from '@limpetbay/runtime';
 import type { AgentCalls } from '../ports/AgentCalls.js';
@@ -15,6 +15,8 @@
   /** Address and port of this agent, for datagrams and for calls. */
   readonly host: string;
   readonly port: number;
+  /** Limits the memory of all bodies that arrive. */
+  readonly bodyBudget: BodyBudget;
 }
 
 /** Network of the operating system: datagrams over UDP, calls over HTTP. */
@@ -41,8 +43,8 @@
   }
 
   async serve(calls: AgentCalls): Promise<() => void> {
-    const { host, port, binder } = this.#options;
-    const server = new AgentServer({ host, port, calls });
+    const { host, port, binder, bodyBudget } = this.#options;
+    const server = new AgentServer({ host, port, calls, bodyBudget });
     await binder.bind({
       name: 'agents',
       address: `${host}:${port}`,
@@ -52,6 +54,7 @@
   }
 
   openAgent(address: string): RemoteAgent {
-    return new HttpAgent(address, this.#options.clock);
+    const { clock, bodyBudget } = this.#options;
+    return new HttpAgent(address, clock, bodyBudget);
   }
 }
--- a/packages/runtime/src/process/ProcessSupervisor.ts
+++ b/packages/runtime/src/process/ProcessSupervisor.ts
@@ -59,12 +59,12 @@
     try {
       running = await start(this.#startAbort.signal);
     } catch (error) {
+      const cause = describeError(error);
       if (this.#isStopRequested) {
-        this.#options.log.report('stopped during the start', { cause: (error as Error).message });
-        await this.#options.exit(0, `stop during the start after ${this.#stopSignal}`);
+        this.#options.log.report('stopped during the start', { cause });
+        await this.#options.exit(0, `stopped during the start after ${this.#stopSignal}`);
         return;
       }
-      const cause = describeError(error);
       this.#options.log.alert('could not start', { cause });
       await this.#options.exit(FAILURE_EXIT_STATUS, `could not start: ${cause}`);
       return;
@@ -122,15 +122,14 @@
       kind,
       cause,
     });
-    if (isStarting) this.#limitStart(`uncaught ${kind}: ${cause}`);
+    if (isStarting) this.#limitStart(`uncaught ${kind} during the start: ${cause}`);
   }
 
-  /** @param error the uncaught error, in words */
-  #limitStart(error: string): void {
+  /** Ends the process if its start does not end soon. @param cause the error that may have ended it */
+  #limitStart(cause: string): void {
     setTimeout(() => {
       if (this.#state !== 'starting') return;
-      const cause = `the start did not end after an ${error}`;
-      this.#options.log.alert('could not start: it did not end after an uncaught error');
+      this.#options.log.alert('could not start: it did not end after an uncaught error', { cause });
       void this.#options.exit(FAILURE_EXIT_STATUS, cause);
     }, START_TIMEOUT_MS);
   }
--- a/packages/runtime/src/process/runProcess.ts
+++ b/packages/runtime/src/process/runProcess.ts
@@ -43,7 +43,6 @@
     exit: (status, cause) => end.finish(status, cause),
   });
   return supervisor.run((signal) => {
-    // Signals are handled from here on, so the line tells when they may be sent.
     log.report('process starting', {
       ...program,
       pid: process.pid,
--- a/packages/runtime/test/processEnds.test.ts
+++ b/packages/runtime/test/processEnds.test.ts
@@ -25,7 +25,7 @@
       'an exception during the start',
       `setTimeout(() => { throw new Error('odd') }, 50); await new Promise(() => {})`,
       1,
-      /^the start did not end after an uncaught exception: .*odd/,
+      /^uncaught exception during the start: .*odd/,
     ],
     ['a call of exit', `setTimeout(() => process.exit(7), 50)`, 7, /^the program called exit$/],
     ['no work that is left', `clearInterval(keepAlive)`, 0, /^no work was left$/],
