Name an answer that is complete but not sent in the log of a stop

Bodies are handed to the connection in parts since their memory is limited, so a complete answer that its caller had not read was listed as one that had only begun.

--- a/packages/callers/src/connection/ConnectionMonitor.ts
+++ b/packages/callers/src/connection/ConnectionMonitor.ts
@@ -35,6 +35,8 @@
   readonly earlierBytes: number;
   /** Why the server itself refused the request; null if it did not. */
   cause: CloseCause | null;
+  /** Whether the answer is known completely; parts of it may wait to be sent. */
+  isAnswerKnown: boolean;
 }
 
 /** Observes the connections of a server and tells why requests end without an answer. */
@@ -66,6 +68,12 @@
     if (request !== undefined) request.cause ??= cause;
   }
 
+  /** Marks a request whose answer is known completely. */
+  markEnded(response: ServerResponse): void {
+    const request = this.#requests.get(response);
+    if (request !== undefined) request.isAnswerKnown = true;
+  }
+
   /** Returns the number of open connections. */
   countConnections(): number {
     return this.#connections.size;
@@ -122,6 +130,7 @@
       startMs: this.#options.clock.getNow(),
       earlierBytes: countSentBytes(socket),
       cause: null,
+      isAnswerKnown: false,
     };
     connection.openCount += 1;
     connection.readBytes = socket.bytesRead;
@@ -175,9 +184,9 @@
   return socket.bytesWritten - socket.writableLength;
 }
 
-function describeProgress({ message, response }: RequestState): RequestProgress {
+function describeProgress({ message, response, isAnswerKnown }: RequestState): RequestProgress {
   if (response.writableFinished) return 'answered';
-  if (response.writableEnded) return 'answer not sent completely';
+  if (isAnswerKnown || response.writableEnded) return 'answer not sent completely';
   if (response.headersSent) return 'answer begun';
   return message.complete ? 'waits for an answer' : 'body incomplete';
 }
--- a/packages/callers/src/direct/DirectAnswer.ts
+++ b/packages/callers/src/direct/DirectAnswer.ts
@@ -3,13 +3,15 @@
 import { abortResponse } from '../answer/abortResponse.js';
 import { toErrorBody } from '../answer/toErrorBody.js';
 
-interface AnswerLimits {
+interface AnswerOptions {
   /** Limits the memory of what callers have not read. */
   readonly budget: BodyBudget;
   /** Returns the longest time for which a caller may leave a complete answer unread, milliseconds. */
   readonly getIdleTimeoutMs: () => number;
   /** Called when the answer is broken off because of its memory, or because it is not read. */
   readonly onDropped: (cause: 'memory' | 'unread', bytes: number) => void;
+  /** Called when the answer is known completely; parts of it may wait to be sent. */
+  readonly onEnded: () => void;
 }
 
 const MS_PER_SECOND = 1000;
@@ -24,7 +26,7 @@
   /** Whether the connection is closed after the answer, because the entry is leaving. */
   readonly #isLast: () => boolean;
 
-  readonly #limits: AnswerLimits | null;
+  readonly #options: AnswerOptions | null;
 
   /** Parts of the body that wait until the connection has taken those before them. */
   #blocks: readonly Uint8Array[] = [];
@@ -33,11 +35,15 @@
 
   #waitingBytes = 0;
 
-  /** @param limits none by default */
-  constructor(response: ServerResponse, isLast: () => boolean, limits: AnswerLimits | null = null) {
+  /** @param options no limits by default */
+  constructor(
+    response: ServerResponse,
+    isLast: () => boolean,
+    options: AnswerOptions | null = null,
+  ) {
     this.#response = response;
     this.#isLast = isLast;
-    this.#limits = limits;
+    this.#options = options;
   }
 
   isStarted(): boolean {
@@ -69,12 +75,13 @@
    */
   end(blocks: readonly Uint8Array[]): void {
     this.#blocks = blocks;
+    this.#options?.onEnded();
     for (const { length } of blocks) this.#waitingBytes += length;
     this.#writeBlocks();
     this.#updateBudget();
-    if (this.#limits === null || this.#response.destroyed) return;
+    if (this.#options === null || this.#response.destroyed) return;
     if (this.countUnsentBytes() === 0) return;
-    this.#response.setTimeout(this.#limits.getIdleTimeoutMs(), () => this.#drop('unread'));
+    this.#response.setTimeout(this.#options.getIdleTimeoutMs(), () => this.#drop('unread'));
   }
 
   /** Sends a complete answer. @param headers as for `start` @param blocks as for `end` */
@@ -96,7 +103,7 @@
     this.#blocks = [];
     this.#nextBlock = 0;
     this.#waitingBytes = 0;
-    this.#limits?.budget.update(this, 0);
+    this.#options?.budget.update(this, 0);
   }
 
   evict(): void {
@@ -106,7 +113,7 @@
   #drop(cause: 'memory' | 'unread'): void {
     const bytes = this.countUnsentBytes();
     this.destroy();
-    this.#limits?.onDropped(cause, bytes);
+    this.#options?.onDropped(cause, bytes);
   }
 
   /** Hands the next blocks to the connection, and ends the answer with the last one. */
@@ -138,7 +145,7 @@
   /** An arrow function, because the connection calls it after each write. */
   readonly #updateBudget = (): void => {
     if (this.#response.destroyed) return;
-    this.#limits?.budget.update(this, this.countUnsentBytes());
+    this.#options?.budget.update(this, this.countUnsentBytes());
   };
 
   /** Answers a caller that has stopped sending with an error, and closes the connection. */
--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -90,6 +90,7 @@
           budget: options.bodyBudget,
           getIdleTimeoutMs: () => this.#server.keepAliveTimeout,
           onDropped: (cause, bytes) => options.onAnswerDropped?.(cause, bytes),
+          onEnded: () => this.#monitor.markEnded(response),
         });
         this.#answerErrors(response, answer, () =>
           this.#readRequest(message, response, answer, connection),
