Limit the heads of all open requests of an entry together

Callers that send large heads ended an entry at its heap limit of 96 MB, and all requests on it lost their connections: 60 KB each, after about 500 of them.

Cause: each head has a limit of 64 KiB, but their sum had none, and a head that is sent on takes about three times its bytes of the heap.

--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -22,6 +22,8 @@
   readonly getMaxBodyBytes: () => number;
   /** Limits the memory of incomplete bodies and of answers that callers have not read. */
   readonly bodyBudget: BodyBudget;
+  /** Most bytes of the heads of all open requests; no limit by default. */
+  readonly maxHeadBytes?: number;
   /** Called when an answer is broken off because of its memory, or because it is not read. */
   readonly onAnswerDropped?: (cause: 'memory' | 'unread', bytes: number) => void;
   /** Called when a connection beyond the limit is closed. */
@@ -31,6 +33,9 @@
 /** Largest request head; above the limit of any configuration. */
 const MAX_HEAD_BYTES = 65_536;
 
+/** Heads up to this size are accepted in any case. */
+const SMALL_HEAD_BYTES = 4096;
+
 /** Idle timeout before the first configuration. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
@@ -56,6 +61,9 @@
 
   readonly #answers = new OpenAnswers();
 
+  /** Bytes of the heads of all open requests. */
+  #headBytes = 0;
+
   /** Answers to requests whose bodies have not arrived completely. */
   readonly #incomplete = new Map<ServerResponse, DirectAnswer>();
 
@@ -139,6 +147,13 @@
       answer.failAndClose(fail('bad_request', 'a header name is not valid').val);
       return;
     }
+    const headBytes = countHeadBytes(message);
+    const { maxHeadBytes = Infinity } = this.#options;
+    if (headBytes > SMALL_HEAD_BYTES && this.#headBytes + headBytes > maxHeadBytes) {
+      const reason = 'too many requests with large heads';
+      answer.failAndClose(fail('overloaded', reason, NO_SPACE_RETRY_AFTER_MS).val);
+      return;
+    }
     const head = this.#options.readHead(message);
     const body = new BodyBuffer({
       maxBytes: this.#options.getMaxBodyBytes(),
@@ -151,11 +166,13 @@
     };
     let cancel: (() => void) | null = null;
     this.#answers.add(response);
+    this.#headBytes += headBytes;
     this.#incomplete.set(response, answer);
     response.on('close', () => {
       this.#incomplete.delete(response);
       body.clear();
       answer.release();
+      this.#headBytes -= headBytes;
       if (!response.writableFinished) cancel?.();
     });
     const bodyTimer = setTimeout(() => {
@@ -178,6 +195,12 @@
   }
 }
 
+function countHeadBytes({ url = '', rawHeaders }: IncomingMessage): number {
+  let bytes = url.length;
+  for (const text of rawHeaders) bytes += text.length;
+  return bytes;
+}
+
 /**
  * Closes an idle connection after its timeout. After a pause of the process the timeout may come
  * before the read of a request that has arrived.
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -1,3 +1,4 @@
+import { getHeapStatistics } from 'node:v8';
 import { DirectServer, type DirectAnswer, type DirectHandler } from '@limpetbay/callers';
 import { BodyBudget, computeBodyBytes, splitAddress, type RequestHead } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
@@ -14,6 +15,12 @@
 /** Least time between two log lines about connections of callers that are refused. */
 const REFUSED_LOG_INTERVAL_MS = 10_000;
 
+/**
+ * Share of the heap for the heads of all open requests. A head takes about three times its bytes,
+ * since it is sent on to a target.
+ */
+const HEAD_SHARE = 0.1;
+
 /** Interval at which a stopping entry checks whether it may continue to stop. */
 const STOP_POLL_INTERVAL_MS = 100;
 
@@ -86,6 +93,7 @@
       readHead: (message) => codec.readRequest(message),
       getMaxBodyBytes: () => this.#core.getTable()?.config.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
       bodyBudget,
+      maxHeadBytes: getHeapStatistics().heap_size_limit * HEAD_SHARE,
       onAnswerDropped: (cause, bytes) => {
         metrics.increase(`limpetbay_dropped_answers_total{cause="${cause}"}`);
         this.#log.warn('answer broken off; its caller did not read it in time', { cause, bytes });
