Refuse requests that arrive between the end of a stop and of the process

A stop may end early, when no request has arrived for 1.5 s. The process then waits for up to 200 ms until its last log lines are read. A request that came on an open connection in this time was passed on if its route allowed it to end within the grace period, and was cut when the process ended.

`EntryCore.close` moves the deadline of the stop into the past, so that all later requests are refused with 503 and `Connection: close`. The test failed before: the request reached the target after the stop had ended.

--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -309,8 +309,12 @@
     return count;
   }
 
-  /** Ends all activity and closes the connections to targets. */
+  /**
+   * Ends all activity and closes the connections to targets. Requests that are read until the process
+   * ends are refused.
+   */
   close(): void {
+    this.#requestContext.stopDeadline.set(-Infinity);
     this.#mirror.stop();
     this.#probe.stop();
     this.#suspects.close();
