Count errors of sockets outside of requests, and limit their lines

A failed accept (descriptors used up) or datagram logged a line each, up to 200 a second, and no counter showed them. An operator saw callers that could not connect and a log that was full of one line.

SocketErrorLog counts each error in limpetbay_socket_errors_total and writes one line a second at most after a burst of 5, with the number of errors without a line and what happens next. The listening sockets of all programs (AddressBinder) and the datagrams of entries and agents of model ranks use it.

--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -6,7 +6,7 @@
 } from '@limpetbay/callers';
 import { BodyBudget, computeBodyBytes, splitAddress, type RequestHead } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
-import { IgnoredRecordLog, type Log } from '@limpetbay/runtime';
+import { IgnoredRecordLog, SocketErrorLog, type Log } from '@limpetbay/runtime';
 import { DirectPool, checkListener } from '@limpetbay/targets';
 import { EntryCore } from './EntryCore.js';
 import { computeCallerConnections } from './computeCallerConnections.js';
@@ -90,11 +90,13 @@
       onConfig: ({ config }) =>
         this.#server.setTimeouts(config.idleTimeoutMs, config.headTimeoutMs),
     });
+    const errors = new SocketErrorLog({ clock, log: this.#log, metrics });
     this.#socket = new PeerSocket({
       ...splitAddress(options.self.peerAddress),
       onMessage: (message, from) => this.#core.handlePeerMessage(message, from),
       onInvalid: (address, cause) => ignored.report('datagram', address, cause),
-      onError: (cause) => this.#log.warn('datagram failed', { cause }),
+      onError: (cause) =>
+        errors.report('datagrams', 'datagram failed', { cause, next: 'later messages are sent' }),
     });
     this.#server = new DirectServer({
       ...splitAddress(options.self.callerAddress),
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -6,7 +6,7 @@
   type RankStatus,
 } from '@limpetbay/core';
 import { decodeUnits, encodeLoads, encodeUnits, type PeerMessage } from '@limpetbay/rpc';
-import { IgnoredRecordLog, tryAsyncStep, type Log } from '@limpetbay/runtime';
+import { IgnoredRecordLog, SocketErrorLog, tryAsyncStep, type Log } from '@limpetbay/runtime';
 import type { ArmOrder } from '../planner/ArmOrder.js';
 import { CallQueue } from '../planner/CallQueue.js';
 import { LinkPacer } from '../planner/LinkPacer.js';
@@ -174,6 +174,7 @@
     this.#members = new GroupMembers(options.clock);
     this.#budget = new TrafficBudget(options.linkBitsPerSecond);
     this.#pacer = new LinkPacer(options.clock, options.linkBitsPerSecond);
+    const errors = new SocketErrorLog({ clock, log: this.#log, metrics });
     this.#socket = options.network.openTransport({
       onMessage: (message, from) => this.#handleMessage(message, from),
       onTraffic: (direction, kind, bytes) =>
@@ -182,7 +183,8 @@
           bytes,
         ),
       onInvalid: (address, cause) => ignored.report('datagram', address, cause),
-      onError: (cause) => this.#log.warn('datagram failed', { cause }),
+      onError: (cause) =>
+        errors.report('datagrams', 'datagram failed', { cause, next: 'later messages are sent' }),
     });
     this.#reporter = new LoadReporter({
       clock: options.clock,
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -3,6 +3,7 @@
 export { IgnoredRecordLog } from './log/IgnoredRecordLog.js';
 export type { Log } from './log/Log.js';
 export { LogLimiter } from './log/LogLimiter.js';
+export { SocketErrorLog } from './log/SocketErrorLog.js';
 export { createLog } from './log/createLog.js';
 export { formatFields } from './log/formatFields.js';
 export { tryAsyncStep } from './log/tryAsyncStep.js';
--- a/packages/runtime/src/network/AddressBinder.ts
+++ b/packages/runtime/src/network/AddressBinder.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@limpetbay/core';
 import type { Log } from '../log/Log.js';
+import { SocketErrorLog } from '../log/SocketErrorLog.js';
 import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { Listener } from './Listener.js';
 
@@ -46,6 +47,8 @@
 export class AddressBinder {
   readonly #options: AddressBinderOptions;
 
+  readonly #errors: SocketErrorLog;
+
   /** Cancels the retries in progress. */
   readonly #cancellations = new Set<() => void>();
 
@@ -53,6 +56,7 @@
 
   constructor(options: AddressBinderOptions) {
     this.#options = options;
+    this.#errors = new SocketErrorLog(options);
   }
 
   /**
@@ -105,10 +109,10 @@
     const { name, address } = listener;
     try {
       await listener.bind((error) =>
-        log.warn('error of a listening socket; it stays open', {
-          listener: name,
+        this.#errors.report(name, 'error of a listening socket', {
           address,
           cause: error.message,
+          next: 'it stays open; connections that it could not accept are closed or wait',
         }),
       );
     } catch (error) {
