--- a/soak/src/check/checkRequests.ts
+++ b/soak/src/check/checkRequests.ts
@@ -10,6 +10,12 @@
 /** Requests sent later than this after a SIGTERM are excused in the last part of the grace. */
 const STOP_ACCEPT_MS = 3000;
 
+/**
+ * An entry may break off the answer of a caller that reads nothing for longer than this, so that
+ * such answers do not fill its memory.
+ */
+const MAX_PAUSE_MS = 1000;
+
 const LAST_GRACE_SHARE = 5 / 6;
 
 const REFUSALS: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -30,6 +36,8 @@
 
 const UNPLANNED: ReadonlySet<string> = new Set(['unplanned']);
 
+const STARVED: ReadonlySet<string> = new Set(['starved']);
+
 const PLANNED: ReadonlySet<string> = new Set(['stop', 'reload', 'config']);
 
 /** Returns whether a target was at work on the request when the end of the grace was near. */
@@ -55,6 +63,7 @@
   bounds: Bounds,
 ): 'planned' | 'kept' | null {
   if (request.outcome !== 'closed') return null;
+  if (request.pauseMs > MAX_PAUSE_MS) return null;
   const runs = ledger.runs.get(request.id) ?? [];
   if (runs.some(({ isBrokenOff }) => isBrokenOff)) return null;
   const { startMs, sentMs, endMs } = request;
@@ -63,7 +72,8 @@
   if (isTouched(ledger, UNPLANNED, objects, fromMs, endMs)) return null;
   if (runs.length === 0) {
     if (sentMs === null || endMs - sentMs <= bounds.lossSlackMs) return null;
-    // The runner may have seen the end later than it came.
+    // The rule does not count machines that are slowed; the runner may have seen the end too late.
+    if (isTouched(ledger, STARVED, new Set([request.entry]), sentMs, endMs)) return null;
     const isStalled = ledger.stalls.some(
       (stall) => stall.startMs <= endMs && stall.endMs >= sentMs,
     );
