Limit and time requests that wait on the connection of a caller

- One caller that sent requests behind an open one without end ended the entry at its heap limit.
The 33rd open request of a connection is refused with 429, and the connection ends after the answers.
- The timeout of an answer that was read late closed the connection while a target ran the next request on it.
The idle timeout now acts only on connections without a request.
- The wait behind other requests was not counted, so a target was given time that had passed.
The time of a request counts from its arrival.

--- a/packages/callers/src/connection/CallerConnection.ts
+++ b/packages/callers/src/connection/CallerConnection.ts
@@ -1,6 +1,14 @@
 import { STATUS_CODES, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+interface CallerConnectionOptions {
+  readonly socket: Socket;
+  /** Returns the longest time that a connection without a request stays open, milliseconds. */
+  readonly getIdleTimeoutMs: () => number;
+  /** Called when the first request arrives, and when the last answer is complete. */
+  readonly onIdleChange: (isIdle: boolean) => void;
+}
+
 interface OpenRequest {
   readonly message: IncomingMessage;
   readonly response: ServerResponse;
@@ -12,12 +20,23 @@
  */
 const MAX_LINGER_MS = 1000;
 
+/**
+ * Most requests without a complete answer on one connection. Those behind the first one wait in
+ * memory.
+ */
+const MAX_OPEN_REQUESTS = 32;
+
 const BAD_REQUEST = 400;
 
 const METHOD_NOT_ALLOWED = 405;
 
 const REQUEST_TIMEOUT = 408;
 
+const TOO_MANY_REQUESTS = 429;
+
+/** Retry-After of a request that had no space on its connection, seconds. */
+const RETRY_AFTER_SECONDS = '0.5';
+
 const ERROR_STATUSES: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
   HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
@@ -43,12 +62,12 @@
 
   #isClosing = false;
 
-  /** Returns the longest time that a connection without a request stays open, milliseconds. */
-  readonly #getIdleTimeoutMs: () => number;
+  readonly #options: CallerConnectionOptions;
 
-  constructor(socket: Socket, getIdleTimeoutMs: () => number) {
+  constructor(options: CallerConnectionOptions) {
+    const { socket } = options;
     this.#socket = socket;
-    this.#getIdleTimeoutMs = getIdleTimeoutMs;
+    this.#options = options;
     // Node.js calls it after an answer that ends the connection.
     Object.assign(socket, { destroySoon: () => this.closeGracefully() });
     socket.on('close', () => {
@@ -59,14 +78,24 @@
     });
   }
 
-  addRequest(message: IncomingMessage, response: ServerResponse): void {
+  /** Adds a request. @returns false if it was refused, because too many wait for answers */
+  addRequest(message: IncomingMessage, response: ServerResponse): boolean {
     this.#requestCount += 1;
     this.#isHeadLate = false;
     // Node.js clears only the idle timeout that it has set itself.
     if (this.#requestCount === 1) this.#socket.setTimeout(0);
     const request = { message, response };
     this.#open.push(request);
+    if (this.#open.length === 1) this.#options.onIdleChange(false);
     response.on('close', () => this.#removeRequest(request));
+    if (this.#open.length <= MAX_OPEN_REQUESTS) return true;
+    this.#discardInput();
+    response.writeHead(TOO_MANY_REQUESTS, [
+      ...['Connection', 'close'],
+      ...['Retry-After', RETRY_AFTER_SECONDS],
+    ]);
+    response.end();
+    return false;
   }
 
   /**
@@ -99,12 +128,12 @@
     });
   }
 
-  /** Closes the connection, unless a request arrived while the process did not read it. */
-  handleIdleTimeout(): void {
+  /** Closes the connection, unless it has a request or one arrived that was not read yet. */
+  closeIfIdle(): void {
     const { bytesRead } = this.#socket;
     // Timers run before sockets are read.
     setImmediate(() => {
-      if (this.#socket.bytesRead === bytesRead) this.#socket.destroy();
+      if (this.#open.length === 0 && this.#socket.bytesRead === bytesRead) this.#socket.destroy();
     });
   }
 
@@ -128,7 +157,7 @@
     // Timers run before sockets are read, so the rest may have arrived.
     setImmediate(() => {
       if (this.#requestCount !== count || last?.message.complete || this.#socket.destroyed) return;
-      if (this.#socket.bytesRead === 0) this.#socket.setTimeout(this.#getIdleTimeoutMs());
+      if (this.#socket.bytesRead === 0) this.#socket.setTimeout(this.#options.getIdleTimeoutMs());
       else if (last === null && this.#open.length > 0) this.#isHeadLate = true;
       else this.#failInput(REQUEST_TIMEOUT);
     });
@@ -172,6 +201,8 @@
   #removeRequest(request: OpenRequest): void {
     const index = this.#open.indexOf(request);
     if (index >= 0) this.#open.splice(index, 1);
-    if (this.#isHeadLate && this.#open.length === 0) this.#handleLateInput();
+    if (this.#open.length > 0) return;
+    this.#options.onIdleChange(true);
+    if (this.#isHeadLate) this.#handleLateInput();
   }
 }
--- a/packages/callers/src/direct/DirectHandler.ts
+++ b/packages/callers/src/direct/DirectHandler.ts
@@ -3,6 +3,15 @@
 
 /** Handles the requests that a `DirectServer` has read. */
 export interface DirectHandler {
-  /** @returns a function that the server calls if the caller disconnects before the answer ends */
-  acceptRequest(head: RequestHead, body: Buffer, answer: DirectAnswer): () => void;
+  /**
+   * @param receivedMs when the request was read, monotonic milliseconds; it may have waited since for
+   *   earlier ones on its connection
+   * @returns a function that the server calls if the caller disconnects before the answer ends
+   */
+  acceptRequest(
+    head: RequestHead,
+    body: Buffer,
+    answer: DirectAnswer,
+    receivedMs: number,
+  ): () => void;
 }
--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -66,6 +66,8 @@
 
   readonly #server: Server;
 
+  readonly #clock: Clock;
+
   #isDraining = false;
 
   readonly #answers = new OpenAnswers();
@@ -82,6 +84,7 @@
 
   constructor(options: DirectServerOptions) {
     this.#options = options;
+    this.#clock = options.clock ?? new RealClock();
     this.#server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -93,6 +96,7 @@
       },
       (message, response) => {
         const connection = this.#connections.addRequest(message, response);
+        if (connection === null) return;
         const isLast = (): boolean => this.#isDraining && !connection.hasFollowing(response);
         const answer = new DirectAnswer(response, isLast, {
           budget: options.bodyBudget,
@@ -107,7 +111,7 @@
     );
     this.#connections = new CallerConnections(this.#server);
     this.#monitor = new ConnectionMonitor(this.#server, {
-      clock: options.clock ?? new RealClock(),
+      clock: this.#clock,
       readId: (message) => options.readHead(message).id,
       onClosed: (closed) => options.onClosed?.(closed),
     });
@@ -250,10 +254,11 @@
     message.on('end', () => {
       clearTimeout(bodyTimer);
       this.#incomplete.delete(response);
+      const receivedMs = this.#clock.getNow();
       connection.runInTurn(response, () => {
         if (response.headersSent || response.destroyed) return;
         this.#answerErrors(response, answer, () => {
-          cancel = this.#options.handler.acceptRequest(head, body.take(), answer);
+          cancel = this.#options.handler.acceptRequest(head, body.take(), answer, receivedMs);
         });
       });
     });
--- a/packages/callers/src/server/startCallerServer.ts
+++ b/packages/callers/src/server/startCallerServer.ts
@@ -36,6 +36,7 @@
   const server = createServer((request, response) => {
     answers.add(response);
     const connection = connections.addRequest(request, response);
+    if (connection === null) return;
     const isLast = (): boolean => handler.isLeaving() && !connection.hasFollowing(response);
     const answer = new HttpCallerAnswer(response, isLast);
     if (serveEntryPath(handler, request, response, answer)) return;
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -263,9 +263,19 @@
     for (const budget of this.#budgets.values()) budget.setLimits(ratio, burst);
   }
 
-  /** Processes a request. @returns a function to call if the caller disconnects */
-  acceptRequest(head: RequestHead, body: Buffer, answer: DirectAnswer): () => void {
-    const run = new RequestRun(this.#requestContext, head, body, answer);
+  /**
+   * Processes a request.
+   *
+   * @param receivedMs when it was read, monotonic milliseconds; now by default
+   * @returns a function to call if the caller disconnects
+   */
+  acceptRequest(
+    head: RequestHead,
+    body: Buffer,
+    answer: DirectAnswer,
+    receivedMs = this.#options.clock.getNow(),
+  ): () => void {
+    const run = new RequestRun(this.#requestContext, { head, body, answer, receivedMs });
     try {
       run.start();
     } catch (error) {
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -181,9 +181,14 @@
     return this.#core.listAddresses();
   }
 
-  acceptRequest(head: RequestHead, body: Buffer, answer: DirectAnswer): () => void {
+  acceptRequest(
+    head: RequestHead,
+    body: Buffer,
+    answer: DirectAnswer,
+    receivedMs: number,
+  ): () => void {
     this.#lastRequestMs = this.#options.clock.getNow();
-    return this.#core.acceptRequest(head, body, answer);
+    return this.#core.acceptRequest(head, body, answer, receivedMs);
   }
 
   /**
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -24,6 +24,14 @@
 import type { AttemptResult } from './AttemptResult.js';
 import type { RequestContext } from './RequestContext.js';
 
+interface ReceivedRequest {
+  readonly head: RequestHead;
+  readonly body: Buffer;
+  readonly answer: DirectAnswer;
+  /** When it was read, monotonic milliseconds; its time limits count from then. */
+  readonly receivedMs: number;
+}
+
 interface Admission {
   readonly table: RouteTable;
   readonly route: DirectRoute;
@@ -126,19 +134,24 @@
 
   #hasEnded = false;
 
-  constructor(context: RequestContext, head: RequestHead, body: Buffer, answer: DirectAnswer) {
+  constructor(context: RequestContext, { head, body, answer, receivedMs }: ReceivedRequest) {
     this.#context = context;
     this.#head = head;
     this.#body = body;
     this.#answer = answer;
-    this.#startMs = context.clock.getNow();
+    this.#startMs = receivedMs;
     this.#progressMs = this.#startMs;
   }
 
   start(): void {
     this.#admission = this.#admit();
     if (this.#admission === null) return;
-    const { service } = this.#admission;
+    const { service, deadlineMs } = this.#admission;
+    if (deadlineMs <= this.#context.clock.getNow()) {
+      const reason = 'its time passed behind other requests of the connection';
+      this.#refuse('no_target', reason, RETRY_AFTER_MS);
+      return;
+    }
     this.#context.bodyBudget.update(this.#heldBody, this.#body.length);
     if (this.#hasEnded) return;
     this.#context.getBudget(service.name).recordRequest();
