--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -1,14 +1,19 @@
-import type { Socket } from 'node:net';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import {
   BodyBuffer,
   fail,
   hasValidHeaderNames,
   type BodyBudget,
+  type Clock,
   type RequestHead,
 } from '@limpetbay/core';
-import { receiveBody } from '@limpetbay/runtime';
+import { RealClock, bindServer, receiveBody } from '@limpetbay/runtime';
 import { OpenAnswers } from '../answer/OpenAnswers.js';
+import type { CallerConnection } from '../connection/CallerConnection.js';
+import { CallerConnections } from '../connection/CallerConnections.js';
+import type { ClosedRequest } from '../connection/ClosedRequest.js';
+import { ConnectionMonitor } from '../connection/ConnectionMonitor.js';
+import type { OpenRequest } from '../connection/OpenRequest.js';
 import { DirectAnswer } from './DirectAnswer.js';
 import type { DirectHandler } from './DirectHandler.js';
 
@@ -24,6 +29,10 @@
   readonly bodyBudget: BodyBudget;
   /** Most bytes of the heads of all open requests; no limit by default. */
   readonly maxHeadBytes?: number;
+  /** Called for each request that ends without an answer, or that this server refuses. */
+  readonly onClosed?: (closed: ClosedRequest) => void;
+  /** Clock of the times of requests; `RealClock` by default. */
+  readonly clock?: Clock;
   /** Called when an answer is broken off because of its memory, or because it is not read. */
   readonly onAnswerDropped?: (cause: 'memory' | 'unread', bytes: number) => void;
   /** Called when a connection beyond the limit is closed. */
@@ -64,6 +73,10 @@
   /** Bytes of the heads of all open requests. */
   #headBytes = 0;
 
+  readonly #connections: CallerConnections;
+
+  readonly #monitor: ConnectionMonitor;
+
   /** Answers to requests whose bodies have not arrived completely. */
   readonly #incomplete = new Map<ServerResponse, DirectAnswer>();
 
@@ -79,15 +92,25 @@
         noDelay: true,
       },
       (message, response) => {
-        const answer = new DirectAnswer(response, () => this.#isDraining, {
+        const connection = this.#connections.addRequest(message, response);
+        const isLast = (): boolean => this.#isDraining && !connection.hasFollowing(response);
+        const answer = new DirectAnswer(response, isLast, {
           budget: options.bodyBudget,
           getIdleTimeoutMs: () => this.#server.keepAliveTimeout,
           onDropped: (cause, bytes) => options.onAnswerDropped?.(cause, bytes),
+          onEnded: () => this.#monitor.markEnded(response),
         });
-        answerErrors(answer, () => this.#readRequest(message, response, answer));
+        this.#answerErrors(response, answer, () =>
+          this.#readRequest(message, response, answer, connection),
+        );
       },
     );
-    this.#server.on('timeout', closeUnlessRead);
+    this.#connections = new CallerConnections(this.#server);
+    this.#monitor = new ConnectionMonitor(this.#server, {
+      clock: options.clock ?? new RealClock(),
+      readId: (message) => options.readHead(message).id,
+      onClosed: (closed) => options.onClosed?.(closed),
+    });
     this.#server.on('drop', () => options.onConnectionDropped?.());
   }
 
@@ -96,12 +119,14 @@
     this.#server.maxConnections = maxConnections;
   }
 
-  /** Starts to listen. @throws if the address cannot be used */
-  async start(): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(this.#options.port, this.#options.host, resolve);
-    });
+  /**
+   * Tries once to listen; may be called again if the address cannot be used.
+   *
+   * @param onError called for errors of the server while it listens
+   * @throws if the address cannot be used
+   */
+  bind(onError: (error: Error) => void): Promise<void> {
+    return bindServer(this.#server, this.#options.host, this.#options.port, onError);
   }
 
   /**
@@ -115,9 +140,24 @@
     this.#server.headersTimeout = headTimeoutMs;
   }
 
-  /** Returns the number of requests without a complete answer. */
+  /** Returns the number of requests without a complete answer, or one that may still be lost. */
   countRequests(): number {
-    return this.#answers.count();
+    return this.#answers.count() + this.#connections.countClosing();
+  }
+
+  /** Lists the requests without a complete answer. */
+  listOpenRequests(): OpenRequest[] {
+    return this.#monitor.listOpenRequests();
+  }
+
+  /** Returns the number of open connections of callers. */
+  countConnections(): number {
+    return this.#monitor.countConnections();
+  }
+
+  /** Returns the number of bytes of answers that callers have not taken. */
+  countUnsentBytes(): number {
+    return this.#monitor.countUnsentBytes();
   }
 
   /** Closes every connection after its next answer, so that callers open new ones elsewhere. */
@@ -138,12 +178,20 @@
       LEAVING_RETRY_AFTER_MS,
     );
     for (const [response, answer] of this.#incomplete) {
-      if (!response.headersSent) answer.fail(failure.val);
+      if (response.headersSent) continue;
+      this.#monitor.mark(response, 'stop');
+      answer.fail(failure.val);
     }
   }
 
-  #readRequest(message: IncomingMessage, response: ServerResponse, answer: DirectAnswer): void {
+  #readRequest(
+    message: IncomingMessage,
+    response: ServerResponse,
+    answer: DirectAnswer,
+    connection: CallerConnection,
+  ): void {
     if (!hasValidHeaderNames(message.rawHeaders)) {
+      this.#monitor.mark(response, 'bad_request');
       answer.failAndClose(fail('bad_request', 'a header name is not valid').val);
       return;
     }
@@ -151,6 +199,7 @@
     const { maxHeadBytes = Infinity } = this.#options;
     if (headBytes > SMALL_HEAD_BYTES && this.#headBytes + headBytes > maxHeadBytes) {
       const reason = 'too many requests with large heads';
+      this.#monitor.mark(response, 'heads_too_large');
       answer.failAndClose(fail('overloaded', reason, NO_SPACE_RETRY_AFTER_MS).val);
       return;
     }
@@ -158,7 +207,10 @@
     const body = new BodyBuffer({
       maxBytes: this.#options.getMaxBodyBytes(),
       budget: this.#options.bodyBudget,
-      onEvicted: () => refuse('overloaded', 'too many bodies arrive', NO_SPACE_RETRY_AFTER_MS),
+      onEvicted: () => {
+        this.#monitor.mark(response, 'body_evicted');
+        refuse('overloaded', 'too many bodies arrive', NO_SPACE_RETRY_AFTER_MS);
+      },
     });
     const refuse = (...reason: Parameters<typeof fail>): void => {
       body.clear();
@@ -175,24 +227,50 @@
       this.#headBytes -= headBytes;
       if (!response.writableFinished) cancel?.();
     });
-    const bodyTimer = setTimeout(() => {
-      if (!response.headersSent) answer.failAndClose(fail('request_too_slow', 'body timeout').val);
-    }, this.#server.keepAliveTimeout);
+    const failSlowBody = (): void => {
+      const { bytesRead } = message.socket;
+      // Timers run before sockets are read, so more of the body may have arrived.
+      setImmediate(() => {
+        if (message.complete || response.headersSent || response.destroyed) return;
+        if (message.socket.bytesRead !== bytesRead) bodyTimer.refresh();
+        else {
+          this.#monitor.mark(response, 'body_timeout');
+          answer.failAndClose(fail('request_too_slow', 'body timeout').val);
+        }
+      });
+    };
+    const bodyTimer = setTimeout(failSlowBody, this.#server.keepAliveTimeout);
     message.on('close', () => clearTimeout(bodyTimer));
     receiveBody(message, (chunk) => {
       bodyTimer.refresh();
       if (response.headersSent || response.destroyed) return;
-      if (!body.append(chunk)) refuse('body_too_large', 'the body exceeds the size limit');
+      if (body.append(chunk)) return;
+      this.#monitor.mark(response, 'body_too_large');
+      refuse('body_too_large', 'the body exceeds the size limit');
     });
     message.on('end', () => {
       clearTimeout(bodyTimer);
       this.#incomplete.delete(response);
-      if (response.headersSent || response.destroyed) return;
-      answerErrors(answer, () => {
-        cancel = this.#options.handler.acceptRequest(head, body.take(), answer);
+      connection.runInTurn(response, () => {
+        if (response.headersSent || response.destroyed) return;
+        this.#answerErrors(response, answer, () => {
+          cancel = this.#options.handler.acceptRequest(head, body.take(), answer);
+        });
       });
     });
   }
+
+  /** Runs a step of a request. If it throws, the caller gets 500; the error goes to the process. */
+  #answerErrors(response: ServerResponse, answer: DirectAnswer, run: () => void): void {
+    try {
+      run();
+    } catch (error) {
+      this.#monitor.mark(response, 'internal_error');
+      if (answer.isStarted()) answer.destroy();
+      else answer.failAndClose(fail('internal', 'the request could not be handled').val);
+      throw error;
+    }
+  }
 }
 
 function countHeadBytes({ url = '', rawHeaders }: IncomingMessage): number {
@@ -200,25 +278,3 @@
   for (const text of rawHeaders) bytes += text.length;
   return bytes;
 }
-
-/**
- * Closes an idle connection after its timeout. After a pause of the process the timeout may come
- * before the read of a request that has arrived.
- */
-function closeUnlessRead(socket: Socket): void {
-  const { bytesRead } = socket;
-  setImmediate(() => {
-    if (socket.bytesRead === bytesRead) socket.destroy();
-  });
-}
-
-/** Runs a step of a request. If it throws, the caller gets 500; the error goes to the process. */
-function answerErrors(answer: DirectAnswer, run: () => void): void {
-  try {
-    run();
-  } catch (error) {
-    if (answer.isStarted()) answer.destroy();
-    else answer.failAndClose(fail('internal', 'the request could not be handled').val);
-    throw error;
-  }
-}
--- a/packages/callers/test/pausedServer.test.ts
+++ b/packages/callers/test/pausedServer.test.ts
@@ -38,7 +38,7 @@
     getMaxBodyBytes: () => 1000,
     bodyBudget: new BodyBudget(1000, new ManualClock()),
   });
-  await server.start();
+  await server.bind(() => {});
   server.setTimeouts(IDLE_TIMEOUT_MS, 1000);
   const socket = connect(PORT, '127.0.0.1');
   socket.on('error', () => {});
--- a/packages/core/src/body/computeBodyBytes.ts
+++ b/packages/core/src/body/computeBodyBytes.ts
@@ -16,10 +16,10 @@
 /**
  * Computes the limit of all bodies that a process holds at a time.
  *
- * @param memoryBytes limit of the whole process; undefined if it is not known
+ * @param memoryLimitBytes limit of the whole process; null if it is not known
  * @returns bytes
  */
-export function computeBodyBytes(memoryBytes: number | undefined): number {
-  if (memoryBytes === undefined) return DEFAULT_BYTES;
-  return Math.max(MIN_BYTES, Math.floor((memoryBytes - PROGRAM_BYTES) * BODY_SHARE));
+export function computeBodyBytes(memoryLimitBytes: number | null): number {
+  if (memoryLimitBytes === null) return DEFAULT_BYTES;
+  return Math.max(MIN_BYTES, Math.floor((memoryLimitBytes - PROGRAM_BYTES) * BODY_SHARE));
 }
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -85,6 +85,8 @@
 
   #isRegistered = false;
 
+  #isAccepting = true;
+
   #isStopping = false;
 
   #lastSubscribeMs = -Infinity;
@@ -231,9 +233,14 @@
     this.#advanceQueue();
   }
 
+  /** Sets whether callers can connect; until then the entry is not ready. */
+  setAccepting(isAccepting: boolean): void {
+    this.#isAccepting = isAccepting;
+  }
+
   /** Returns whether this entry can serve callers. */
   isReady(): boolean {
-    return this.#view.isComplete() && !this.#isStopping;
+    return this.#isAccepting && this.#view.isComplete() && !this.#isStopping;
   }
 
   getTable(): RouteTable | null {
@@ -295,6 +302,13 @@
     void this.#lease.stop();
   }
 
+  /** Returns the number of open connections to targets. */
+  countTargetConnections(): number {
+    let count = 0;
+    for (const pool of this.#pools.values()) count += pool.count();
+    return count;
+  }
+
   /** Ends all activity and closes the connections to targets. */
   close(): void {
     this.#mirror.stop();
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -1,5 +1,10 @@
 import { getHeapStatistics } from 'node:v8';
-import { DirectServer, type DirectAnswer, type DirectHandler } from '@limpetbay/callers';
+import {
+  DirectServer,
+  type ClosedRequest,
+  type DirectAnswer,
+  type DirectHandler,
+} from '@limpetbay/callers';
 import { BodyBudget, computeBodyBytes, splitAddress, type RequestHead } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
 import { IgnoredRecordLog, type Log } from '@limpetbay/runtime';
@@ -36,6 +41,9 @@
 /** Answers may be written until this long before the platform kills the process. */
 const DRAIN_MARGIN_MS = 400;
 
+/** Most requests that the last line of a stop names. */
+const MAX_NAMED_REQUESTS = 20;
+
 /** An entry that sends the requests of its callers directly to targets. */
 export class Gateway implements DirectHandler {
   readonly #options: GatewayOptions;
@@ -44,12 +52,16 @@
 
   readonly #log: Log;
 
+  readonly #connectionsLog: Log;
+
   readonly #core: EntryCore;
 
   readonly #server: DirectServer;
 
   readonly #socket: PeerSocket;
 
+  #isAccepting = false;
+
   readonly #bodyBudget: BodyBudget;
 
   #lastRequestMs = 0;
@@ -67,7 +79,11 @@
     this.#limits = options.limits;
     const { clock, codec, metrics, createLog } = options;
     this.#log = createLog('entry');
-    const bodyBudget = new BodyBudget(computeBodyBytes(options.limits.memoryBytes), clock);
+    this.#connectionsLog = createLog('connections');
+    const bodyBudget = new BodyBudget(
+      computeBodyBytes(options.limits.memoryLimitBytes ?? null),
+      clock,
+    );
     this.#bodyBudget = bodyBudget;
     const ignored = new IgnoredRecordLog({ clock, log: this.#log, metrics, component: 'entry' });
     this.#core = new EntryCore({
@@ -94,6 +110,8 @@
       getMaxBodyBytes: () => this.#core.getTable()?.config.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
       bodyBudget,
       maxHeadBytes: getHeapStatistics().heap_size_limit * HEAD_SHARE,
+      clock,
+      onClosed: (closed) => this.#reportClosed(closed),
       onAnswerDropped: (cause, bytes) => {
         metrics.increase(`limpetbay_dropped_answers_total{cause="${cause}"}`);
         this.#log.warn('answer broken off; its caller did not read it in time', { cause, bytes });
@@ -101,13 +119,34 @@
       onConnectionDropped: () => this.#handleRefusedConnection(),
     });
     this.#limitConnections(options.limits);
+    this.#registerGauges(bodyBudget);
   }
 
+  /**
+   * Starts to follow the store and to bind the addresses. The entry is ready only once callers can
+   * connect; it works without datagrams until they can be exchanged.
+   *
+   * @throws the error of a bind if it is not expected to pass
+   */
   async start(): Promise<void> {
-    await this.#server.start();
-    await this.#socket.start();
+    const { binder, self } = this.#options;
+    this.#core.setAccepting(false);
+    await binder.bind({
+      name: 'callers',
+      address: self.callerAddress,
+      bind: (onError) => this.#server.bind(onError),
+      onBound: () => {
+        this.#isAccepting = true;
+        this.#core.setAccepting(true);
+        this.#log.report('started', { address: self.callerAddress });
+      },
+    });
+    await binder.bind({
+      name: 'datagrams',
+      address: self.peerAddress,
+      bind: () => this.#socket.bind(),
+    });
     this.#core.start();
-    this.#log.report('started', { address: this.#options.self.callerAddress });
   }
 
   /** Changes the limits of the deployment; a stop in progress keeps those with which it began. */
@@ -116,7 +155,7 @@
     this.#earlierExpiryMs = Math.max(this.#earlierExpiryMs, expiryMs);
     this.#limits = limits;
     this.#core.setLimits(limits);
-    this.#bodyBudget.setMaxBytes(computeBodyBytes(limits.memoryBytes));
+    this.#bodyBudget.setMaxBytes(computeBodyBytes(limits.memoryLimitBytes ?? null));
     this.#limitConnections(limits);
   }
 
@@ -147,16 +186,21 @@
 
   /**
    * Stops gracefully: withdraws the registration at once, but serves open and new requests until
-   * no more arrive or the grace period ends.
+   * no more arrive or the grace period ends. An entry to which no caller could connect stops at once.
    */
   async stop(): Promise<void> {
     const startMs = this.#options.clock.getNow();
+    this.#options.binder.close();
     this.#lastRequestMs = startMs;
     this.#server.drain();
     this.#log.report('stopping', { requests: this.#server.countRequests() });
     const forcedEndMs = startMs + this.#limits.graceMs;
     const answerDeadlineMs = forcedEndMs - ANSWER_MARGIN_MS;
     this.#core.beginStop(answerDeadlineMs);
+    if (!this.#isAccepting) {
+      this.#close();
+      return;
+    }
     const addressExpiryMs = Math.max(startMs + this.#limits.addressTtlMs, this.#earlierExpiryMs);
     await this.#waitUntil(forcedEndMs - CLOSE_MARGIN_MS, (nowMs) => {
       const hasNoNewRequests = nowMs - this.#lastRequestMs > NO_REQUESTS_MS;
@@ -166,11 +210,48 @@
     await this.#waitUntil(answerDeadlineMs, () => this.#server.countRequests() === 0);
     this.#server.refuseIncompleteRequests();
     await this.#waitUntil(forcedEndMs - DRAIN_MARGIN_MS, () => this.#server.countRequests() === 0);
+    this.#close();
+  }
+
+  #close(): void {
+    this.#reportOpenRequests();
     this.#core.close();
     this.#socket.close();
     this.#log.report('stopped', { requests: this.#server.countRequests() });
   }
 
+  #registerGauges(bodyBudget: BodyBudget): void {
+    const gauges = {
+      limpetbay_open_caller_connections: () => this.#server.countConnections(),
+      limpetbay_open_requests: () => this.#server.countRequests(),
+      limpetbay_open_target_connections: () => this.#core.countTargetConnections(),
+      limpetbay_open_body_bytes: () => bodyBudget.countBytes(),
+      limpetbay_open_unsent_bytes: () => this.#server.countUnsentBytes(),
+    };
+    for (const [name, read] of Object.entries(gauges)) this.#options.metrics.register(name, read);
+  }
+
+  #reportClosed({ progress, ...closed }: ClosedRequest): void {
+    const { metrics } = this.#options;
+    metrics.increase(`limpetbay_connections_closed_total{cause="${closed.cause}"}`);
+    if (progress === 'answered') {
+      this.#connectionsLog.warn('request refused before it was complete', closed);
+    } else {
+      const fields = { ...closed, progress };
+      this.#connectionsLog.warn('connection closed without a complete answer', fields);
+    }
+  }
+
+  /** Names the requests whose connections end with the process. */
+  #reportOpenRequests(): void {
+    const open = this.#server.listOpenRequests();
+    if (open.length === 0) return;
+    this.#log.warn('stopping with open requests; their connections are closed', {
+      count: open.length,
+      requests: open.slice(0, MAX_NAMED_REQUESTS),
+    });
+  }
+
   #limitConnections({ maxDescriptors }: GatewayLimits): void {
     if (maxDescriptors === undefined) return;
     this.#server.setMaxConnections(computeCallerConnections(maxDescriptors));
--- a/packages/gateway/src/process/GatewayLimits.ts
+++ b/packages/gateway/src/process/GatewayLimits.ts
@@ -11,7 +11,7 @@
   /** How long callers cache the list of addresses, milliseconds. */
   readonly addressTtlMs: number;
   /** Memory of the process, beyond which the deployment may end it, bytes; unknown if absent. */
-  readonly memoryBytes?: number;
+  readonly memoryLimitBytes?: number | null;
   /** Most open descriptors of the process; unknown if absent. */
   readonly maxDescriptors?: number;
 }
--- a/packages/rankagent/test/RankAgent.test.ts
+++ b/packages/rankagent/test/RankAgent.test.ts
@@ -9,7 +9,7 @@
   type RankOrder,
   type RankStatus,
 } from '@limpetbay/core';
-import { MetricRegistry, RealClock, type Log } from '@limpetbay/runtime';
+import { MetricRegistry, RealClock, createAddressBinder, type Log } from '@limpetbay/runtime';
 import { PeerSocket, decodeLoads } from '@limpetbay/rpc';
 import { SimGroup } from '@limpetbay/standins';
 import { RankAgent, SocketNetwork, type RankAgentOptions, type RankControl } from '../src/index.js';
@@ -184,6 +184,7 @@
       createLog: () => createTestLog(warnings),
       network: new SocketNetwork({
         clock: new RealClock(),
+        binder: createAddressBinder(new RealClock(), NOOP_LOG, new MetricRegistry()),
         host: getHost(rank),
         port: PEER_PORT,
         bodyBudget: new BodyBudget(BODY_BUDGET_BYTES, new RealClock()),
@@ -296,7 +297,7 @@
       onInvalid: () => {},
       onError: () => {},
     });
-    await subscriber.start();
+    await subscriber.bind();
     const agentAddresses = [0, 1, 2, 3].map((rank) => `${getHost(rank)}:${PEER_PORT}`);
     const startMs = performance.now();
     subscriber.send({ kind: 'subscribe' }, agentAddresses);
--- a/packages/runtime/test/runProcess.test.ts
+++ b/packages/runtime/test/runProcess.test.ts
@@ -25,8 +25,9 @@
         applySettings: () => {},
       };
       await runProcess({
+        program: { role: 'test', version: '1', settingsFile: null, memoryLimitBytes: null },
         log, metrics, reloader: null,
-        start: async () => { ${startBody}; return running; },
+        start: async (signal) => { ${startBody}; return running; },
       });
       log.report('serving');`;
     output = '';
@@ -79,10 +80,32 @@
     expect(output).toContain(sentence);
   });
 
+  // Guards against an error of another part during the start that ends a process that already serves.
+  it('continues after an uncaught error beside the start', async () => {
+    launch(`
+      setTimeout(() => { throw new Error('odd input') }, 100);
+      await new Promise((resolve) => setTimeout(resolve, 500));`);
+    await waitForOutput('serving');
+    expect(output).toContain('uncaught error during the start; continuing');
+    child.kill('SIGTERM');
+    expect(await waitForEnd()).toBe(0);
+  });
+
+  // Guards against a stop that waits for an address that another process holds.
+  it('stops at once during a start that can be aborted', async () => {
+    launch(`
+      log.report('starting');
+      await new Promise((_, reject) => signal.addEventListener('abort', () => reject(signal.reason)))`);
+    await waitForOutput('"sentence":"starting"');
+    child.kill('SIGTERM');
+    expect(await waitForEnd()).toBe(0);
+    expect(output).toContain('stopped during the start');
+  });
+
   // Guards against a signal during the start that ends the process before it can stop gracefully.
   it('stops after its start if the stop signal arrives during it', async () => {
     launch(`log.report('starting'); await new Promise((resolve) => setTimeout(resolve, 500))`);
-    await waitForOutput('starting');
+    await waitForOutput('"sentence":"starting"');
     child.kill('SIGHUP');
     child.kill('SIGTERM');
     expect(await waitForEnd()).toBe(0);
