--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -27,12 +27,12 @@
   readonly getMaxBodyBytes: () => number;
   /** Limits the memory of incomplete bodies and of answers that callers have not read. */
   readonly bodyBudget: BodyBudget;
-  /** Most bytes of the heads of all open requests; no limit by default. */
-  readonly maxHeadBytes?: number;
   /** Called for each request that ends without an answer, or that this server refuses. */
   readonly onClosed?: (closed: ClosedRequest) => void;
   /** Clock of the times of requests; `RealClock` by default. */
   readonly clock?: Clock;
+  /** Most bytes of the heads of all open requests; no limit by default. */
+  readonly maxHeadBytes?: number;
   /** Called when an answer is broken off because of its memory, or because it is not read. */
   readonly onAnswerDropped?: (cause: 'memory' | 'unread', bytes: number) => void;
   /** Called when a connection beyond the limit is closed. */
@@ -66,22 +66,25 @@
 
   readonly #server: Server;
 
+  readonly #clock: Clock;
+
   #isDraining = false;
 
   readonly #answers = new OpenAnswers();
 
-  /** Bytes of the heads of all open requests. */
-  #headBytes = 0;
-
   readonly #connections: CallerConnections;
 
   readonly #monitor: ConnectionMonitor;
 
+  /** Bytes of the heads of all open requests. */
+  #headBytes = 0;
+
   /** Answers to requests whose bodies have not arrived completely. */
   readonly #incomplete = new Map<ServerResponse, DirectAnswer>();
 
   constructor(options: DirectServerOptions) {
     this.#options = options;
+    this.#clock = options.clock ?? new RealClock();
     this.#server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -93,6 +96,7 @@
       },
       (message, response) => {
         const connection = this.#connections.addRequest(message, response);
+        if (connection === null) return;
         const isLast = (): boolean => this.#isDraining && !connection.hasFollowing(response);
         const answer = new DirectAnswer(response, isLast, {
           budget: options.bodyBudget,
@@ -107,7 +111,7 @@
     );
     this.#connections = new CallerConnections(this.#server);
     this.#monitor = new ConnectionMonitor(this.#server, {
-      clock: options.clock ?? new RealClock(),
+      clock: this.#clock,
       readId: (message) => options.readHead(message).id,
       onClosed: (closed) => options.onClosed?.(closed),
     });
@@ -251,10 +255,11 @@
     message.on('end', () => {
       clearTimeout(bodyTimer);
       this.#incomplete.delete(response);
+      const receivedMs = this.#clock.getNow();
       connection.runInTurn(response, () => {
         if (response.headersSent || response.destroyed) return;
         this.#answerErrors(response, answer, () => {
-          cancel = this.#options.handler.acceptRequest(head, body.take(), answer);
+          cancel = this.#options.handler.acceptRequest(head, body.take(), answer, receivedMs);
         });
       });
     });
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -263,9 +263,19 @@
     for (const budget of this.#budgets.values()) budget.setLimits(ratio, burst);
   }
 
-  /** Processes a request. @returns a function to call if the caller disconnects */
-  acceptRequest(head: RequestHead, body: Buffer, answer: DirectAnswer): () => void {
-    const run = new RequestRun(this.#requestContext, head, body, answer);
+  /**
+   * Processes a request.
+   *
+   * @param receivedMs when it was read, monotonic milliseconds; now by default
+   * @returns a function to call if the caller disconnects
+   */
+  acceptRequest(
+    head: RequestHead,
+    body: Buffer,
+    answer: DirectAnswer,
+    receivedMs = this.#options.clock.getNow(),
+  ): () => void {
+    const run = new RequestRun(this.#requestContext, { head, body, answer, receivedMs });
     try {
       run.start();
     } catch (error) {
@@ -309,8 +319,12 @@
     return count;
   }
 
-  /** Ends all activity and closes the connections to targets. */
+  /**
+   * Ends all activity and closes the connections to targets. Requests that are read until the process
+   * ends are refused.
+   */
   close(): void {
+    this.#requestContext.stopDeadline.set(-Infinity);
     this.#mirror.stop();
     this.#probe.stop();
     this.#suspects.close();
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -7,7 +7,7 @@
 } from '@limpetbay/callers';
 import { BodyBudget, computeBodyBytes, splitAddress, type RequestHead } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
-import { IgnoredRecordLog, type Log } from '@limpetbay/runtime';
+import { IgnoredRecordLog, SocketErrorLog, type Log } from '@limpetbay/runtime';
 import { DirectPool, checkListener } from '@limpetbay/targets';
 import { EntryCore } from './EntryCore.js';
 import { computeCallerConnections } from './computeCallerConnections.js';
@@ -97,11 +97,13 @@
       onConfig: ({ config }) =>
         this.#server.setTimeouts(config.idleTimeoutMs, config.headTimeoutMs),
     });
+    const errors = new SocketErrorLog({ clock, log: this.#log, metrics });
     this.#socket = new PeerSocket({
       ...splitAddress(options.self.peerAddress),
       onMessage: (message, from) => this.#core.handlePeerMessage(message, from),
       onInvalid: (address, cause) => ignored.report('datagram', address, cause),
-      onError: (cause) => this.#log.warn('datagram failed', { cause }),
+      onError: (cause) =>
+        errors.report('datagrams', 'datagram failed', { cause, next: 'later messages are sent' }),
     });
     this.#server = new DirectServer({
       ...splitAddress(options.self.callerAddress),
@@ -109,9 +111,9 @@
       readHead: (message) => codec.readRequest(message),
       getMaxBodyBytes: () => this.#core.getTable()?.config.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
       bodyBudget,
-      maxHeadBytes: getHeapStatistics().heap_size_limit * HEAD_SHARE,
       clock,
       onClosed: (closed) => this.#reportClosed(closed),
+      maxHeadBytes: getHeapStatistics().heap_size_limit * HEAD_SHARE,
       onAnswerDropped: (cause, bytes) => {
         metrics.increase(`limpetbay_dropped_answers_total{cause="${cause}"}`);
         this.#log.warn('answer broken off; its caller did not read it in time', { cause, bytes });
@@ -179,9 +181,14 @@
     return this.#core.listAddresses();
   }
 
-  acceptRequest(head: RequestHead, body: Buffer, answer: DirectAnswer): () => void {
+  acceptRequest(
+    head: RequestHead,
+    body: Buffer,
+    answer: DirectAnswer,
+    receivedMs: number,
+  ): () => void {
     this.#lastRequestMs = this.#options.clock.getNow();
-    return this.#core.acceptRequest(head, body, answer);
+    return this.#core.acceptRequest(head, body, answer, receivedMs);
   }
 
   /**
