--- a/packages/callers/src/connection/CloseCause.ts
+++ b/packages/callers/src/connection/CloseCause.ts
@@ -7,6 +7,7 @@
   | 'body_timeout'
   | 'idle_timeout'
   | 'body_evicted'
+  | 'heads_too_large'
   | 'body_too_large'
   | 'bad_request'
   | 'internal_error'
--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -203,6 +203,7 @@
     const { maxHeadBytes = Infinity } = this.#options;
     if (headBytes > SMALL_HEAD_BYTES && this.#headBytes + headBytes > maxHeadBytes) {
       const reason = 'too many requests with large heads';
+      this.#monitor.mark(response, 'heads_too_large');
       answer.failAndClose(fail('overloaded', reason, NO_SPACE_RETRY_AFTER_MS).val);
       return;
     }
