--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -1,3 +1,4 @@
+import { getHeapStatistics } from 'node:v8';
 import {
   DirectServer,
   type ClosedRequest,
@@ -6,7 +7,7 @@
 } from '@limpetbay/callers';
 import { BodyBudget, computeBodyBytes, splitAddress, type RequestHead } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
-import { IgnoredRecordLog, type Log } from '@limpetbay/runtime';
+import { IgnoredRecordLog, SocketErrorLog, type Log } from '@limpetbay/runtime';
 import { DirectPool, checkListener } from '@limpetbay/targets';
 import { EntryCore } from './EntryCore.js';
 import { computeCallerConnections } from './computeCallerConnections.js';
@@ -19,6 +20,12 @@
 /** Least time between two log lines about connections of callers that are refused. */
 const REFUSED_LOG_INTERVAL_MS = 10_000;
 
+/**
+ * Share of the heap for the heads of all open requests. A head takes about three times its bytes,
+ * since it is sent on to a target.
+ */
+const HEAD_SHARE = 0.1;
+
 /** Interval at which a stopping entry checks whether it may continue to stop. */
 const STOP_POLL_INTERVAL_MS = 100;
 
@@ -90,11 +97,13 @@
       onConfig: ({ config }) =>
         this.#server.setTimeouts(config.idleTimeoutMs, config.headTimeoutMs),
     });
+    const errors = new SocketErrorLog({ clock, log: this.#log, metrics });
     this.#socket = new PeerSocket({
       ...splitAddress(options.self.peerAddress),
       onMessage: (message, from) => this.#core.handlePeerMessage(message, from),
       onInvalid: (address, cause) => ignored.report('datagram', address, cause),
-      onError: (cause) => this.#log.warn('datagram failed', { cause }),
+      onError: (cause) =>
+        errors.report('datagrams', 'datagram failed', { cause, next: 'later messages are sent' }),
     });
     this.#server = new DirectServer({
       ...splitAddress(options.self.callerAddress),
@@ -104,6 +113,7 @@
       bodyBudget,
       clock,
       onClosed: (closed) => this.#reportClosed(closed),
+      maxHeadBytes: getHeapStatistics().heap_size_limit * HEAD_SHARE,
       onAnswerDropped: (cause, bytes) => {
         metrics.increase(`limpetbay_dropped_answers_total{cause="${cause}"}`);
         this.#log.warn('answer broken off; its caller did not read it in time', { cause, bytes });
--- a/packages/runtime/test/processEnds.test.ts
+++ b/packages/runtime/test/processEnds.test.ts
@@ -97,7 +97,9 @@
   it('at the heap limit follows a line that names the limit', async () => {
     script.launch(
       `const kept = [];
-       setInterval(() => { for (let i = 0; i < 4000; i += 1) kept.push({ i, a: [i] }); }, 20)`,
+       const add = () => kept.push(new Array(131_072).fill(1.5));
+       for (let i = 0; i < 30; i += 1) add();
+       setInterval(add, 200)`,
       ['--max-old-space-size=48'],
     );
     script.readLog();
