Register an entry again over a write that the store carries out late

Callers of a target with a limit got it twice over: an unanswered write of an entry's registration, carried out later, bound the key to a lease that had been given up, and the key ended with it.

The registration is now written on condition of the revision that it replaces, so a write that is carried out after a newer one fails.

--- a/packages/gateway/src/feed/EntryLease.ts
+++ b/packages/gateway/src/feed/EntryLease.ts
@@ -1,4 +1,11 @@
-import type { EntryRecord, RandomSource, Store } from '@limpetbay/core';
+import type {
+  CommitResult,
+  EntryRecord,
+  Failure,
+  RandomSource,
+  Result,
+  Store,
+} from '@limpetbay/core';
 import { tryAsyncStep, type Log } from '@limpetbay/runtime';
 import type { Timers } from '../ports/Timers.js';
 
@@ -75,7 +82,7 @@
   }
 
   async #register(): Promise<boolean> {
-    const { store, key, record, log } = this.#options;
+    const { store, key, log } = this.#options;
     const granted = await store.grantLease(LEASE_TTL_MS);
     if (granted.err) {
       log.warn('could not get a lease for the registration; trying again', {
@@ -84,10 +91,7 @@
       return false;
     }
     const { lease } = granted.val;
-    const written = await store.commit({
-      conditions: [],
-      writes: [{ key, value: JSON.stringify(record), lease }],
-    });
+    const written = await this.#writeRecord(lease);
     if (written.err || !written.val.committed) {
       log.warn('could not write the registration; trying again', {
         cause: written.err ? written.val.message : 'refused',
@@ -100,6 +104,21 @@
     return true;
   }
 
+  /**
+   * Replaces the registration that the store has. The condition on its revision makes an unanswered
+   * write fail if the store carries it out after a newer one: it would bind the key to a lease that
+   * is no longer renewed.
+   */
+  async #writeRecord(lease: string): Promise<Result<CommitResult, Failure>> {
+    const { store, key, record } = this.#options;
+    const writes = [{ key, value: JSON.stringify(record), lease }];
+    const first = await store.commit({ conditions: [{ key, revision: 0 }], writes });
+    if (first.err || first.val.committed) return first;
+    const { era, current } = first.val;
+    const revision = current[0]?.revision ?? 0;
+    return store.commit({ era, conditions: [{ key, revision }], writes });
+  }
+
   async #renew(): Promise<boolean> {
     const renewed = await this.#options.store.renewLease(this.#lease as string);
     if (renewed.ok) return true;
