--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -238,6 +238,11 @@
     this.#isAccepting = isAccepting;
   }
 
+  /** Returns whether callers can connect. */
+  isAccepting(): boolean {
+    return this.#isAccepting;
+  }
+
   /** Returns whether this entry can serve callers. */
   isReady(): boolean {
     return this.#isAccepting && this.#view.isComplete() && !this.#isStopping;
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -60,8 +60,6 @@
 
   readonly #socket: PeerSocket;
 
-  #isAccepting = false;
-
   readonly #bodyBudget: BodyBudget;
 
   #lastRequestMs = 0;
@@ -138,7 +136,6 @@
       address: self.callerAddress,
       bind: (onError) => this.#server.bind(onError),
       onBound: () => {
-        this.#isAccepting = true;
         this.#core.setAccepting(true);
         this.#log.report('started', { address: self.callerAddress });
       },
@@ -161,16 +158,6 @@
     this.#limitConnections(limits);
   }
 
-  /** Returns the memory of all bodies and its limit, bytes, and how many were dropped so far. */
-  getBodyMemory(): { readonly bytes: number; readonly maxBytes: number; readonly dropped: number } {
-    const budget = this.#bodyBudget;
-    return {
-      bytes: budget.countBytes(),
-      maxBytes: budget.getMaxBytes(),
-      dropped: budget.countEvictions(),
-    };
-  }
-
   /** Returns whether this entry can serve callers. */
   isReady(): boolean {
     return this.#core.isReady();
@@ -204,7 +191,7 @@
     const forcedEndMs = startMs + this.#limits.graceMs;
     const answerDeadlineMs = forcedEndMs - ANSWER_MARGIN_MS;
     this.#core.beginStop(answerDeadlineMs);
-    if (!this.#isAccepting) {
+    if (!this.#core.isAccepting()) {
       this.#close();
       return;
     }
@@ -233,6 +220,8 @@
       limpetbay_open_requests: () => this.#server.countRequests(),
       limpetbay_open_target_connections: () => this.#core.countTargetConnections(),
       limpetbay_open_body_bytes: () => bodyBudget.countBytes(),
+      limpetbay_body_limit_bytes: () => bodyBudget.getMaxBytes(),
+      limpetbay_dropped_bodies: () => bodyBudget.countEvictions(),
       limpetbay_open_unsent_bytes: () => this.#server.countUnsentBytes(),
     };
     for (const [name, read] of Object.entries(gauges)) this.#options.metrics.register(name, read);
