--- a/soak/src/check/Bounds.ts
+++ b/soak/src/check/Bounds.ts
@@ -1,6 +1,6 @@
 /** Bounds of the rules, milliseconds. */
 export interface Bounds {
-  /** Effects of a disturbance are excused for so long after its end. */
+  /** Effects of a fault are excused for this time after its end, milliseconds. */
   readonly stableWindowMs: number;
   readonly graceMs: number;
   /** A request counts as read if its connection ends later than this after its last byte. */
--- a/soak/src/faults/FaultPlayer.ts
+++ b/soak/src/faults/FaultPlayer.ts
@@ -21,7 +21,7 @@
   readonly record: (text: string) => void;
 }
 
-/** Bounds of planned work: reloads and desired states are in force after this, milliseconds. */
+/** Bounds of planned work: reloads and configurations are in force after this, milliseconds. */
 const CONFIG_APPLY_MS = 2000;
 const AFTER_CONFIG_MS = 1000;
 const AFTER_GRACE_MS = 1000;
--- a/soak/src/schedule/profiles.ts
+++ b/soak/src/schedule/profiles.ts
@@ -2,7 +2,7 @@
 
 const signalKinds = ['hup', 'hup', 'settings', 'stop', 'stop', 'kill', 'hold', 'config'] as const;
 
-/** Two changes of a desired state, or two reloads, may be closer together than their bounds. */
+/** Two changes of the configuration, or two reloads, may be closer together than their bounds. */
 const SHORT_GAP_MS = 700;
 
 const LIMIT_SIZES = {
--- a/soak/src/standins/buildConfig.ts
+++ b/soak/src/standins/buildConfig.ts
@@ -26,7 +26,7 @@
 };
 
 /**
- * Builds a desired state with the routes `/lookup/` (safe), `/order/` (unsafe), `/upload/` (unsafe
+ * Builds a configuration with the routes `/lookup/` (safe), `/order/` (unsafe), `/upload/` (unsafe
  * with a body), `/large/` (safe with a long answer) and `/note/` (stream).
  */
 export function buildConfig(version: number): object {
