--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -7,7 +7,7 @@
 } from '@limpetbay/callers';
 import { BodyBudget, computeBodyBytes, splitAddress, type RequestHead } from '@limpetbay/core';
 import { PeerSocket } from '@limpetbay/rpc';
-import { IgnoredRecordLog, SocketErrorLog, type Log } from '@limpetbay/runtime';
+import { IgnoredRecordLog, SocketErrorLog, TrafficCounter, type Log } from '@limpetbay/runtime';
 import { DirectPool, checkListener } from '@limpetbay/targets';
 import { EntryCore } from './EntryCore.js';
 import { computeCallerConnections } from './computeCallerConnections.js';
@@ -96,8 +96,10 @@
         this.#server.setTimeouts(config.idleTimeoutMs, config.headTimeoutMs),
     });
     const errors = new SocketErrorLog({ clock, log: this.#log, metrics });
+    const traffic = new TrafficCounter(metrics);
     this.#socket = new PeerSocket({
       ...splitAddress(options.self.peerAddress),
+      onTraffic: (direction, kind, bytes) => traffic.record(direction, kind, bytes),
       onMessage: (message, from) => this.#core.handlePeerMessage(message, from),
       onInvalid: (address, cause) => ignored.report('datagram', address, cause),
       onError: (cause) =>
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -6,7 +6,13 @@
   type RankStatus,
 } from '@limpetbay/core';
 import { decodeUnits, encodeLoads, encodeUnits, type PeerMessage } from '@limpetbay/rpc';
-import { IgnoredRecordLog, SocketErrorLog, tryAsyncStep, type Log } from '@limpetbay/runtime';
+import {
+  IgnoredRecordLog,
+  SocketErrorLog,
+  TrafficCounter,
+  tryAsyncStep,
+  type Log,
+} from '@limpetbay/runtime';
 import type { ArmOrder } from '../planner/ArmOrder.js';
 import { CallQueue } from '../planner/CallQueue.js';
 import { LinkPacer } from '../planner/LinkPacer.js';
@@ -175,13 +181,10 @@
     this.#budget = new TrafficBudget(options.linkBitsPerSecond);
     this.#pacer = new LinkPacer(options.clock, options.linkBitsPerSecond);
     const errors = new SocketErrorLog({ clock, log: this.#log, metrics });
+    const traffic = new TrafficCounter(metrics);
     this.#socket = options.network.openTransport({
       onMessage: (message, from) => this.#handleMessage(message, from),
-      onTraffic: (direction, kind, bytes) =>
-        options.metrics.increase(
-          `limpetbay_datagram_bytes_total{direction="${direction}",kind="${kind}"}`,
-          bytes,
-        ),
+      onTraffic: (direction, kind, bytes) => traffic.record(direction, kind, bytes),
       onInvalid: (address, cause) => ignored.report('datagram', address, cause),
       onError: (cause) =>
         errors.report('datagrams', 'datagram failed', { cause, next: 'later messages are sent' }),
@@ -281,6 +284,7 @@
   }
 
   async #readStatus(): Promise<RankStatus | null> {
+    this.#options.metrics.increase('limpetbay_rank_reads_total{kind="status"}');
     const read = await this.#rank.readStatus();
     if (read.err) {
       if (this.#status !== null) {
@@ -412,6 +416,7 @@
     if (intervalsLeft === 0) this.#isCountsTurn = true;
     this.#counts = null;
     if (intervalsLeft > 1 && !this.#isCountsTurn) return;
+    this.#options.metrics.increase('limpetbay_rank_reads_total{kind="counts"}');
     const read = await this.#rank.readCounts();
     if (read.err) {
       this.#log.warn('could not read the expert counts; trying again', { cause: read.val.message });
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -11,6 +11,7 @@
 export { MemoryMonitor } from './metrics/MemoryMonitor.js';
 export type { MemorySample } from './metrics/MemorySample.js';
 export { MetricRegistry } from './metrics/MetricRegistry.js';
+export { TrafficCounter } from './metrics/TrafficCounter.js';
 export { getHeapLimit } from './metrics/getHeapLimit.js';
 export { sampleMemory } from './metrics/sampleMemory.js';
 export { startCounterLog } from './metrics/startCounterLog.js';
--- a/packages/runtime/src/metrics/startProcessMonitor.ts
+++ b/packages/runtime/src/metrics/startProcessMonitor.ts
@@ -24,6 +24,8 @@
 
 const MS_PER_SECOND = 1000;
 
+const MICROSECONDS_PER_SECOND = 1_000_000;
+
 /** Prefix of the gauges that are part of the lines about memory. */
 const USE_PREFIX = 'limpetbay_open_';
 
@@ -48,6 +50,10 @@
   metrics.register('limpetbay_open_descriptors', countDescriptors);
   const startSeconds = Math.round(Date.now() / MS_PER_SECOND - process.uptime());
   metrics.register('limpetbay_start_time_seconds', () => startSeconds);
+  metrics.register('limpetbay_processor_seconds_total', () => {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / MICROSECONDS_PER_SECOND;
+  });
   const delay = monitorEventLoopDelay({ resolution: DELAY_RESOLUTION_MS });
   delay.enable();
   // The histogram counts the time between two measurements.
