Start programs with the code that the build compiled

Cause: each start compiled a bundle of half a megabyte, loaded it as an ES module, and made a number format with `Intl` that is never used.

Without a cache that fits, a program starts as before; `process starting` tells (`codeCache`).

--- a/packages/runtime/src/process/ProgramInfo.ts
+++ b/packages/runtime/src/process/ProgramInfo.ts
@@ -7,4 +7,6 @@
   readonly settingsFile: string | null;
   /** Resident memory at which the deployment ends the process, bytes; null if it names none. */
   readonly memoryLimitBytes: number | null;
+  /** Whether the compiled code of the build was used; absent for programs that have none. */
+  readonly codeCache?: string;
 }
