Decode statuses and parse addresses with less work

Each was first checked as an object, then as a list of cells of four types, then copied twice. Addresses were parsed again for each datagram, though most go to the same ones, and Node.js looked each of them up.

Change: rows are tried first and checked once, by `RankStatus`; parsed addresses are kept; the socket needs no look-up.

--- a/packages/rpc/src/datagram/PeerMessage.ts
+++ b/packages/rpc/src/datagram/PeerMessage.ts
@@ -26,7 +26,7 @@
   z.object({
     kind: z.literal('status'),
     /** A row of values; builds before it send the object. */
-    status: RankStatus.or(StatusRow),
+    status: StatusRow.or(RankStatus),
     /** Whether the sender is currently the planner of its group. */
     isPlanning: z.boolean(),
     /** Whether the sender does not know all agents of its group and wants their statuses. */
--- a/packages/rpc/src/datagram/PeerSocket.ts
+++ b/packages/rpc/src/datagram/PeerSocket.ts
@@ -1,6 +1,7 @@
 import { createSocket, type Socket } from 'node:dgram';
-import { decodeJson, parseAddress } from '@limpetbay/core';
+import { decodeJson } from '@limpetbay/core';
 import { PeerMessage } from './PeerMessage.js';
+import { AddressCache } from './AddressCache.js';
 import { encodePeerMessage } from './encodePeerMessage.js';
 
 interface PeerSocketOptions {
@@ -19,12 +20,16 @@
   readonly onError: (cause: string) => void;
 }
 
+const IPV4_FAMILY = 4;
+
 /** Exchanges {@link PeerMessage}s with other processes over UDP. */
 export class PeerSocket {
   readonly #options: PeerSocketOptions;
 
   readonly #socket: Socket;
 
+  readonly #addresses = new AddressCache();
+
   /** Whether messages can be exchanged; a socket that sends before it is bound gets another port. */
   #isBound = false;
 
@@ -32,7 +37,11 @@
 
   constructor(options: PeerSocketOptions) {
     this.#options = options;
-    this.#socket = createSocket('udp4');
+    this.#socket = createSocket({
+      type: 'udp4',
+      // Receivers are IP addresses, which need no look-up.
+      lookup: (host, _options, callback) => callback(null, host, IPV4_FAMILY),
+    });
     this.#socket.on('message', (data, { address, port }) =>
       this.#handleDatagram(data, `${address}:${port}`),
     );
@@ -65,14 +74,15 @@
   send(message: PeerMessage, addresses: Iterable<string>): void {
     // Handlers that finish after the process stopped may still send; their messages are dropped.
     if (this.#isClosed || !this.#isBound) return;
-    const data = Buffer.from(encodePeerMessage(message));
+    let data: Buffer | null = null;
     for (const address of addresses) {
-      const parsed = parseAddress(address);
+      const parsed = this.#addresses.parse(address);
       if (parsed.err) {
         this.#options.onInvalid(address, parsed.val.message);
         continue;
       }
       const { host, port } = parsed.val;
+      data ??= Buffer.from(encodePeerMessage(message));
       this.#options.onTraffic?.('out', message.kind, data.length);
       this.#socket.send(data, port, host, (error) => {
         if (error !== null) this.#options.onError(`${address}: ${error.message}`);
--- a/packages/rpc/src/datagram/StatusRow.ts
+++ b/packages/rpc/src/datagram/StatusRow.ts
@@ -1,19 +1,29 @@
 import { z } from 'zod';
 import { RankStatus, describeIssue } from '@limpetbay/core';
 
-const Cell = z.union([z.string(), z.number(), z.boolean(), z.null()]);
-
 /**
  * A rank status as the list of its values, which takes a third of the bytes of the object. The
  * `armed` version and step are two values; both are null where the rank is not armed.
  */
-export const StatusRow = z.array(Cell).transform((row, context): RankStatus => {
-  const [address, group, epoch, rank, size, isOpen, active, queued, kvUsed, kvTotal, ...rest] = row;
-  const [step, map, prepared, armedVersion, armedStep, held, isBusy, passMs] = rest;
-  const armed = armedVersion === null ? null : { version: armedVersion, step: armedStep };
+export const StatusRow = z.array(z.unknown()).transform((row, context): RankStatus => {
   const status = RankStatus.safeParse({
-    ...{ address, group, epoch, rank, size, isOpen, active, queued, kvUsed, kvTotal },
-    ...{ step, map, prepared, armed, held, isBusy, passMs },
+    address: row[0],
+    group: row[1],
+    epoch: row[2],
+    rank: row[3],
+    size: row[4],
+    isOpen: row[5],
+    active: row[6],
+    queued: row[7],
+    kvUsed: row[8],
+    kvTotal: row[9],
+    step: row[10],
+    map: row[11],
+    prepared: row[12],
+    armed: row[13] === null ? null : { version: row[13], step: row[14] },
+    held: row[15],
+    isBusy: row[16],
+    passMs: row[17],
   });
   if (status.success) return status.data;
   context.addIssue(describeIssue(status.error));
--- a/packages/rpc/src/datagram/encodeLoads.ts
+++ b/packages/rpc/src/datagram/encodeLoads.ts
@@ -1,8 +1,11 @@
-import { parseAddress, type RankLoad } from '@limpetbay/core';
+import type { RankLoad } from '@limpetbay/core';
+import { AddressCache } from './AddressCache.js';
 import { loadBytes } from './loadBytes.js';
 
 const MAX_COUNT = 255;
 
+const addresses = new AddressCache();
+
 /**
  * Encodes the loads of ranks as base64: for each rank its IPv4 address, its port and the two counts,
  * which saturate at 255. JSON would take six times as many bytes. Ranks whose address is not valid
@@ -12,7 +15,7 @@
   const bytes = Buffer.alloc(loads.length * loadBytes.total);
   let offset = 0;
   for (const { address, active, queued } of loads) {
-    const parsed = parseAddress(address);
+    const parsed = addresses.parse(address);
     if (parsed.err) continue;
     const { host, port } = parsed.val;
     for (const part of host.split('.')) offset = bytes.writeUInt8(Number(part), offset);
