Let the work of an agent follow what changes, not the size of the fleet

Cause: each process worked by the clock, times the number of the others. - Every entry subscribed at every agent once a second, four times while a report was missing, though only planners report. - An agent that missed one member of its group announced itself to all agents of the service twice a second, and each answered. - Each agent read its rank ten times a second, forty times while it loaded a map, its counts also at rest, and all registrations every 5 s.

Change: reports name the planner and the two agents that would plan next; entries subscribe to these (`ReportSubscriptions`) and ask a sample of the others only while reports are overdue. A group that reports its end is closed as a whole, because the other agents do not tell the entries any more. Four agents that all members of a group choose alike introduce them to each other (`MemberSearch`, `MemberDirectory`). A rank is read as often as its status is sent, its counts in its turn and after a pass (`CountsTurn`), and while it loads a map, at the expected end. The planner tells the agents that may plan next every 250 ms that it plans, the others every 500 ms unless they wait.

--- a/packages/core/src/direct/GroupStates.ts
+++ b/packages/core/src/direct/GroupStates.ts
@@ -18,6 +18,12 @@
  */
 const FORMATION_TIMEOUT_MS = 3000;
 
+/**
+ * Reports of an idle group come every 0.5 s, and single ones are lost. After this time without one
+ * its planner may be gone.
+ */
+const REPORT_OVERDUE_MS = 1200;
+
 /** Agents report to new subscribers at once; a rank without a report by then has no agent. */
 const FIRST_REPORT_TIMEOUT_MS = 600;
 
@@ -48,6 +54,7 @@
       });
       this.#awaitingReportSinceMs.delete(address);
     }
+    if (!report.isOpen) this.#closeGroup(report, receivedMs);
   }
 
   /** Returns the last report of the rank's group; null where it is too old. */
@@ -55,6 +62,12 @@
     return this.#get(address)?.report ?? null;
   }
 
+  /** Returns whether a report of the rank's group is overdue, or none has arrived. */
+  isReportOverdue(address: string): boolean {
+    const state = this.#states.get(address);
+    return state === undefined || this.#clock.getNow() - state.receivedMs > REPORT_OVERDUE_MS;
+  }
+
   /**
    * Returns whether the rank's group is complete, as far as this entry knows.
    *
@@ -81,6 +94,15 @@
     return this.#clock.getNow() - state.openSinceMs < FORMATION_TIMEOUT_MS;
   }
 
+  /** Closes the ranks that a report does not name: a group is closed as a whole. */
+  #closeGroup({ group, epoch }: GroupReport, nowMs: number): void {
+    for (const [address, state] of this.#states) {
+      const { report, closedSinceMs } = state;
+      if (report.group !== group || report.epoch > epoch || closedSinceMs !== null) continue;
+      this.#states.set(address, { ...state, closedSinceMs: nowMs });
+    }
+  }
+
   /** Returns whether the first report of a rank is still expected; its group may be closed. */
   #isReportDue(address: string): boolean {
     if (this.#states.has(address)) return false;
--- a/packages/core/src/direct/TargetPicker.ts
+++ b/packages/core/src/direct/TargetPicker.ts
@@ -99,9 +99,9 @@
     }
   }
 
-  /** Returns whether there is no report of the target's group, or only one that is too old. */
-  isMissingReport(target: DirectTarget): boolean {
-    return this.#groups.getReport(target.address) === null;
+  /** Returns whether a report of the target's group is overdue, or none has arrived. */
+  isReportOverdue(target: DirectTarget): boolean {
+    return this.#groups.isReportOverdue(target.address);
   }
 
   /** Chooses a target for a request and counts it against the rate of a cold one. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -22,6 +22,7 @@
 export { RealTimers } from './process/RealTimers.js';
 export { computeCallerConnections } from './process/computeCallerConnections.js';
 export { SharedRates } from './rates/SharedRates.js';
+export { ReportSubscriptions } from './reports/ReportSubscriptions.js';
 export type { AnswerTrace } from './request/AnswerTrace.js';
 export type { AttemptListener } from './request/AttemptListener.js';
 export type { AttemptProgress } from './request/AttemptProgress.js';
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -22,6 +22,7 @@
 import type { TargetPool } from '../ports/TargetPool.js';
 import { SharedTargetLimits } from '../limits/SharedTargetLimits.js';
 import { SharedSuspectBreaker } from '../suspects/SharedSuspectBreaker.js';
+import { ReportSubscriptions } from '../reports/ReportSubscriptions.js';
 import { TargetEndCheck } from '../suspects/TargetEndCheck.js';
 import { SharedRates } from '../rates/SharedRates.js';
 import type { RequestContext } from '../request/RequestContext.js';
@@ -36,9 +37,6 @@
 /** Interval at which queued requests are tried again or expired. */
 const QUEUE_INTERVAL_MS = 50;
 
-/** Renewal interval of subscriptions to load reports; they expire after three intervals. */
-const SUBSCRIBE_INTERVAL_MS = 1000;
-
 /** Connections to targets are closed after this idle time. */
 const MAX_POOL_IDLE_MS = 4000;
 
@@ -75,6 +73,8 @@
 
   readonly #probe: PositionProbe;
 
+  readonly #subscriptions: ReportSubscriptions;
+
   readonly #budgets = new Map<string, RetryBudget>();
 
   readonly #pools = new Map<string, TargetPool>();
@@ -89,8 +89,6 @@
 
   #isStopping = false;
 
-  #lastSubscribeMs = -Infinity;
-
   constructor(options: EntryCoreOptions) {
     this.#options = options;
     this.#gatewayLimits = options.limits;
@@ -189,6 +187,12 @@
       getBudget: (service) => this.#getBudget(service),
       getPool: (address) => this.#getPool(address),
     };
+    this.#subscriptions = new ReportSubscriptions({
+      clock,
+      random,
+      ownName: options.self.name,
+      subscribe: (agents) => options.network.sendToPeers({ kind: 'subscribe' }, agents),
+    });
     const log = createLog('store');
     this.#log = createLog('entry');
     this.#mirror = new StoreMirror({
@@ -297,10 +301,10 @@
     this.#rates.handlePeerMessage(message, from);
     if (message.kind === 'store_position') this.#probe.handlePeerPosition(message);
     if (message.kind !== 'load') return;
-    this.#requestContext.picker.handleReport({
-      ...message.report,
-      ranks: decodeLoads(message.ranks),
-    });
+    const { report, reporters } = message;
+    const ranks = decodeLoads(message.ranks);
+    this.#requestContext.picker.handleReport({ ...report, ranks });
+    this.#subscriptions.handleReport(report.group, reporters, ranks.length > 1);
     this.#requestContext.queue.advance();
   }
 
@@ -358,7 +362,7 @@
       'expire target holds': () =>
         this.#holds.expire(new Set(this.#registry.listAll().map(buildRunName))),
       'expire shared rates': () => this.#rates.expire(),
-      subscribe: () => this.#subscribe(this.#options.clock.getNow()),
+      subscribe: () => this.#subscriptions.advance(this.#listOverdueAgents()),
       register: () => this.#register(),
       'close idle connections': () => this.#closeIdlePools(),
     };
@@ -393,20 +397,17 @@
     return addresses;
   }
 
-  /** Subscribes to the load reports of the agents of model ranks. */
-  #subscribe(nowMs: number): void {
-    const isDue = nowMs - this.#lastSubscribeMs >= SUBSCRIBE_INTERVAL_MS;
-    if (isDue) this.#lastSubscribeMs = nowMs;
+  /** Lists the agents of the model ranks whose load reports are overdue. */
+  #listOverdueAgents(): string[] {
     const agents = new Set<string>();
     const { port } = splitAddress(this.#options.self.peerAddress);
+    const table = this.#view.getTable();
     for (const target of this.#registry.listAll()) {
-      const engine = this.#view.getTable()?.findService(target.service)?.engine ?? null;
-      if (engine === null) continue;
-      // An agent that started after the last renewal has no subscription of this entry.
-      if (!isDue && !this.#requestContext.picker.isMissingReport(target)) continue;
+      const engine = table?.findService(target.service)?.engine ?? null;
+      if (engine === null || !this.#requestContext.picker.isReportOverdue(target)) continue;
       agents.add(`${splitAddress(target.address).host}:${port}`);
     }
-    this.#options.network.sendToPeers({ kind: 'subscribe' }, agents);
+    return [...agents];
   }
 
   #getBudget(service: string): RetryBudget {
--- a/packages/rankagent/src/process/GroupMembers.ts
+++ b/packages/rankagent/src/process/GroupMembers.ts
@@ -10,14 +10,14 @@
 }
 
 /**
- * The planning agent sends its status every 250 to 800 ms; after this time without one another
- * agent plans.
+ * The planning agent tells the others every 250 to 500 ms that it plans; after this time without a
+ * message another one plans.
  */
 const PLANNER_TIMEOUT_MS = 1100;
 
 /**
- * The same while the group stalls: a planner that holds a pass sends its status every 250 ms, and
- * one that is silent has left the group waiting for it.
+ * The same while the group stalls: a planner that holds a pass tells it every 250 ms, and one that
+ * is silent has left the group waiting for it.
  */
 const STALLED_PLANNER_TIMEOUT_MS = 500;
 
@@ -33,6 +33,12 @@
  */
 const CANDIDATES = 8;
 
+/**
+ * Agents of the lowest ranks from which entries request reports. If the planner fails, the next one
+ * knows its subscribers.
+ */
+const REPORTERS = 3;
+
 /** The other agents of a group and the last status that each sent. */
 export class GroupMembers {
   readonly #clock: Clock;
@@ -75,6 +81,45 @@
     return candidates.length === CANDIDATES ? candidates : this.listAgents();
   }
 
+  /** Returns whether the agent of `ownRank` may soon have to plan, as far as it knows. */
+  isCandidate(ownRank: number): boolean {
+    return this.#countResponsiveBelow(ownRank) < CANDIDATES;
+  }
+
+  /**
+   * Returns whether the agent of `ownRank` knows the members that it needs: a candidate all of them,
+   * the others the candidates.
+   */
+  isComplete(ownRank: number, size: number): boolean {
+    return this.#members.size >= size - 1 || !this.isCandidate(ownRank);
+  }
+
+  /**
+   * Lists the agents that report for the group or may soon, the planner first.
+   *
+   * @param ownAgent agent of `ownRank`
+   */
+  listReporters(ownRank: number, ownAgent: string): string[] {
+    const agents = new Map([[ownRank, ownAgent]]);
+    for (const [rank, member] of this.#members) {
+      if (!this.#isTimedOut(member)) agents.set(rank, member.agent);
+    }
+    const ranks = [...agents.keys()].sort((a, b) => a - b).slice(0, REPORTERS);
+    return ranks.map((rank) => agents.get(rank) ?? ownAgent);
+  }
+
+  /** Lists the agents that may have to plan if the one of `ownRank`, which plans, fails. */
+  listCandidates(ownRank: number): string[] {
+    const ranks = [...this.#members.keys()].sort((a, b) => a - b);
+    const agents: string[] = [];
+    for (const rank of ranks) {
+      const member = this.#members.get(rank);
+      if (rank < ownRank || member === undefined) continue;
+      if (agents.length < CANDIDATES) agents.push(member.agent);
+    }
+    return agents;
+  }
+
   clear(): void {
     this.#members.clear();
   }
@@ -92,6 +137,11 @@
     return agents;
   }
 
+  /** Lists the agents with their ranks, also unresponsive ones. */
+  listMembers(): { readonly agent: string; readonly rank: number }[] {
+    return Array.from(this.#members, ([rank, { agent }]) => ({ agent, rank }));
+  }
+
   listStatuses(): RankStatus[] {
     return Array.from(this.#members.values(), ({ status }) => status);
   }
@@ -142,6 +192,14 @@
     return lowest;
   }
 
+  #countResponsiveBelow(ownRank: number): number {
+    let count = 0;
+    for (const [rank, member] of this.#members) {
+      if (rank < ownRank && !this.#isTimedOut(member)) count += 1;
+    }
+    return count;
+  }
+
   #isTimedOut({ isPlanning, receivedMs }: Member): boolean {
     const plannerTimeoutMs = this.#isStalled ? STALLED_PLANNER_TIMEOUT_MS : PLANNER_TIMEOUT_MS;
     const timeoutMs = isPlanning ? plannerTimeoutMs : AGENT_TIMEOUT_MS;
--- a/packages/rankagent/src/process/LoadReporter.ts
+++ b/packages/rankagent/src/process/LoadReporter.ts
@@ -2,7 +2,8 @@
 import { encodeLoads, type PeerMessage } from '@limpetbay/rpc';
 import type { TrafficBudget } from './TrafficBudget.js';
 
-type Report = Extract<PeerMessage, { kind: 'load' }>['report'];
+/** A load message without the loads of the ranks. */
+type GroupLoad = Pick<Extract<PeerMessage, { kind: 'load' }>, 'report' | 'reporters'>;
 
 interface LoadReporterOptions {
   readonly clock: Clock;
@@ -12,8 +13,8 @@
   readonly listRelays: () => readonly string[];
 }
 
-/** A subscription ends after this time without a renewal, milliseconds. */
-const SUBSCRIPTION_TIMEOUT_MS = 3000;
+/** A subscription ends after this time without a renewal; entries renew them every 5 s, milliseconds. */
+const SUBSCRIPTION_TIMEOUT_MS = 16_000;
 
 /** Reports that all subscribers get from the planner itself are at least this far apart, milliseconds. */
 const DIRECT_INTERVAL_MS = 100;
@@ -62,8 +63,13 @@
     return receivers;
   }
 
+  /** Makes the next report due at once. */
+  requestReport(): void {
+    this.#lastReportMs = -Infinity;
+  }
+
   /** Sends the loads of all ranks if a report is due. */
-  reportGroup(size: number, createReport: () => Report, listStatuses: () => RankStatus[]): void {
+  reportGroup(size: number, createLoad: () => GroupLoad, listStatuses: () => RankStatus[]): void {
     const { clock, budget, send } = this.#options;
     const nowMs = clock.getNow();
     const subscribers = this.listSubscribers();
@@ -74,10 +80,10 @@
       : Math.max(DIRECT_INTERVAL_MS, directIntervalMs);
     if (subscribers.length === 0 || nowMs - this.#lastReportMs < intervalMs) return;
     this.#lastReportMs = nowMs;
-    const report = createReport();
+    const load = createLoad();
     const ranks = encodeLoads(listStatuses());
-    if (isRelayed) this.#relay(report, ranks, subscribers);
-    else send({ kind: 'load', report, ranks }, subscribers);
+    if (isRelayed) this.#relay(load, ranks, subscribers);
+    else send({ kind: 'load', ...load, ranks }, subscribers);
   }
 
   #getRelayedIntervalMs(size: number, subscribers: number): number {
@@ -85,7 +91,7 @@
     return Math.max(RELAYED_INTERVAL_MS, this.#options.budget.getReportIntervalMs(size, relays));
   }
 
-  #relay(report: Report, ranks: string, subscribers: readonly string[]): void {
+  #relay(load: GroupLoad, ranks: string, subscribers: readonly string[]): void {
     const { send, listRelays } = this.#options;
     const relays = listRelays();
     this.#relayedReports += 1;
@@ -93,8 +99,8 @@
       const receivers = subscribers.slice(start, start + RELAY_RECEIVERS);
       const turn = this.#relayedReports * Math.ceil(subscribers.length / RELAY_RECEIVERS);
       const relay = relays[(turn + start / RELAY_RECEIVERS) % relays.length];
-      if (relay === undefined) send({ kind: 'load', report, ranks }, receivers);
-      else send({ kind: 'load_relay', report, ranks, receivers }, [relay]);
+      if (relay === undefined) send({ kind: 'load', ...load, ranks }, receivers);
+      else send({ kind: 'load_relay', ...load, ranks, receivers }, [relay]);
     }
   }
 }
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -13,6 +13,8 @@
   tryAsyncStep,
   type Log,
 } from '@limpetbay/runtime';
+import { MemberDirectory } from '../discovery/MemberDirectory.js';
+import { MemberSearch } from '../discovery/MemberSearch.js';
 import type { ArmOrder } from '../planner/ArmOrder.js';
 import { CallQueue } from '../planner/CallQueue.js';
 import { LinkPacer } from '../planner/LinkPacer.js';
@@ -23,6 +25,7 @@
 import { RemoteRank } from '../planner/RemoteRank.js';
 import type { PeerTransport } from '../ports/PeerTransport.js';
 import type { RankControl } from '../ports/RankControl.js';
+import { CountsTurn } from './CountsTurn.js';
 import { GroupMembers } from './GroupMembers.js';
 import { LoadReporter } from './LoadReporter.js';
 import { OrderExecutor } from './OrderExecutor.js';
@@ -31,23 +34,30 @@
 import { StallDetector } from './StallDetector.js';
 import { TrafficBudget } from './TrafficBudget.js';
 
-/** Interval at which the rank is read; a pass takes about half of it, milliseconds. */
+/**
+ * Interval at which a rank is read whose group forms or whose agent plans or may soon have to, and
+ * of the intervals of demand; a pass takes about half of it, milliseconds.
+ */
 const TICK_MS = 100;
 
-/** Interval while a map is loaded or switched, milliseconds. */
+/** Interval while a pass is held and while a map has nearly been loaded, milliseconds. */
 const SWITCH_TICK_MS = 25;
 
 /** Interval while an open group begins no passes, milliseconds. */
 const IDLE_TICK_MS = 800;
 
+/** The same for the agent that plans and reports to the entries. */
+const IDLE_PLANNER_TICK_MS = 500;
+
 /** Time for which a group that has just formed is read as often as a busy one, milliseconds. */
 const NEW_GROUP_PERIOD_MS = 3000;
 
 /** Interval at which the targets of the service are read, milliseconds. */
-const TARGETS_INTERVAL_MS = 5000;
+const TARGETS_INTERVAL_MS = 60_000;
 
-/** Interval until all members of the group are known, milliseconds. */
+/** Bounds of the interval while members of the group are missing; it doubles, milliseconds. */
 const FIRST_TARGETS_INTERVAL_MS = 600;
+const MAX_SEARCH_TARGETS_INTERVAL_MS = 5000;
 
 /** Interval at which the engine model of the service is read; it rarely changes, milliseconds. */
 const MODEL_INTERVAL_MS = 30_000;
@@ -58,11 +68,11 @@
 /** Interval at which this agent sends its status to all agents of the group, milliseconds. */
 const ANNOUNCEMENT_INTERVAL_MS = 2000;
 
-/** Interval at which it goes to all agents of the service until the group is known, milliseconds. */
-const FIRST_ANNOUNCEMENT_INTERVAL_MS = 500;
+/** Interval at which the planning agent tells the agents that may plan next that it plans, milliseconds. */
+const PLANNING_INTERVAL_MS = 250;
 
-/** Interval at which the planning agent sends its status to the group, milliseconds. */
-const PLANNER_STATUS_INTERVAL_MS = 250;
+/** The same for all agents of the group while it does not wait for the planner, milliseconds. */
+const PLANNING_TO_ALL_INTERVAL_MS = 500;
 
 interface OpenRank {
   readonly address: string;
@@ -113,8 +123,15 @@
 
   readonly #reporter: LoadReporter;
 
-  /** Addresses of the other agents of the service. */
-  #peers: string[] = [];
+  /** Address of this agent, `IP:PORT`. */
+  readonly #ownAgent: string;
+
+  readonly #search: MemberSearch;
+
+  readonly #directory: MemberDirectory;
+
+  /** Addresses of the agents of the service, this one included. */
+  #agents: string[] = [];
 
   #planner: MapPlanner | null = null;
 
@@ -126,18 +143,12 @@
 
   #status: RankStatus | null = null;
 
-  #counts: readonly number[] | null = null;
-
-  /** Whether the counts of the next interval with any are to be sent. */
-  #isCountsTurn = false;
-
-  /** Number of counts that the rank reports. */
-  #countsLength = 0;
+  readonly #countsTurn: CountsTurn;
 
-  #lastCountsReadMs = -Infinity;
+  #lastIntervalMs = -Infinity;
 
-  /** Number of intervals of counts since the start. */
-  #countsIntervals = 0;
+  /** When the rank has probably loaded the map that it was last ordered to prepare. */
+  #loadingEndMs = -Infinity;
 
   #lastStatusMs = -Infinity;
 
@@ -149,11 +160,15 @@
 
   #lastTargetsReadMs = -Infinity;
 
+  #searchTargetsIntervalMs = FIRST_TARGETS_INTERVAL_MS;
+
   #nextModelReadMs = -Infinity;
 
   #lastAnnouncementMs = -Infinity;
 
-  #lastPlannerStatusMs = -Infinity;
+  #lastPlanningMs = -Infinity;
+
+  #lastPlanningToAllMs = -Infinity;
 
   /** Time at which the group was last seen to form or to close. */
   #groupChangedMs = -Infinity;
@@ -174,11 +189,26 @@
     this.#executor = new OrderExecutor({
       rank: this.#rank,
       getGroupSize: () => this.#status?.size ?? null,
+      getOwnRank: () => this.#status?.rank ?? null,
       // The planner waits for the status that tells that the map is loaded.
-      onLoading: () => this.#endSleep(),
+      onLoading: (expectedMs) => {
+        this.#loadingEndMs = clock.getNow() + expectedMs;
+        this.#endSleep();
+      },
     });
     this.#members = new GroupMembers(options.clock);
+    this.#ownAgent = `${splitAddress(options.rankAddress).host}:${options.peerPort}`;
+    this.#search = new MemberSearch(clock);
+    this.#directory = new MemberDirectory(clock);
     this.#budget = new TrafficBudget(options.linkBitsPerSecond);
+    this.#countsTurn = new CountsTurn({
+      clock,
+      budget: this.#budget,
+      readCounts: () => {
+        metrics.increase('limpetbay_rank_reads_total{kind="counts"}');
+        return this.#rank.readCounts();
+      },
+    });
     this.#pacer = new LinkPacer(options.clock, options.linkBitsPerSecond);
     const errors = new SocketErrorLog({ clock, log: this.#log, metrics });
     const traffic = new TrafficCounter(metrics);
@@ -243,44 +273,61 @@
   }
 
   #chooseTickMs(): number {
-    if (this.#planner?.isSwitching() === true || isSwitching(this.#status)) return SWITCH_TICK_MS;
-    if (this.#status === null) return IDLE_TICK_MS;
-    const { isOpen, passMs } = this.#status;
-    const isIdle = passMs === 0 && !isBusy(this.#status);
-    const isNew = this.#options.clock.getNow() - this.#groupChangedMs < NEW_GROUP_PERIOD_MS;
-    return isOpen && !isNew && isIdle ? IDLE_TICK_MS : TICK_MS;
+    const status = this.#status;
+    if (this.#planner?.isSwitching() === true) return SWITCH_TICK_MS;
+    if (status === null) return IDLE_TICK_MS;
+    if (status.held !== null) return SWITCH_TICK_MS;
+    if (status.armed !== null) return TICK_MS;
+    const nowMs = this.#options.clock.getNow();
+    const busyTickMs = this.#getBusyTickMs(status);
+    if (status.isBusy) {
+      const leftMs = this.#loadingEndMs - nowMs;
+      return Math.max(SWITCH_TICK_MS, Math.min(leftMs, busyTickMs));
+    }
+    const isNew = nowMs - this.#groupChangedMs < NEW_GROUP_PERIOD_MS;
+    if (!status.isOpen || isNew) return TICK_MS;
+    if (status.passMs > 0 || hasRequests(status)) return busyTickMs;
+    return this.#isPlanning ? IDLE_PLANNER_TICK_MS : IDLE_TICK_MS;
+  }
+
+  /** Returns the interval for a rank with requests: what is not sent need not be read more often. */
+  #getBusyTickMs({ rank, size }: RankStatus): number {
+    if (this.#members.isCandidate(rank)) return TICK_MS;
+    const dueMs = Math.min(this.#budget.getStatusIntervalMs(size), this.#countsTurn.getDelayMs());
+    return Math.max(TICK_MS, dueMs);
   }
 
   async #tick(): Promise<void> {
     const nowMs = this.#options.clock.getNow();
     const status = await this.#readStatus();
     if (status === null || this.#isStopped) return;
-    const intervalMs = this.#isGroupComplete(status)
-      ? TARGETS_INTERVAL_MS
-      : FIRST_TARGETS_INTERVAL_MS;
-    if (nowMs - this.#lastTargetsReadMs >= intervalMs) {
-      this.#lastTargetsReadMs = nowMs;
-      void tryAsyncStep(this.#log, 'read the targets', () => this.#readTargets());
-    }
-    if (nowMs >= this.#nextModelReadMs) {
-      this.#nextModelReadMs = nowMs + FIRST_MODEL_INTERVAL_MS;
-      void tryAsyncStep(this.#log, 'read the engine model', () => this.#readModel());
-    }
+    this.#readStore(status, nowMs);
     this.#members.setStalled(this.#stall.isStalled(this.#options.clock.getNow()));
     const planner = this.#members.electPlanner(status.rank);
     this.#sendStatus(status, planner, nowMs);
-    const isIntervalOver = nowMs - this.#lastCountsReadMs >= TICK_MS;
+    this.#searchMembers(status);
+    const isIntervalOver = nowMs - this.#lastIntervalMs >= TICK_MS;
     if (isIntervalOver) {
-      this.#lastCountsReadMs = nowMs;
+      this.#lastIntervalMs = nowMs;
       await this.#forwardCounts(status, planner);
       if (planner === status.rank) this.#sendLoad(status);
     }
     this.#plan(status, planner, isIntervalOver);
   }
 
-  /** Returns whether the agents of all ranks of the group are known. */
-  #isGroupComplete({ size }: RankStatus): boolean {
-    return this.#members.count() >= size - 1;
+  /** Reads the targets and the model of the service if that is due. */
+  #readStore(status: RankStatus, nowMs: number): void {
+    const isComplete = this.#members.isComplete(status.rank, status.size);
+    const intervalMs = isComplete ? TARGETS_INTERVAL_MS : this.#searchTargetsIntervalMs;
+    if (nowMs - this.#lastTargetsReadMs >= intervalMs) {
+      this.#lastTargetsReadMs = nowMs;
+      this.#searchTargetsIntervalMs = Math.min(MAX_SEARCH_TARGETS_INTERVAL_MS, 2 * intervalMs);
+      void tryAsyncStep(this.#log, 'read the targets', () => this.#readTargets());
+    }
+    if (nowMs >= this.#nextModelReadMs) {
+      this.#nextModelReadMs = nowMs + FIRST_MODEL_INTERVAL_MS;
+      void tryAsyncStep(this.#log, 'read the engine model', () => this.#readModel());
+    }
   }
 
   async #readStatus(): Promise<RankStatus | null> {
@@ -296,12 +343,15 @@
       return null;
     }
     const nowMs = this.#options.clock.getNow();
-    const passMs = this.#passTimes.recordStep(read.val.step, isBusy(read.val), nowMs);
+    const passMs = this.#passTimes.recordStep(read.val.step, hasRequests(read.val), nowMs);
     const status = { ...read.val, passMs };
     this.#stall.recordStatus(status, nowMs);
     this.#armGuard.recordStatus(status);
     this.#updateGroupAndRank(status);
-    if (this.#status?.epoch !== status.epoch || this.#status.isOpen !== status.isOpen) {
+    const hasGroupChanged =
+      this.#status?.epoch !== status.epoch || this.#status.isOpen !== status.isOpen;
+    this.#status = status;
+    if (hasGroupChanged) {
       this.#log.report('group epoch or state changed', {
         group: status.group,
         epoch: status.epoch,
@@ -309,9 +359,11 @@
         isOpen: status.isOpen,
       });
       this.#groupChangedMs = nowMs;
-      this.#sendOwnLoad(status, this.#reporter.listSubscribers());
+      this.#search.restart(status.group, this.#agents);
+      this.#reporter.requestReport();
+      if (this.#isPlanning) this.#sendLoad(status);
+      else this.#sendOwnLoad(status, this.#reporter.listSubscribers());
     }
-    this.#status = status;
     this.#getPlanner(status.rank).handleStatus(status);
     return status;
   }
@@ -332,9 +384,10 @@
     this.#executor.clear();
     this.#planner = null;
     this.#isPlanning = false;
-    this.#counts = null;
+    this.#countsTurn.clear();
     this.#sentStatus = null;
     this.#lastTargetsReadMs = -Infinity;
+    this.#searchTargetsIntervalMs = FIRST_TARGETS_INTERVAL_MS;
   }
 
   #sendStatus(status: RankStatus, planner: number, nowMs: number): void {
@@ -346,22 +399,45 @@
       this.#sentStatus = { status, to: agent };
       receivers.add(agent);
     }
-    if (isPlanning && nowMs - this.#lastPlannerStatusMs >= PLANNER_STATUS_INTERVAL_MS) {
-      this.#lastPlannerStatusMs = nowMs;
-      const { group, rank } = status;
-      this.#socket.send({ kind: 'planning', group, rank }, this.#members.listAgents());
-    }
-    const isComplete = this.#isGroupComplete(status);
-    const announcementIntervalMs = isComplete
-      ? ANNOUNCEMENT_INTERVAL_MS
-      : FIRST_ANNOUNCEMENT_INTERVAL_MS;
-    if (nowMs - this.#lastAnnouncementMs >= announcementIntervalMs) {
+    if (isPlanning) this.#announcePlanning(status, nowMs);
+    if (nowMs - this.#lastAnnouncementMs >= ANNOUNCEMENT_INTERVAL_MS) {
       this.#lastAnnouncementMs = nowMs;
-      // Once the members are known, the agents of other groups need not be told.
-      const peers = isComplete ? this.#members.listAnnouncementReceivers(status.rank) : this.#peers;
-      for (const peer of peers) receivers.add(peer);
+      for (const peer of this.#members.listAnnouncementReceivers(status.rank)) receivers.add(peer);
     }
-    this.#socket.send({ kind: 'status', status, isPlanning, isIncomplete: !isComplete }, receivers);
+    if (receivers.size > 0) this.#sendStatusTo(status, receivers);
+  }
+
+  /** Tells the other agents that this one plans; those of the lowest ranks more often. */
+  #announcePlanning({ group, rank }: RankStatus, nowMs: number): void {
+    if (nowMs - this.#lastPlanningMs < PLANNING_INTERVAL_MS) return;
+    this.#lastPlanningMs = nowMs;
+    const isWaitedFor = this.#stall.isStalled(nowMs) || this.#planner?.isSwitching() === true;
+    const isDueToAll = nowMs - this.#lastPlanningToAllMs >= PLANNING_TO_ALL_INTERVAL_MS;
+    const isToAll = isWaitedFor || isDueToAll;
+    if (isToAll) this.#lastPlanningToAllMs = nowMs;
+    const receivers = isToAll ? this.#members.listAgents() : this.#members.listCandidates(rank);
+    this.#socket.send({ kind: 'planning', group, rank }, receivers);
+  }
+
+  /** Looks for the agents of the group that this one must know. */
+  #searchMembers(status: RankStatus): void {
+    const { group, rank, size } = status;
+    const isComplete = this.#members.isComplete(rank, size);
+    const contacts = this.#search.takeContacts(this.#ownAgent, isComplete);
+    if (contacts.length === 0) return;
+    // This agent may be one of those that introduce the members of its group.
+    this.#directory.register({ agent: this.#ownAgent, rank }, group, []);
+    this.#sendStatusTo(status, contacts, { isIncomplete: true, wantsMembers: true });
+  }
+
+  #sendStatusTo(
+    status: RankStatus,
+    receivers: Iterable<string>,
+    { isIncomplete = false, wantsMembers = false } = {},
+  ): void {
+    const isPlanning = this.#members.electPlanner(status.rank) === status.rank;
+    const message = { kind: 'status', status, isPlanning, isIncomplete, wantsMembers } as const;
+    this.#socket.send(message, receivers);
   }
 
   /** Returns whether the planner should be sent the status now. */
@@ -383,55 +459,44 @@
   #sendLoad(status: RankStatus): void {
     this.#reporter.reportGroup(
       status.size,
-      () => this.#createReport(status),
+      () => this.#createLoad(status),
       () => [status, ...this.#members.listStatuses()],
     );
   }
 
-  #createReport({ group, epoch, isOpen, passMs, size }: RankStatus) {
+  #createLoad({ group, epoch, isOpen, passMs, rank, size }: RankStatus) {
     const isMapped = size === 1 || this.#planner?.hasSuitableMap() === true;
-    return { group, epoch, isOpen, passMs, isMapped };
+    const reporters = this.#members.listReporters(rank, this.#ownAgent);
+    return { report: { group, epoch, isOpen, passMs, isMapped }, reporters };
   }
 
   /** Sends the load of the own rank. */
   #sendOwnLoad(status: RankStatus, receivers: readonly string[]): void {
     if (receivers.length === 0) return;
-    const report = this.#createReport(status);
-    this.#socket.send({ kind: 'load', report, ranks: encodeLoads([status]) }, receivers);
+    const load = this.#createLoad(status);
+    this.#socket.send({ kind: 'load', ...load, ranks: encodeLoads([status]) }, receivers);
   }
 
-  /** Sends a new subscriber the state of this rank at once; later loads come from the planner. */
+  /** Tells a new subscriber at once what this agent knows; later loads come from the planner. */
   #handleSubscription(address: string): void {
-    const isNew = this.#reporter.subscribe(address);
-    if (isNew && this.#status !== null) this.#sendOwnLoad(this.#status, [address]);
+    const status = this.#status;
+    if (!this.#reporter.subscribe(address) || status === null) return;
+    if (!this.#isPlanning) {
+      this.#sendOwnLoad(status, [address]);
+      return;
+    }
+    const ranks = encodeLoads([status, ...this.#members.listStatuses()]);
+    this.#socket.send({ kind: 'load', ...this.#createLoad(status), ranks }, [address]);
   }
 
   async #forwardCounts(status: RankStatus, planner: number): Promise<void> {
-    this.#countsIntervals += 1;
-    const previous = this.#counts;
-    const period = this.#budget.getCountsPeriod(status.size, this.#countsLength, TICK_MS);
-    // Ranks take turns, each with the counts of its latest interval only: the demand of earlier
-    // ones may have shifted, and those of other ranks have represented them.
-    const intervalsLeft = (period - ((this.#countsIntervals + status.rank) % period)) % period;
-    if (intervalsLeft === 0) this.#isCountsTurn = true;
-    this.#counts = null;
-    if (intervalsLeft > 1 && !this.#isCountsTurn) return;
-    this.#options.metrics.increase('limpetbay_rank_reads_total{kind="counts"}');
-    const read = await this.#rank.readCounts();
-    if (read.err) {
-      this.#log.warn('could not read the expert counts; trying again', { cause: read.val.message });
+    const turn = await this.#countsTurn.advance(status);
+    if (turn.err) {
+      this.#log.warn('could not read the expert counts; trying again', { cause: turn.val.message });
       return;
     }
-    const { counts } = read.val;
-    this.#counts = counts;
-    this.#countsLength = counts.length;
-    if (!this.#isCountsTurn || previous?.length !== counts.length) return;
-    const increases = counts.map((count, index) => count - (previous[index] ?? 0));
-    // A restarted rank counts from 0 again.
-    if (increases.some((count) => count < 0)) return;
-    // The turn lasts until a pass has ended, which may take longer than an interval.
-    if (increases.every((count) => count === 0)) return;
-    this.#isCountsTurn = false;
+    const increases = turn.val;
+    if (increases === null) return;
     if (planner === status.rank) this.#planner?.addCounts(increases);
     else {
       const agent = this.#members.getAgent(planner);
@@ -450,7 +515,12 @@
         group: status.group,
         planner: elected,
       });
-      if (!isElected) planner.invalidateMap();
+      if (!isElected) {
+        planner.invalidateMap();
+        // Tells the entries who reports from now on.
+        this.#reporter.requestReport();
+        this.#sendLoad(status);
+      }
     }
     if (isElected && isIntervalOver) planner.closeInterval();
     // The process whose rank holds the pass finishes its switch, also if another one is elected.
@@ -550,13 +620,12 @@
   async #readTargets(): Promise<void> {
     const targets = await this.#options.listTargets();
     if (targets.ok) {
-      const peers = new Set<string>();
+      const agents = new Set([this.#ownAgent]);
       for (const { address } of targets.val) {
-        if (address === this.#options.rankAddress) continue;
-        peers.add(`${splitAddress(address).host}:${this.#options.peerPort}`);
+        agents.add(`${splitAddress(address).host}:${this.#options.peerPort}`);
       }
-      this.#peers = [...peers];
-      if (this.#members.count() === 0) this.#lastAnnouncementMs = -Infinity;
+      this.#agents = [...agents];
+      this.#search.setAgents(this.#agents);
     } else this.#log.warn('could not read targets; trying again', { cause: targets.val.message });
   }
 
@@ -576,18 +645,6 @@
     this.#planner?.setModel(model.val.experts);
   }
 
-  #sendOwnStatus(agent: string): void {
-    if (this.#status === null) return;
-    const isPlanning = this.#isPlanning;
-    const message = {
-      kind: 'status',
-      status: this.#status,
-      isPlanning,
-      isIncomplete: false,
-    } as const;
-    this.#socket.send(message, [agent]);
-  }
-
   async #executeOrder(
     message: Extract<PeerMessage, { kind: 'order' }>,
     from: string,
@@ -642,6 +699,27 @@
     this.#socket.send({ kind: 'answer', id, answer }, [from]);
   }
 
+  /** Tells an agent which others of its group this one knows. */
+  #sendMembers({ group, rank }: RankStatus, agent: string): void {
+    const known = group === this.#status?.group ? this.#members.listMembers() : [];
+    const agents = this.#directory.register({ agent, rank }, group, known);
+    if (agents.length > 0) this.#socket.send({ kind: 'members', group, agents }, [agent]);
+  }
+
+  /** Exchanges statuses with the members that another agent named. */
+  #contactMembers(
+    status: RankStatus,
+    { group, agents }: Extract<PeerMessage, { kind: 'members' }>,
+  ): void {
+    if (group !== status.group) return;
+    const contacts: string[] = [];
+    for (const agent of agents) {
+      if (agent === this.#ownAgent || !this.#members.isSilent(agent)) continue;
+      if (this.#search.tryContact(agent)) contacts.push(agent);
+    }
+    if (contacts.length > 0) this.#sendStatusTo(status, contacts, { isIncomplete: true });
+  }
+
   #handleMessage(message: PeerMessage, from: string): void {
     if (message.kind === 'subscribe') {
       this.#handleSubscription(from);
@@ -657,8 +735,8 @@
       );
     }
     if (message.kind === 'load_relay') {
-      const { report, ranks, receivers } = message;
-      this.#socket.send({ kind: 'load', report, ranks }, receivers);
+      const { report, ranks, reporters, receivers } = message;
+      this.#socket.send({ kind: 'load', report, ranks, reporters }, receivers);
     }
     if (message.kind === 'map_relay') this.#relayMapOrders(message, from);
     if (message.kind === 'planner_arm') {
@@ -666,13 +744,15 @@
         this.#armPlanner(message, from),
       );
     }
+    if (message.kind === 'status' && message.wantsMembers) this.#sendMembers(message.status, from);
     if (this.#status === null) return;
+    if (message.kind === 'members') this.#contactMembers(this.#status, message);
     if (message.kind === 'status') {
       const { status } = message;
       if (status.group !== this.#status.group) return;
       // An agent that has just started gets the status of this rank at once.
       if (message.isIncomplete || this.#members.getAgent(status.rank) !== from) {
-        this.#sendOwnStatus(from);
+        this.#sendStatusTo(this.#status, [from]);
       }
       this.#members.recordStatus(status, from, message.isPlanning);
       this.#planner?.handleStatus(status);
@@ -700,13 +780,7 @@
   );
 }
 
-/** Returns whether the rank loads a map or is about to switch to one. */
-function isSwitching(status: RankStatus | null): boolean {
-  if (status === null) return false;
-  return status.isBusy || status.armed !== null || status.held !== null;
-}
-
 /** Returns whether the rank has requests. */
-function isBusy({ active, queued }: RankStatus): boolean {
+function hasRequests({ active, queued }: RankStatus): boolean {
   return active + queued > 0;
 }
--- a/packages/rankagent/src/process/TrafficBudget.ts
+++ b/packages/rankagent/src/process/TrafficBudget.ts
@@ -11,6 +11,9 @@
 /** Bytes of a counts message and of a load report besides the encoded numbers. */
 const ENVELOPE_BYTES = 120;
 
+/** Bytes of the addresses of reporters in a load report. */
+const REPORTERS_BYTES = 80;
+
 /** Bytes of an encoded count and of the encoded load of a rank. */
 const COUNT_BYTES = 4 / 3;
 const LOAD_BYTES = 32 / 3;
@@ -60,7 +63,8 @@
    * @param receivers subscribers, or agents that forward the reports to subscribers
    */
   getReportIntervalMs(ranks: number, receivers: number): number {
-    const bytes = receivers * (HEADER_BYTES + ENVELOPE_BYTES + LOAD_BYTES * ranks);
+    const bytes =
+      receivers * (HEADER_BYTES + ENVELOPE_BYTES + REPORTERS_BYTES + LOAD_BYTES * ranks);
     return bytes / (REPORT_LINK_FRACTION * this.#bytesPerMs);
   }
 }
--- a/packages/rankagent/test/TrafficBudget.test.ts
+++ b/packages/rankagent/test/TrafficBudget.test.ts
@@ -46,8 +46,8 @@
       ...{ kvUsed: 1e7, kvTotal: 1e7, step: 1e6, map: 1e6, prepared: 1e6, held: 1e6, passMs: 1e3 },
       armed: { version: 1e6, step: 1e6 },
     };
-    const message = { kind: 'status', status, isPlanning: false, isIncomplete: false } as const;
-    const bytes = encodePeerMessage(message).length;
+    const flags = { isPlanning: false, isIncomplete: false, wantsMembers: false };
+    const bytes = encodePeerMessage({ kind: 'status', status, ...flags }).length;
     const flow = (ranks - 1) * toBitsPerSecond(bytes, intervalMs);
     expect(flow).toBeLessThan(LINK_BITS_PER_SECOND / 5);
   });
@@ -59,7 +59,8 @@
       queued: 2,
     }));
     const report = { group: 'g0-0', epoch: 1, isOpen: true, passMs: 100, isMapped: true };
-    const message = { kind: 'load', report, ranks: encodeLoads(loads) };
+    const reporters = ['10.0.0.200:65000', '10.0.1.200:65000', '10.0.2.200:65000'];
+    const message = { kind: 'load', report, ranks: encodeLoads(loads), reporters };
     const bytes = JSON.stringify(message).length;
     const intervalMs = Math.max(INTERVAL_MS, budget.getReportIntervalMs(ranks, entries));
     expect(entries * toBitsPerSecond(bytes, intervalMs)).toBeLessThan(LINK_BITS_PER_SECOND / 2);
--- a/packages/rankagent/test/largeGroup.test.ts
+++ b/packages/rankagent/test/largeGroup.test.ts
@@ -101,7 +101,8 @@
 
   // Guards against entries that lose sight of a group because its reports became too rare.
   it('reports its load to each entry at least twice a second', () => {
-    const reportsPerEntry = deployment.reportTimesMs.length / shape.entries;
-    expect(reportsPerEntry).toBeGreaterThan((2 * PERIOD_MS) / 1000);
+    for (const { reportTimesMs } of deployment.subscribers) {
+      expect(reportTimesMs.length).toBeGreaterThan((2 * PERIOD_MS) / 1000);
+    }
   });
 });
--- a/packages/rankagent/test/support/SimDeployment.ts
+++ b/packages/rankagent/test/support/SimDeployment.ts
@@ -11,6 +11,7 @@
 import { SimExpertGroup } from './SimExpertGroup.js';
 import type { SimHost } from './SimHost.js';
 import { SimNetwork } from './SimNetwork.js';
+import { SimSubscriber } from './SimSubscriber.js';
 
 interface DeploymentShape {
   readonly ranks: number;
@@ -26,15 +27,14 @@
   readonly evenPassMs: number;
   /** Time to copy one expert to a rank, milliseconds. */
   readonly copyMs: number;
+  /** Whether the ranks have no requests until `beginRequests`. */
+  readonly isIdle?: boolean;
 }
 
 const PEER_PORT = 7340;
 
 const ENGINE_PORT = 8000;
 
-/** Interval at which entries renew their subscriptions to load reports, milliseconds. */
-const SUBSCRIBE_INTERVAL_MS = 1000;
-
 /** Time limits of calls to the engine of another machine, milliseconds. */
 const DIRECT_ORDER_TIMEOUT_MS = 60;
 const DIRECT_PREPARE_TIMEOUT_MS = 400;
@@ -55,14 +55,19 @@
 
   readonly metrics = new MetricRegistry();
 
-  /** Times at which the entries received load reports, milliseconds. */
-  readonly reportTimesMs: number[] = [];
+  readonly subscribers: SimSubscriber[] = [];
+
+  /** Reads of the engines by their agents. */
+  readonly reads = { status: 0, counts: 0 };
+
+  /** Whether the ranks have requests; without, the group begins no passes. */
+  #hasRequests = false;
 
   readonly #clock: Clock;
 
   readonly #shape: DeploymentShape;
 
-  readonly #agents: RankAgent[] = [];
+  readonly #agents = new Map<number, RankAgent>();
 
   constructor(clock: Clock, shape: DeploymentShape, seed: number) {
     this.#clock = clock;
@@ -78,15 +83,26 @@
       this.agentHosts.push(host);
     }
     for (let entry = 0; entry < this.#shape.entries; entry += 1) this.#startEntry(entry);
+    if (this.#shape.isIdle !== true) this.beginRequests();
+    for (const rank of this.agentHosts.keys()) await this.startAgent(rank);
+  }
+
+  beginRequests(): void {
+    this.#hasRequests = true;
     this.group.start();
-    for (const rank of this.agentHosts.keys()) await this.#startAgent(rank);
+  }
+
+  /** Ends the agent of a rank without a farewell; the rank goes on. */
+  stopAgent(rank: number): void {
+    this.#agents.get(rank)?.stop();
   }
 
   stop(): void {
-    for (const agent of this.#agents) agent.stop();
+    for (const agent of this.#agents.values()) agent.stop();
   }
 
-  async #startAgent(rank: number): Promise<void> {
+  /** Starts the agent of a rank, also instead of one that was stopped. */
+  async startAgent(rank: number): Promise<void> {
     const { ranks, sets, experts, slotsPerRank, otherTargets } = this.#shape;
     const host = this.agentHosts[rank] as SimHost;
     const targets = Array.from({ length: ranks + otherTargets }, (_, index) => ({
@@ -104,28 +120,19 @@
       listTargets: () => Promise.resolve(Ok(targets as DirectTarget[])),
       readModel: () => Promise.resolve(Ok(createModel(sets, experts, slotsPerRank))),
     });
-    this.#agents.push(agent);
+    this.#agents.set(rank, agent);
     await agent.start();
   }
 
   #startEntry(entry: number): void {
     const address = `10.0.1.${entry + 1}:${PEER_PORT}`;
     const host = this.network.addHost(address, this.#shape.entryBitsPerSecond);
-    const transport = host.openTransport({
-      onMessage: (message) => {
-        if (message.kind !== 'load') return;
-        this.reportTimesMs.push(this.#clock.getNow());
-      },
-      onTraffic: () => {},
-      onInvalid: () => {},
-      onError: () => {},
-    });
-    const subscribe = (): void => {
-      const agents = this.agentHosts.map((agent) => agent.address);
-      transport.send({ kind: 'subscribe' }, agents);
-      setTimeout(subscribe, SUBSCRIBE_INTERVAL_MS);
-    };
-    subscribe();
+    const agents = new Map(
+      this.agentHosts.map((agent, rank) => [getEngineAddress(rank), agent.address]),
+    );
+    const subscriber = new SimSubscriber(this.#clock, host, agents, entry + 1);
+    this.subscribers.push(subscriber);
+    subscriber.start();
   }
 
   /** Opens the engine of a rank; from another machine every call crosses the network. */
@@ -168,10 +175,15 @@
     const { group } = this.group;
     return {
       readStatus: () => {
-        const status: RankStatus = { ...group.readStatus(rank), address, active: 7, queued: 2 };
+        this.reads.status += 1;
+        const load = this.#hasRequests ? { active: 7, queued: 2 } : { active: 0, queued: 0 };
+        const status: RankStatus = { ...group.readStatus(rank), address, ...load };
         return Promise.resolve(Ok(status));
       },
-      readCounts: () => Promise.resolve(Ok({ counts: this.group.readCounts(rank) })),
+      readCounts: () => {
+        this.reads.counts += 1;
+        return Promise.resolve(Ok({ counts: this.group.readCounts(rank) }));
+      },
       readHeld: () =>
         Promise.resolve(
           Ok({
--- a/packages/rankagent/test/support/SimHost.ts
+++ b/packages/rankagent/test/support/SimHost.ts
@@ -21,6 +21,9 @@
   /** Carried bytes by direction and kind of datagram. */
   readonly traffic = new Map<string, number>();
 
+  /** Number of datagrams by direction and kind. */
+  readonly messages = new Map<string, number>();
+
   readonly #network: SimNetwork;
 
   #events: PeerTransportEvents | null = null;
@@ -129,7 +132,15 @@
     }
   }
 
+  /** Returns the number of datagrams in a direction. */
+  countMessages(direction: 'in' | 'out'): number {
+    let count = 0;
+    for (const [flow, messages] of this.messages) if (flow.startsWith(direction)) count += messages;
+    return count;
+  }
+
   #count(flow: string, bytes: number): void {
+    this.messages.set(flow, (this.messages.get(flow) ?? 0) + 1);
     this.traffic.set(flow, (this.traffic.get(flow) ?? 0) + bytes);
   }
 }
--- a/packages/rpc/src/datagram/PeerMessage.ts
+++ b/packages/rpc/src/datagram/PeerMessage.ts
@@ -20,6 +20,12 @@
 /** More entries than this are told over several agents. */
 const MAX_LOAD_RECEIVERS = 64;
 
+/** More agents than report for a group, and may soon. */
+const MAX_REPORTERS = 8;
+
+/** Agents from which entries should request the loads of a group, the planner first. */
+const Reporters = z.array(Address).max(MAX_REPORTERS).default([]);
+
 /** A datagram between processes. Any may be lost; a later one supersedes the earlier ones. */
 export const PeerMessage = z.discriminatedUnion('kind', [
   /** Status of the rank that the sender manages. */
@@ -29,8 +35,16 @@
     status: StatusRow.or(RankStatus),
     /** Whether the sender is currently the planner of its group. */
     isPlanning: z.boolean(),
-    /** Whether the sender does not know all agents of its group and wants their statuses. */
+    /** Whether the sender looks for other agents of its group and wants their statuses. */
     isIncomplete: z.boolean().default(false),
+    /** Whether it also wants to be told which agents the receiver knows. */
+    wantsMembers: z.boolean().default(false),
+  }),
+  /** Agents of the receiver's group that the sender knows; answers a status that wants them. */
+  z.object({
+    kind: z.literal('members'),
+    group: z.string(),
+    agents: z.array(Address).max(numericBounds.ranks),
   }),
   /** The sender plans for its group; sent more often than its status, which is longer. */
   z.object({ kind: z.literal('planning'), group: z.string(), rank: RankNumber }),
@@ -92,12 +106,14 @@
     report: GroupReport.omit({ ranks: true }),
     /** Loads of the ranks, as `encodeLoads` encodes them. */
     ranks: z.string(),
+    reporters: Reporters,
   }),
   /** A load message of a planner that the receiver forwards to entries. */
   z.object({
     kind: z.literal('load_relay'),
     report: GroupReport.omit({ ranks: true }),
     ranks: z.string(),
+    reporters: Reporters,
     /** Addresses of the entries. */
     receivers: z.array(Address).max(MAX_LOAD_RECEIVERS),
   }),
--- a/packages/rpc/src/datagram/encodePeerMessage.ts
+++ b/packages/rpc/src/datagram/encodePeerMessage.ts
@@ -4,7 +4,15 @@
 /** Encodes a message as the text of a datagram. */
 export function encodePeerMessage(message: PeerMessage): string {
   if (message.kind !== 'status') return JSON.stringify(message);
-  return JSON.stringify({ ...message, status: createRow(message.status) });
+  const { kind, status, isPlanning, isIncomplete, wantsMembers } = message;
+  return JSON.stringify({
+    kind,
+    status: createRow(status),
+    isPlanning,
+    // Absent means false.
+    ...(isIncomplete ? { isIncomplete } : {}),
+    ...(wantsMembers ? { wantsMembers } : {}),
+  });
 }
 
 /** Lists the values of a status in the order of `StatusRow`. */
--- a/packages/rpc/test/oddMessages.test.ts
+++ b/packages/rpc/test/oddMessages.test.ts
@@ -32,6 +32,7 @@
   status: STATUS,
   isPlanning: true,
   isIncomplete: false,
+  wantsMembers: false,
 };
 
 const RECEIVERS = [{ id: 1, agent: '127.0.0.1:80' }];
