--- a/packages/core/src/direct/AdmissionQueue.ts
+++ b/packages/core/src/direct/AdmissionQueue.ts
@@ -31,8 +31,12 @@
 
   #waiting: QueuedRequest[] = [];
 
-  constructor(clock: Clock) {
+  /** Called after a request began to wait; `advance` must then be called until none waits. */
+  readonly #onWaiting: () => void;
+
+  constructor(clock: Clock, onWaiting: () => void = () => {}) {
     this.#clock = clock;
+    this.#onWaiting = onWaiting;
   }
 
   count(): number {
@@ -47,6 +51,7 @@
     const latestOnTimeStartMs = nowMs + request.startSlackMs;
     this.#waiting.push({ ...request, latestOnTimeStartMs, expiresAtMs: nowMs + request.maxWaitMs });
     if (this.#countWaiting(request.service) > maxWaiting) this.#refuseLast(request.service, nowMs);
+    this.#onWaiting();
   }
 
   /** Dispatches, in order, what targets admit, and refuses requests whose wait has expired. */
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -89,6 +89,8 @@
 
   #isStopping = false;
 
+  #isClosed = false;
+
   constructor(options: EntryCoreOptions) {
     this.#options = options;
     this.#gatewayLimits = options.limits;
@@ -169,7 +171,7 @@
       metrics,
       registry: this.#registry,
       picker,
-      queue: new AdmissionQueue(clock),
+      queue: new AdmissionQueue(clock, () => this.#scheduleQueue()),
       bodyBudget: options.bodyBudget,
       limits: this.#limits,
       holds: this.#holds,
@@ -234,7 +236,6 @@
     this.#mirror.start();
     this.#probe.start();
     this.#tick();
-    this.#advanceQueue();
   }
 
   /** Sets whether callers can connect; until then the entry is not ready. */
@@ -338,19 +339,20 @@
     this.#probe.stop();
     this.#suspects.close();
     this.#limits.close();
+    this.#isClosed = true;
     this.#cancelTick?.();
     this.#cancelQueueTick?.();
     for (const pool of this.#pools.values()) pool.close();
   }
 
-  /** Load reports arrive ten times a second; in between, waits expire and slots become free. */
-  #advanceQueue(): void {
-    tryStep(this.#log, 'advance the queue', {}, () => {
-      if (this.#requestContext.queue.count() > 0) this.#requestContext.queue.advance();
+  /** Waits expire and slots become free between load reports, so waiting requests are tried again. */
+  #scheduleQueue(): void {
+    if (this.#cancelQueueTick !== null || this.#isClosed) return;
+    this.#cancelQueueTick = this.#options.timers.schedule(QUEUE_INTERVAL_MS, () => {
+      this.#cancelQueueTick = null;
+      tryStep(this.#log, 'advance the queue', {}, () => this.#requestContext.queue.advance());
+      if (this.#requestContext.queue.count() > 0) this.#scheduleQueue();
     });
-    this.#cancelQueueTick = this.#options.timers.schedule(QUEUE_INTERVAL_MS, () =>
-      this.#advanceQueue(),
-    );
   }
 
   #tick(): void {
