--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -283,9 +283,14 @@
     if (this.#planner === null || this.#map === null) return;
     if (nowMs - this.#lastPlanMs < PLAN_INTERVAL_MS) return;
     this.#lastPlanMs = nowMs;
+    const searches = this.#planner.countSearches();
     const plannedMap = this.#planner.plan(this.#map.sets);
     const planMs = this.#options.clock.getNow() - nowMs;
     this.#options.metrics.record('limpetbay_plan_ms', planMs);
+    this.#options.metrics.increase(
+      'limpetbay_plan_searches_total',
+      this.#planner.countSearches() - searches,
+    );
     if (plannedMap === null) {
       this.#hasSuitableMap ||= this.#planner.hasEnoughCounts();
       return;
