Measure the work of real processes at start, at rest and with requests

Change: `npm run bench -- process-cost` starts an agent and an entry of the build in fleets of 8, 32, 96 and 192 ranks, whose other processes are stand-ins, and prints processor time, wake-ups, datagrams and bytes.

At 192 ranks the stand-ins are too busy in one process to report in time, so the figures of that size say little. Requests of callers are not part of it.

--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -9,6 +9,7 @@
 import { mapSwitchBench } from './benches/mapSwitchBench.js';
 import { mapSwitchWalkBench } from './benches/mapSwitchWalkBench.js';
 import { overload } from './benches/overload.js';
+import { processCostBench } from './benches/processCost/processCostBench.js';
 import { ramp } from './benches/ramp.js';
 import { rolling } from './benches/rolling.js';
 import { routing } from './benches/routing.js';
@@ -36,4 +37,5 @@
   mapSwitchWalkBench,
   capacityBench,
   zonesLive,
+  processCostBench,
 ];
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -1,1 +1,2 @@
 export { SoakRun } from './SoakRun.js';
+export { StoreServer } from './standins/StoreServer.js';
