--- a/packages/rankagent/src/process/GroupMembers.ts
+++ b/packages/rankagent/src/process/GroupMembers.ts
@@ -176,10 +176,6 @@
     return true;
   }
 
-  count(): number {
-    return this.#members.size;
-  }
-
   /**
    * Returns the rank whose agent plans for the group: the lowest one with a responsive agent, at
    * most `ownRank`.
