Run measured processes as the deploy file says

The benchmark started programs without the options of the deploy file, so their code cache was refused. It now takes the command from the deploy file with the reader that the soak has.

--- a/bench/src/benches/processCost/MeasuredProcess.ts
+++ b/bench/src/benches/processCost/MeasuredProcess.ts
@@ -2,6 +2,7 @@
 import { readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { readCommand } from '@limpetbay/soak';
 import type { ProcessWork } from './ProcessWork.js';
 
 interface MeasuredProcessOptions {
@@ -22,7 +23,7 @@
 const USER_TICKS_FIELD = 11;
 const SYSTEM_TICKS_FIELD = 12;
 
-/** A program of the build under `target/` and the work that it has done. */
+/** A program of the build, run as the deploy file says, and the work that it has done. */
 export class MeasuredProcess {
   readonly #options: MeasuredProcessOptions;
 
@@ -36,8 +37,10 @@
     this.#settingsFile = join(folder, `${program}.conf`);
     const lines = Object.entries(settings).map(([name, value]) => `${name}=${value}\n`);
     writeFileSync(this.#settingsFile, lines.join(''));
-    const script = join(ROOT, 'target', `${program}.cjs`);
-    this.#child = spawn(process.execPath, [script, '--metrics-port', String(metricsPort)], {
+    // The code cache of the build fits the options of the deploy file only.
+    const [executable = process.execPath, ...args] = readCommand(ROOT, program);
+    this.#child = spawn(executable, [...args, '--metrics-port', String(metricsPort)], {
+      cwd: ROOT,
       env: { PATH: process.env.PATH, LIMPETBAY_NODE_FILE: this.#settingsFile },
       stdio: 'ignore',
     });
