--- a/review/lib-2/StoreStandIn.js
+++ b/review/lib-2/StoreStandIn.js
@@ -12,7 +12,7 @@
  * kept for 20 s; older positions of a watch get 410.
  */
 export class StoreStandIn {
-  /** Returns whether a call of a machine is turned away with 503. */
+  /** Returns whether calls to an address of the store are turned away with 503. */
   isTurnedAway = () => false;
 
   /** Called for each answer to a watch. */
@@ -32,24 +32,33 @@
 
   #watches = new Set();
 
-  #server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
-    const chunks = [];
-    request.on('data', (chunk) => chunks.push(chunk));
-    request.on('error', () => {});
-    request.on('end', () => this.#handle(request, response, Buffer.concat(chunks).toString()));
-  });
+  #servers = [];
 
+  /** Listens at an address; machines that are turned away at times have one of their own. */
   async start(host, port) {
+    const server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
+      const chunks = [];
+      request.on('data', (chunk) => chunks.push(chunk));
+      request.on('error', () => {});
+      request.on('end', () => {
+        const body = Buffer.concat(chunks).toString();
+        if (this.isTurnedAway(host)) this.#send(response, 503, {});
+        else this.#handle(request, response, body);
+      });
+    });
+    this.#servers.push(server);
     await new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
+      server.once('error', reject);
+      server.listen(port, host, resolve);
     });
   }
 
   close() {
     for (const { timer } of this.#leases.values()) clearTimeout(timer);
-    this.#server.closeAllConnections();
-    this.#server.close();
+    for (const server of this.#servers) {
+      server.closeAllConnections();
+      server.close();
+    }
   }
 
   /** Writes a key. @returns the revision, which is the ack */
@@ -84,10 +93,6 @@
 
   #handle(request, response, body) {
     const url = new URL(request.url, 'http://store');
-    if (this.isTurnedAway(request, url)) {
-      this.#send(response, 503, {});
-      return;
-    }
     if (url.pathname === '/kv-watch') this.#answerWatch(url, response);
     else this.#send(response, ...this.#answer(url, body));
   }
