--- a/review/6/case.js
+++ b/review/6/case.js
@@ -29,36 +29,36 @@
 
 const COPY_MS = (ENGINE.expert_mb * 8 * 1000) / ENGINE.link_mbps;
 
-/** The case ends after this time at the latest. */
-const MAX_MS = 60_000;
+/** Callers send streams for a while, then none for a while, whatever the group does. */
+const BUSY_MS = 500;
+const IDLE_MS = 4500;
+const STREAM_GAP_MS = 40;
+
+/** The traffic ends after this time at the latest; without trouble it lasts as long. */
+const TRAFFIC_MS = 95_000;
+const CALM_TRAFFIC_MS = 60_000;
 
 /** Bounds of the delay of an order that got no answer, as `fleetbench kinds` names them. */
 const MIN_LATE_MS = 2000;
 const MAX_LATE_MS = 12_000;
 
-/** Arm orders to one rank of the second change that get no answer. */
-const MAX_LATE_ARMS = 5;
+/** Arm orders to one rank that get no answer in each later change. */
+const MAX_LATE_ARMS = 10;
 
 const LATE_ARM_RANK = SIZE - 2;
 
 const deployment = new Deployment(new URL('record.txt', import.meta.url).pathname);
 const store = new StoreStandIn();
 const group = new GroupStandIn(SIZE, { ...ENGINE, copyMs: COPY_MS });
-const startMs = performance.now();
 
-let isSending = false;
 let requests = 0;
+let answered = 0;
+let frontAddress = '';
 let violations = 0;
 let orders = 0;
 let lateOrders = 0;
-/** The first change that meets an idle group, and what is known of it. */
-let first = null;
-/** Version of the next change of the same pass. */
-let secondVersion = null;
-let lateArms = 0;
-let lateGo = null;
-let answered = 0;
-let frontAddress = '';
+/** A change whose pass has not begun yet, with its orders that got no answer; null without one. */
+let change = null;
 
 function send(host, port) {
   requests += 1;
@@ -94,60 +94,64 @@
   return [operation, version, step].filter((part) => part !== undefined).join(' ');
 }
 
-/** Leaves an order without an answer; it is carried out later. */
-function delay(rank, order, delayMs) {
+/** Leaves an order without an answer. @returns a function that carries it out */
+function delay(rank, order) {
   lateOrders += 1;
   const atMs = performance.now();
   deployment.record(`rank ${rank.rank}: ${describe(order)} gets no answer`);
-  const carryOut = () => {
+  return () => {
     const status = group.apply(rank, order);
     const ms = Math.round(performance.now() - atMs);
     deployment.record(
       `rank ${rank.rank}: ${describe(order)} is carried out ${ms} ms later (${status})`,
     );
   };
-  if (delayMs !== null) setTimeout(carryOut, delayMs);
-  return { atMs, carryOut };
 }
 
-group.onOrder = (rank, order) => {
+/** Returns whether an order gets an answer; only some of those of a change of an idle group do not. */
+function isAnswered(rank, order) {
   const { operation, version, step } = order;
-  if (first === null && operation === 'prepare' && isSending) {
-    isSending = false;
-    deployment.record('callers pause');
+  if (operation === 'hold' && (change === null || change.step <= group.step)) {
+    if (group.hasWork() || change?.go) return true;
+    change = { step, holder: rank.rank, version: null, lateVersion: null, lateArms: 0 };
+    Object.assign(change, { go: null, goMs: 0 });
+    setTimeout(delay(rank, order), MIN_LATE_MS + 100);
+    return false;
   }
-  if (first === null && operation === 'hold') {
-    if (group.hasWork()) deployment.record('the group has work; waiting for another change');
-    else first = { step, holder: rank.rank, version: null, hasLateGo: false };
-    if (first !== null && HAS_TROUBLE) {
-      orders += 1;
-      delay(rank, order, MIN_LATE_MS + 100);
-      return false;
-    }
-  }
-  if (first !== null) orders += 1;
-  if (first !== null && HAS_TROUBLE) {
-    if (operation === 'arm') first.version ??= version;
-    const isFirstGo = operation === 'go' && rank.rank === first.holder && step === first.step;
-    if (isFirstGo && lateGo === null) {
-      lateGo = delay(rank, order, null);
-      return false;
-    }
-    if (operation === 'arm' && version !== first.version && step === first.step) {
-      if (secondVersion === null) {
-        secondVersion = version;
-        isSending = true;
-        deployment.record(`callers resume; change to version ${version} arms pass ${step}`);
-      }
-      if (rank.rank === LATE_ARM_RANK && lateArms < MAX_LATE_ARMS) {
-        lateArms += 1;
-        delay(rank, order, MIN_LATE_MS + 500);
-        return false;
-      }
-    }
+  if (change === null || step !== change.step) return true;
+  if (operation === 'go' && change.go === null && rank.rank === change.holder) {
+    change.go = delay(rank, order);
+    change.goMs = performance.now();
+    return false;
   }
-  if (operation !== 'prepare') deployment.record(`rank ${rank.rank}: ${describe(order)}`);
-  else if (rank.rank === 0) deployment.record(`ranks: prepare ${version}`);
+  if (operation !== 'arm') return true;
+  change.version ??= version;
+  if (version === change.version || rank.rank !== LATE_ARM_RANK) return true;
+  if (version !== change.lateVersion) Object.assign(change, { lateVersion: version, lateArms: 0 });
+  if (change.lateArms === MAX_LATE_ARMS) return true;
+  change.lateArms += 1;
+  setTimeout(delay(rank, order), MIN_LATE_MS + 500);
+  return false;
+}
+
+/** Carries out a late go while a later change of the same pass arms the ranks, or at the latest. */
+function carryOutGo() {
+  if (change === null || change.go === null) return;
+  const lateMs = performance.now() - change.goMs;
+  const isArming = group.ranks.some(
+    ({ armed }) => armed?.step === change.step && armed.version !== change.version,
+  );
+  const isMet = isArming && group.hasWork() && group.step < change.step;
+  if (lateMs < MIN_LATE_MS || (!isMet && lateMs < MAX_LATE_MS - 500)) return;
+  change.go();
+  change.go = null;
+}
+
+group.onOrder = (rank, order) => {
+  orders += 1;
+  if (HAS_TROUBLE && !isAnswered(rank, order)) return false;
+  if (order.operation !== 'prepare') deployment.record(`rank ${rank.rank}: ${describe(order)}`);
+  else if (rank.rank === 0) deployment.record(`ranks: ${describe(order)}`);
   return true;
 };
 
@@ -214,48 +218,39 @@
   return deployment.waitUntilReady(`${entryHost}:${ports.ready}`);
 }
 
+/** Sends streams in turns of equal length; each turn is about other experts. */
+async function sendTurns(host, port, endMs) {
+  while (performance.now() < endMs && violations === 0) {
+    deployment.record(`callers send streams (pass ${group.step})`);
+    group.hotExperts = group.hotExperts.map((expert) => (expert + 1) % ENGINE.experts);
+    const busyEndMs = performance.now() + BUSY_MS;
+    while (performance.now() < busyEndMs) {
+      send(host, port);
+      await sleep(STREAM_GAP_MS);
+    }
+    const nextMs = busyEndMs + IDLE_MS;
+    while (performance.now() < nextMs && violations === 0) await sleep(STREAM_GAP_MS);
+  }
+}
+
 async function play() {
   if (!(await start())) return 2;
   const [host, port] = frontAddress.split(':');
   await sleep(2000);
-  isSending = true;
-  let idleSinceMs = null;
-  let resumedMs = null;
-  while (performance.now() - startMs < MAX_MS) {
-    await sleep(40);
-    if (isSending) send(host, Number(port));
-    const nowMs = performance.now();
-    if (!isSending && first === null) {
-      idleSinceMs ??= nowMs;
-      // Without a hold in an idle group, the callers go on.
-      if (nowMs - idleSinceMs > 2000) {
-        isSending = true;
-        idleSinceMs = null;
-        group.hotExperts = group.hotExperts.map((expert) => (expert + 1) % ENGINE.experts);
-        deployment.record('callers resume; other experts are in demand');
-      }
-    }
-    if (!HAS_TROUBLE && first !== null && !isSending) {
-      idleSinceMs ??= nowMs;
-      if (nowMs - idleSinceMs > 8000) {
-        isSending = true;
-        resumedMs = nowMs;
-        deployment.record('callers resume');
-      }
-    }
-    const isDue = lateGo !== null && nowMs - lateGo.atMs >= MIN_LATE_MS;
-    if (secondVersion !== null && isDue && lateGo.carryOut !== null && group.hasWork()) {
-      if (nowMs - lateGo.atMs <= MAX_LATE_MS) lateGo.carryOut();
-      lateGo.carryOut = null;
-      resumedMs = nowMs;
-    }
-    if (resumedMs !== null && nowMs - resumedMs > 3000) break;
+  const timer = setInterval(carryOutGo, 5);
+  const endMs = performance.now() + (HAS_TROUBLE ? TRAFFIC_MS : CALM_TRAFFIC_MS);
+  await sendTurns(host, Number(port), endMs);
+  clearInterval(timer);
+  // Shows whether the maps stay different.
+  for (let at = 0; at < 25; at += 1) {
+    send(host, Number(port));
+    await sleep(STREAM_GAP_MS);
   }
+  await sleep(2000);
   deployment.record(
     `${requests} requests, ${answered} answered; ${lateOrders} of ${orders} orders late; ` +
       `${violations} passes with different maps`,
   );
-  if (first === null || (HAS_TROUBLE && resumedMs === null)) return 2;
   return violations > 0 ? 1 : 0;
 }
 
