Simulate groups without work and ranks that answer late

Cause: the simulated group begins a pass at every tick unless one is held, so no test of the switch or the planner has an idle group, and each order is answered at once.

Change: SimGroup.hasWork, SimDeployment.setWork, and OrderFaults, with which ranks leave orders unanswered and carry them out late or never. The calls of an agent that has ended no longer reach a rank.

--- a/packages/rankagent/test/support/SimDeployment.ts
+++ b/packages/rankagent/test/support/SimDeployment.ts
@@ -4,10 +4,12 @@
   type Clock,
   type DirectTarget,
   type EngineModel,
+  type OrderAnswer,
   type RankStatus,
 } from '@limpetbay/core';
 import { MetricRegistry, type Log } from '@limpetbay/runtime';
 import { RankAgent, type RankControl } from '../../src/index.js';
+import type { OrderFaults } from './OrderFaults.js';
 import { SimExpertGroup } from './SimExpertGroup.js';
 import type { SimHost } from './SimHost.js';
 import { SimNetwork } from './SimNetwork.js';
@@ -31,6 +33,11 @@
   readonly isIdle?: boolean;
 }
 
+/** Whether the process of an agent runs. */
+interface Life {
+  isRunning: boolean;
+}
+
 const PEER_PORT = 7340;
 
 const ENGINE_PORT = 8000;
@@ -57,6 +64,9 @@
 
   readonly subscribers: SimSubscriber[] = [];
 
+  /** Decides when the ranks carry out and answer orders; null for at once. */
+  orderFaults: Pick<OrderFaults, 'carryOut'> | null = null;
+
   /** Reads of the engines by their agents. */
   readonly reads = { status: 0, counts: 0 };
 
@@ -67,7 +77,7 @@
 
   readonly #shape: DeploymentShape;
 
-  readonly #agents = new Map<number, RankAgent>();
+  readonly #agents = new Map<number, { readonly agent: RankAgent; readonly life: Life }>();
 
   constructor(clock: Clock, shape: DeploymentShape, seed: number) {
     this.#clock = clock;
@@ -92,13 +102,22 @@
     this.group.start();
   }
 
+  /** Lets the requests pause or continue after `beginRequests`; without them no pass begins. */
+  setWork(hasWork: boolean): void {
+    this.#hasRequests = hasWork;
+    this.group.group.hasWork = hasWork;
+  }
+
   /** Ends the agent of a rank without a farewell; the rank goes on. */
   stopAgent(rank: number): void {
-    this.#agents.get(rank)?.stop();
+    const running = this.#agents.get(rank);
+    if (running === undefined) return;
+    running.life.isRunning = false;
+    running.agent.stop();
   }
 
   stop(): void {
-    for (const agent of this.#agents.values()) agent.stop();
+    for (const rank of this.#agents.keys()) this.stopAgent(rank);
   }
 
   /** Starts the agent of a rank, also instead of one that was stopped. */
@@ -108,6 +127,7 @@
     const targets = Array.from({ length: ranks + otherTargets }, (_, index) => ({
       address: getEngineAddress(index),
     }));
+    const life = { isRunning: true };
     const agent = new RankAgent({
       clock: this.#clock,
       metrics: this.metrics,
@@ -116,11 +136,11 @@
       peerPort: PEER_PORT,
       linkBitsPerSecond: this.#shape.agentBitsPerSecond,
       rankAddress: getEngineAddress(rank),
-      openRank: (address) => this.#openRank(host, address),
+      openRank: (address) => stopWith(life, this.#openRank(host, address)),
       listTargets: () => Promise.resolve(Ok(targets as DirectTarget[])),
       readModel: () => Promise.resolve(Ok(createModel(sets, experts, slotsPerRank))),
     });
-    this.#agents.set(rank, agent);
+    this.#agents.set(rank, { agent, life });
     await agent.start();
   }
 
@@ -192,12 +212,27 @@
             sets: this.group.experts[rank] ?? [],
           }),
         ),
-      order: (order, epoch) =>
-        Promise.resolve(epoch === group.epoch ? this.group.apply(rank, order) : 'refused'),
+      order: (order, epoch) => {
+        const carryOut = (): OrderAnswer =>
+          epoch === group.epoch ? this.group.apply(rank, order) : 'refused';
+        return this.orderFaults?.carryOut(rank, order, carryOut) ?? Promise.resolve(carryOut());
+      },
     };
   }
 }
 
+/** Lets the calls of a process stay without an effect and an answer once it has ended. */
+function stopWith(life: Life, rank: RankControl): RankControl {
+  const stop = <Answer>(call: () => Promise<Answer>): Promise<Answer> =>
+    life.isRunning ? call() : new Promise(() => {});
+  return {
+    readStatus: () => stop(() => rank.readStatus()),
+    readCounts: () => stop(() => rank.readCounts()),
+    readHeld: () => stop(() => rank.readHeld()),
+    order: (order, epoch) => stop(() => rank.order(order, epoch)),
+  };
+}
+
 function getEngineAddress(rank: number): string {
   return `10.0.${2 * Math.floor(rank / 200)}.${(rank % 200) + 1}:${ENGINE_PORT}`;
 }
--- a/packages/rankagent/test/support/SimExpertGroup.ts
+++ b/packages/rankagent/test/support/SimExpertGroup.ts
@@ -126,6 +126,10 @@
       setTimeout(() => this.#runPass(), 1);
       return;
     }
+    if (!this.group.hasWork) {
+      setTimeout(() => this.#runPass(), this.#shape.evenPassMs);
+      return;
+    }
     for (const [rank, { map }] of this.group.ranks.entries()) {
       if (map !== oldMaps[rank]) this.experts[rank] = this.#prepared.get(`${rank}/${map}`) ?? [];
     }
--- a/packages/rankagent/test/support/SimHost.ts
+++ b/packages/rankagent/test/support/SimHost.ts
@@ -42,14 +42,17 @@
 
   openTransport(events: PeerTransportEvents): PeerTransport {
     this.#events = events;
+    let isClosed = false;
     return {
       start: () => Promise.resolve(),
       send: (message, addresses) => {
+        if (isClosed) return;
         const receivers = [...addresses];
         void this.waitUntilRunning().then(() => this.#send(message, receivers));
       },
       close: () => {
-        this.#events = null;
+        isClosed = true;
+        if (this.#events === events) this.#events = null;
       },
     };
   }
--- a/packages/standins/src/ranks/SimGroup.ts
+++ b/packages/standins/src/ranks/SimGroup.ts
@@ -1,7 +1,10 @@
 import type { OrderAnswer, RankOrder, RankStatus } from '@limpetbay/core';
 import { SimRank } from './SimRank.js';
 
-/** A simulated lock-step group. It begins a pass at every tick unless a rank holds that pass. */
+/**
+ * A simulated lock-step group. While it has work, it begins a pass at every tick unless a rank holds
+ * that pass.
+ */
 export class SimGroup {
   readonly ranks: SimRank[];
 
@@ -13,6 +16,9 @@
   /** Whether all ranks are available; no pass begins otherwise. */
   isOpen = true;
 
+  /** Whether the group has requests; without, it loads maps and takes orders but begins no passes. */
+  hasWork = true;
+
   /** Number of passes that began while ranks had different maps. */
   mixedPasses = 0;
 
@@ -34,6 +40,10 @@
       rank.prepared = rank.loading.version;
       rank.loading = null;
     }
+    if (!this.hasWork) {
+      this.stalledTicks = 0;
+      return;
+    }
     const nextPass = (this.ranks[0]?.step ?? 0) + 1;
     if (this.ranks.some(({ held }) => held === nextPass)) {
       this.stalledTicks += 1;
