Give each change of a group's map a boundary of its own

Cause: a hold and its release are told apart by their pass only. The planner took the pass after the last one as the boundary, which in an idle group is the boundary of the change before. A late hold of a completed change made it roll that change back and plan the next one for the same pass; the late release of the first one then let the pass begin while ranks were being armed.

Change: BoundaryChooser gives no pass twice in a formation. A switch fails before it holds a pass while another switch does, planners of different ranks use different holders, and what a late order holds after a completed switch is released again instead of rolled back. The phases are logged with their pass.

One set-up of BarrierSwitch.test.ts reported a foreign hold while the maps were still loading, which now ends a switch; it reports none, and all its expectations stay.

--- a/packages/core/src/barrierswitch/BarrierSwitch.ts
+++ b/packages/core/src/barrierswitch/BarrierSwitch.ts
@@ -2,13 +2,14 @@
 import type { OrderAnswer } from './OrderAnswer.js';
 import type { RankOrder } from './RankOrder.js';
 import type { RankStatus } from './RankStatus.js';
+import { maxBoundaryLead } from './maxBoundaryLead.js';
 
 /**
  * Phases of a switch; `done` and `failed` are final.
  *
  * - `preparing`: all ranks load the new map.
  * - `holding`: the holder is asked to hold the boundary pass.
- * - `fencing`: in a recovery, the holder is asked to hold the pass that another rank holds.
+ * - `fencing`: in a recovery, a further rank is asked to hold the boundary pass as well.
  * - `arming`: all ranks are armed to switch at the boundary pass.
  * - `releasing`: the holders are asked to release the boundary pass.
  * - `withdrawing`: after a refusal, all ranks are disarmed.
@@ -41,6 +42,10 @@
   readonly holder: number;
   /** Rank at the machine of the planner; it is armed last. */
   readonly planner: number;
+  /** Rank other than the holder that holds the boundary pass as well in a recovery. */
+  readonly fence: number;
+  /** First pass that no earlier switch of this formation of the group may have had as its boundary. */
+  readonly firstBoundary: number;
   /** The new map and its version. */
   readonly version: number;
   readonly sets: ExpertSets;
@@ -49,10 +54,16 @@
   readonly rollbackSets: ExpertSets;
 }
 
+/** A pass that a rank holds. */
+interface Hold {
+  readonly rank: number;
+  readonly step: number;
+}
+
 /** A switch that another planner, or this process before a restart, left unfinished. */
 interface UnfinishedSwitch {
-  /** Ranks that hold the boundary pass. */
-  readonly holders: readonly number[];
+  /** Holds to be released in the end; a late order may hold a pass before the boundary. */
+  readonly holds: readonly Hold[];
   readonly boundary: number;
   /** Version with which some ranks may be armed. */
   readonly armedVersion: number;
@@ -79,6 +90,9 @@
  *
  * A recovery first holds the boundary pass at a further rank, because the planner that left the
  * switch may continue at any time and release its hold while some ranks are disarmed already.
+ *
+ * A hold and its release are told apart by their pass only, and a release may be carried out late.
+ * Therefore no two switches of a formation have the same boundary.
  */
 export class BarrierSwitch {
   /** Epoch (formation of the group) in which the switch takes place. */
@@ -100,6 +114,9 @@
 
   #leadPasses = INITIAL_LEAD_PASSES;
 
+  /** First pass that may be the boundary. */
+  #firstBoundary: number;
+
   /** Ranks that confirmed the current step. */
   #confirmed = new Set<number>();
 
@@ -109,14 +126,14 @@
   /** Ranks that began to load the map of the current step. */
   #loading = new Set<number>();
 
-  /** Ranks whose holds are to be released in the end. */
-  #heldBy: readonly number[];
+  /** Holds of other processes that are to be released in the end. */
+  #foreignHolds: readonly Hold[] = [];
 
   constructor(options: SwitchOptions) {
     this.epoch = options.epoch;
     this.#options = options;
     this.#version = options.version;
-    this.#heldBy = [options.holder];
+    this.#firstBoundary = options.firstBoundary;
     const { holder, planner } = options;
     this.#steps = [
       { phase: 'preparing', ranks: this.#listRanks() },
@@ -130,17 +147,17 @@
   /**
    * Creates the switch that rolls back an unfinished one.
    *
-   * @param options `holder`: a rank that does not hold the boundary pass yet
+   * @param options `fence`: a rank that does not hold the boundary pass yet
    */
   static resume(options: SwitchOptions, unfinished: UnfinishedSwitch): BarrierSwitch {
-    const { holders, boundary, armedVersion, absent } = unfinished;
-    const { holder } = options;
+    const { holds, boundary, armedVersion, absent } = unfinished;
     const recovery = new BarrierSwitch(options);
     recovery.#version = armedVersion;
     recovery.#boundary = boundary;
-    recovery.#heldBy = [...holders, holder];
-    recovery.#result = 'failed';
-    recovery.#steps = [{ phase: 'fencing', ranks: [holder] }, ...recovery.#listRollback(absent)];
+    recovery.#foreignHolds = holds;
+    const { fence } = options;
+    recovery.#rollBack([...new Set([...holds.map(({ rank }) => rank), fence])], absent);
+    recovery.#steps = [{ phase: 'fencing', ranks: [fence] }, ...recovery.#steps];
     return recovery;
   }
 
@@ -152,6 +169,16 @@
     return this.#version;
   }
 
+  /** Returns the boundary pass; null until it is chosen. */
+  getBoundary(): number | null {
+    return this.#boundary;
+  }
+
+  /** Returns the first pass that a later switch of the same formation may have as its boundary. */
+  getNextBoundary(): number {
+    return this.#boundary === null ? this.#firstBoundary : this.#boundary + 1;
+  }
+
   /** Lists the ranks that have not confirmed the current phase. */
   listUnconfirmed(): number[] {
     const ranks = this.#steps[0]?.ranks ?? [];
@@ -173,19 +200,22 @@
    */
   withdraw(): void {
     const [step] = this.#steps;
-    if (step?.phase !== 'arming' || step.ranks[0] !== this.#options.planner) return;
-    this.#rollBack();
+    const { holder, planner } = this.#options;
+    if (step?.phase === 'arming' && step.ranks[0] === planner) this.#rollBack([holder], null);
   }
 
-  /** Aborts the switch if it is still preparing; later phases need the orders that undo them. */
+  /** Aborts the switch if no pass was to be held yet; later phases need the orders that undo them. */
   abort(): void {
-    if (this.getPhase() === 'preparing') this.#fail();
+    const phase = this.getPhase();
+    const isWaiting = phase === 'holding' && this.#boundary === null && this.#unanswered.size === 0;
+    if (phase === 'preparing' || isWaiting) this.#fail();
   }
 
   /** Handles the status of a rank; a new epoch of the group fails the switch. */
   handleStatus(status: RankStatus): void {
     if (this.isFinished()) return;
-    if (status.epoch !== this.epoch || this.#isReleasedByOther(status)) {
+    const isOver = this.#isReleasedByOther(status) || this.#isOccupied(status);
+    if (status.epoch !== this.epoch || isOver) {
       this.#fail();
       return;
     }
@@ -205,11 +235,12 @@
    */
   listOrders(lastStep: number): AddressedOrder[] {
     const orders: AddressedOrder[] = [];
+    if (this.getPhase() === 'holding' && !this.#chooseBoundary(lastStep)) return orders;
     for (const rank of this.#steps[0]?.ranks ?? []) {
       if (this.#unanswered.has(rank) || this.#confirmed.has(rank)) continue;
       if (this.#loading.has(rank)) continue;
       this.#unanswered.add(rank);
-      orders.push({ rank, order: this.#buildOrder(lastStep) });
+      orders.push({ rank, order: this.#buildOrder(rank) });
     }
     return orders;
   }
@@ -222,8 +253,9 @@
     if (order.operation === 'hold' && phase === 'holding') {
       if (isApplied) this.#confirm(rank);
       else {
+        this.#firstBoundary = order.step + 1;
         this.#boundary = null;
-        this.#leadPasses += LEAD_INCREMENT_PASSES;
+        this.#leadPasses = Math.min(this.#leadPasses + LEAD_INCREMENT_PASSES, maxBoundaryLead);
       }
     } else if (order.operation === 'hold' && phase === 'fencing') {
       if (isApplied) this.#confirm(rank);
@@ -231,7 +263,7 @@
       else this.#fail();
     } else if (order.operation === 'arm' && phase === 'arming') {
       if (isApplied) this.#confirm(rank);
-      else this.#rollBack();
+      else this.#rollBack([this.#options.holder], null);
     } else if (order.operation === 'disarm' && phase === 'withdrawing') this.#confirm(rank);
     else if (order.operation === 'go' && phase === 'releasing') this.#confirm(rank);
     else if (order.operation === 'prepare') this.#handlePrepared(rank, order.version, isApplied);
@@ -256,7 +288,21 @@
   #isReleasedByOther({ step }: RankStatus): boolean {
     if (this.#boundary === null || step < this.#boundary) return false;
     const phase = this.getPhase();
-    return phase === 'arming' || phase === 'withdrawing' || phase === 'superseding';
+    return (
+      phase === 'arming' ||
+      phase === 'fencing' ||
+      phase === 'withdrawing' ||
+      phase === 'superseding'
+    );
+  }
+
+  /** Returns whether, before this switch holds a pass, a rank holds one or is armed for another. */
+  #isOccupied({ rank, step, held, armed }: RankStatus): boolean {
+    const phase = this.getPhase();
+    if (phase !== 'preparing' && phase !== 'holding') return false;
+    if (armed !== null && armed.step > step) return true;
+    if (held === null || held <= step) return false;
+    return phase === 'preparing' || rank !== this.#options.holder || held !== this.#boundary;
   }
 
   #hasPreparedMap({ prepared, armed }: RankStatus): boolean {
@@ -267,14 +313,21 @@
     return phase === 'superseding' && armed === null && (prepared ?? 0) >= rollbackVersion;
   }
 
-  #buildOrder(lastStep: number): RankOrder {
+  /** Chooses the boundary pass. @returns false while no pass soon enough is left */
+  #chooseBoundary(lastStep: number): boolean {
+    if (this.#boundary !== null) return true;
+    const boundary = Math.max(lastStep + this.#leadPasses, this.#firstBoundary);
+    if (boundary > lastStep + maxBoundaryLead) return false;
+    this.#boundary = boundary;
+    return true;
+  }
+
+  #buildOrder(rank: number): RankOrder {
     const { version, sets, rollbackVersion, rollbackSets } = this.#options;
     switch (this.getPhase()) {
       case 'preparing':
         return { operation: 'prepare', version, sets: cloneSets(sets) };
       case 'holding':
-        this.#boundary ??= lastStep + this.#leadPasses;
-        return { operation: 'hold', step: this.#boundary };
       case 'fencing':
         return { operation: 'hold', step: this.#boundary as number };
       case 'arming':
@@ -284,10 +337,14 @@
       case 'superseding':
         return { operation: 'prepare', version: rollbackVersion, sets: cloneSets(rollbackSets) };
       default:
-        return { operation: 'go', step: this.#boundary as number };
+        return { operation: 'go', step: this.#getHeldStep() };
     }
   }
 
+  #getHeldStep(): number {
+    return this.#boundary as number;
+  }
+
   /** Lists the ranks in order. @param excluded rank that is left out; null for none */
   #listRanks(excluded: number | null = null): number[] {
     const ranks: number[] = [];
@@ -297,19 +354,20 @@
     return ranks;
   }
 
-  /** Lists the steps that disarm all ranks for good and release the pass. */
-  #listRollback(absent: number | null): Step[] {
+  /**
+   * Disarms all ranks for good and releases the pass.
+   *
+   * @param holders ranks with a hold
+   * @param absent rank that is left out; null for none
+   */
+  #rollBack(holders: readonly number[], absent: number | null): void {
     const ranks = this.#listRanks(absent);
-    return [
+    this.#result = 'failed';
+    this.#begin([
       { phase: 'withdrawing', ranks },
       { phase: 'superseding', ranks },
-      { phase: 'releasing', ranks: this.#heldBy },
-    ];
-  }
-
-  #rollBack(): void {
-    this.#result = 'failed';
-    this.#begin(this.#listRollback(null));
+      { phase: 'releasing', ranks: holders },
+    ]);
   }
 
   #confirm(rank: number): void {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,6 +24,7 @@
 export { decideOutcome } from './answer/decideOutcome.js';
 export { evaluateStatus } from './answer/evaluateStatus.js';
 export { BarrierSwitch } from './barrierswitch/BarrierSwitch.js';
+export { BoundaryChooser } from './barrierswitch/BoundaryChooser.js';
 export { ExpertList } from './barrierswitch/ExpertList.js';
 export type { ExpertSets } from './barrierswitch/ExpertSets.js';
 export { GroupPlanner } from './barrierswitch/GroupPlanner.js';
--- a/packages/core/test/barrierswitch/BarrierSwitch.test.ts
+++ b/packages/core/test/barrierswitch/BarrierSwitch.test.ts
@@ -28,6 +28,8 @@
     size: RANKS,
     holder: (planner + 1) % RANKS,
     planner,
+    fence: planner,
+    firstBoundary: 1,
     version: baseVersion + planner,
     sets: [],
     rollbackVersion: baseVersion + RANKS + planner,
@@ -39,6 +41,16 @@
   return new BarrierSwitch(createOptions(planner, baseVersion));
 }
 
+/** Creates a switch whose map all ranks have loaded. */
+function createHoldingSwitch(options: ReturnType<typeof createOptions>): BarrierSwitch {
+  const mapSwitch = new BarrierSwitch(options);
+  const group = new SimGroup(RANKS, LOAD_TICKS);
+  for (let rank = 0; rank < RANKS; rank += 1) {
+    mapSwitch.handleStatus({ ...group.readStatus(rank), prepared: options.version });
+  }
+  return mapSwitch;
+}
+
 /** Creates a group whose ranks are all armed at a pass that one of them holds. */
 function createArmedGroup(holder = 0): SimGroup {
   const group = new SimGroup(RANKS, LOAD_TICKS);
@@ -140,8 +152,8 @@
     group.apply(1, { operation: 'arm', version: 8, step: 5 });
     expect(unfinished.isFinished()).toBe(false);
     const recovery = BarrierSwitch.resume(
-      { ...createOptions(2, 16), holder: 2 },
-      { holders: [0], boundary: 5, armedVersion: 8, absent: null },
+      { ...createOptions(2, 16), fence: 2 },
+      { holds: [{ rank: 0, step: 5 }], boundary: 5, armedVersion: 8, absent: null },
     );
     for (let tick = 0; tick < 50 && !recovery.isFinished(); tick += 1) {
       for (let rank = 0; rank < RANKS; rank += 1) recovery.handleStatus(group.readStatus(rank));
@@ -163,8 +175,13 @@
       const random = new SeededRandom(seed);
       const group = createArmedGroup();
       const recovery = BarrierSwitch.resume(
-        { ...createOptions(2, 16), holder: 2 },
-        { holders: [0], boundary: ARMED_STEP, armedVersion: 8, absent: null },
+        { ...createOptions(2, 16), fence: 2 },
+        {
+          holds: [{ rank: 0, step: ARMED_STEP }],
+          boundary: ARMED_STEP,
+          armedVersion: 8,
+          absent: null,
+        },
       );
       const releaseTick = seed % MAX_RELEASE_TICKS;
       for (let tick = 0; tick < MAX_LATE_TICKS; tick += 1) {
@@ -184,7 +201,7 @@
     const paused = createSwitch(0, 8);
     for (let rank = 0; rank < RANKS; rank += 1) {
       paused.handleAnswer(rank, { operation: 'prepare', version: 8, sets: [] }, 'done');
-      paused.handleStatus({ ...group.readStatus(rank), prepared: 8, armed: null });
+      paused.handleStatus({ ...group.readStatus(rank), prepared: 8, armed: null, held: null });
     }
     const [hold] = paused.listOrders(ARMED_STEP - 1);
     paused.handleAnswer(1, hold?.order as RankOrder, 'done');
@@ -203,8 +220,8 @@
     const group = createArmedGroup(1);
     group.apply(0, { operation: 'disarm', version: 8 });
     const recovery = BarrierSwitch.resume(
-      { ...createOptions(3, 16), holder: 3 },
-      { holders: [1], boundary: ARMED_STEP, armedVersion: 8, absent: 0 },
+      { ...createOptions(3, 16), fence: 3 },
+      { holds: [{ rank: 1, step: ARMED_STEP }], boundary: ARMED_STEP, armedVersion: 8, absent: 0 },
     );
     for (let tick = 0; tick < MAX_LATE_TICKS && !recovery.isFinished(); tick += 1) {
       for (let rank = 1; rank < RANKS; rank += 1) recovery.handleStatus(group.readStatus(rank));
@@ -244,8 +261,13 @@
   it('disarms all ranks again after one refused to load the previous map', () => {
     const group = createArmedGroup(1);
     const recovery = BarrierSwitch.resume(
-      { ...createOptions(3, 16), holder: 3 },
-      { holders: [1], boundary: ARMED_STEP, armedVersion: 8, absent: null },
+      { ...createOptions(3, 16), fence: 3 },
+      {
+        holds: [{ rank: 1, step: ARMED_STEP }],
+        boundary: ARMED_STEP,
+        armedVersion: 8,
+        absent: null,
+      },
     );
     for (const operation of ['hold', 'disarm', 'prepare']) {
       const listed = recovery.listOrders(ARMED_STEP - 1);
@@ -259,4 +281,27 @@
     const again = recovery.listOrders(ARMED_STEP - 1);
     expect(again.map(({ rank }) => rank)).toEqual([0, 1, 2, 3]);
   });
+
+  // Guards against a late release of an earlier switch, which would release a hold of the same pass.
+  it('holds no pass that an earlier switch may have held', () => {
+    const options = { ...createOptions(0, 8), firstBoundary: 7 };
+    const mapSwitch = createHoldingSwitch(options);
+    expect(mapSwitch.listOrders(2)).toEqual([]);
+    const [hold] = mapSwitch.listOrders(3);
+    expect(hold).toEqual({ rank: 1, order: { operation: 'hold', step: 7 } });
+    mapSwitch.handleAnswer(1, hold?.order as RankOrder, 'refused');
+    const [next] = mapSwitch.listOrders(4);
+    expect(next?.order).toEqual({ operation: 'hold', step: 8 });
+    expect(mapSwitch.getNextBoundary()).toBe(9);
+  });
+
+  // Guards against two planners whose switches hold the same pass at the same rank.
+  it('fails before it holds a pass while another switch does', () => {
+    const group = new SimGroup(RANKS, LOAD_TICKS);
+    for (const taken of [{ held: 9 }, { armed: { version: 4, step: 9 } }]) {
+      const mapSwitch = createHoldingSwitch(createOptions(0, 8));
+      mapSwitch.handleStatus({ ...group.readStatus(3), prepared: 8, ...taken });
+      expect(mapSwitch.getPhase()).toBe('failed');
+    }
+  });
 });
--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -1,6 +1,7 @@
 import {
   GroupPlanner,
   BarrierSwitch,
+  BoundaryChooser,
   type Clock,
   type EngineModel,
   createInitialMap,
@@ -12,9 +13,22 @@
 } from '@limpetbay/core';
 import type { Log, MetricRegistry } from '@limpetbay/runtime';
 import { createMapOrder } from '../maps/createMapOrder.js';
+import type { HeldReply } from '../ports/HeldReply.js';
 import type { PlannerArmGuard } from './PlannerArmGuard.js';
 import type { RankHandle } from './RankHandle.js';
 
+/** A switch of this process whose pass was released after all ranks had been armed. */
+interface CompletedSwitch {
+  readonly epoch: number;
+  readonly version: number;
+  readonly step: number;
+  readonly holder: number;
+  /** When it was completed; statuses from before may not show that the ranks are armed. */
+  readonly atMs: number;
+}
+
+type SwitchOptions = ConstructorParameters<typeof BarrierSwitch>[0];
+
 interface MapPlannerOptions {
   readonly clock: Clock;
   readonly log: Log;
@@ -100,6 +114,14 @@
 
   #lastVersion = 0;
 
+  readonly #boundaries = new BoundaryChooser();
+
+  /** The last switch of this process that was completed; null if there was none. */
+  #completed: CompletedSwitch | null = null;
+
+  /** Whether an order to release the pass of that switch again is not answered yet. */
+  #isReleasing = false;
+
   #lastPlanMs = -Infinity;
 
   #switchStartMs = 0;
@@ -141,6 +163,8 @@
 
   handleStatus(status: RankStatus): void {
     const previous = this.#statuses.get(status.rank)?.status;
+    const { epoch, held, armed } = status;
+    this.#boundaries.recordUse(epoch, Math.max(held ?? 0, armed?.step ?? 0) + 1);
     this.#statuses.set(status.rank, { status, receivedMs: this.#options.clock.getNow() });
     this.#unansweredSinceMs.delete(status.rank);
     const isOther = previous?.address !== status.address || previous.epoch !== status.epoch;
@@ -148,7 +172,7 @@
     const hasBecomeUrgent = this.#planner?.recordPace(status.rank, status.pace ?? 1) === true;
     const previousPhase = this.#switch?.getPhase();
     // The map that is being loaded leaves experts on the rank that now delays each pass.
-    if (hasBecomeUrgent && previousPhase === 'preparing') this.#switch?.abort();
+    if (hasBecomeUrgent) this.#switch?.abort();
     this.#switch?.handleStatus(status);
     if (this.#switch !== null && previousPhase !== this.#switch.getPhase()) {
       this.#reportPhase(this.#switch);
@@ -169,7 +193,7 @@
     // This interval mixes counts of the old and the new demand; the next plan waits for one more.
     this.#lastPlanMs = this.#options.clock.getNow() - SHIFT_PLAN_ADVANCE_MS;
     // The map that is being loaded was planned for the old demand.
-    if (phase === 'preparing') this.#switch?.abort();
+    this.#switch?.abort();
   }
 
   /**
@@ -178,6 +202,8 @@
    */
   advance(): void {
     this.#pollStaleRanks();
+    const own = this.#getOwnStatus();
+    if (own !== undefined) this.#boundaries.recordStep(own.epoch, own.step);
     if (this.#switch === null) {
       const statuses = this.#listStatuses();
       if (statuses === null) this.#recoverWithoutPlanner();
@@ -190,23 +216,29 @@
   invalidateMap(): void {
     this.#map = null;
     this.#hasSuitableMap = false;
+    this.#boundaries.clear();
   }
 
   #pollStaleRanks(): void {
-    const nowMs = this.#options.clock.getNow();
     const size = this.#getOwnStatus()?.size ?? 0;
     for (let rank = 0; rank < size; rank += 1) {
-      const receivedMs = this.#statuses.get(rank)?.receivedMs ?? -Infinity;
-      const lastPollMs = this.#lastPollMs.get(rank) ?? -Infinity;
       const handle = this.#options.getRank(rank);
       const intervalMs = this.#isWaitingFor(handle) ? WAITING_POLL_INTERVAL_MS : POLL_INTERVAL_MS;
-      if (nowMs - Math.max(receivedMs, lastPollMs) < intervalMs) continue;
-      this.#lastPollMs.set(rank, nowMs);
-      if (!this.#unansweredSinceMs.has(rank)) this.#unansweredSinceMs.set(rank, nowMs);
-      void handle?.pollStatus();
+      this.#pollRank(rank, intervalMs);
     }
   }
 
+  /** Polls a rank unless it was polled, or has sent a status, within the interval. */
+  #pollRank(rank: number, intervalMs: number): void {
+    const nowMs = this.#options.clock.getNow();
+    const receivedMs = this.#statuses.get(rank)?.receivedMs ?? -Infinity;
+    const lastPollMs = this.#lastPollMs.get(rank) ?? -Infinity;
+    if (nowMs - Math.max(receivedMs, lastPollMs) < intervalMs) return;
+    this.#lastPollMs.set(rank, nowMs);
+    if (!this.#unansweredSinceMs.has(rank)) this.#unansweredSinceMs.set(rank, nowMs);
+    void this.#options.getRank(rank)?.pollStatus();
+  }
+
   /** Lists the statuses of all ranks in order; null unless all are recent and of one epoch. */
   #listStatuses(): RankStatus[] | null {
     const own = this.#getOwnStatus();
@@ -257,7 +289,9 @@
       }
     }
     if (!isHeld) this.#unexplainedHoldSinceMs = null;
-    else if (this.#isHoldUnexplained()) this.#recover(statuses, null);
+    else if (this.#isHoldUnexplained() && !this.#releaseCompleted(statuses)) {
+      this.#recover(statuses, null);
+    }
     if (isHeld || isArmed || !isSameMap) return;
     if (first.map !== this.#map?.version) {
       void this.#readActiveMap(statuses);
@@ -332,11 +366,8 @@
       this.#hasSuitableMap ||= this.#planner.hasEnoughCounts();
       return;
     }
-    const options = this.#createSwitchOptions(statuses, plannedMap.sets);
-    this.#switch = new BarrierSwitch(options);
-    this.#holder = options.holder;
-    this.#switchSets = plannedMap.sets;
-    this.#switchStartMs = nowMs;
+    const options = this.#createSwitchOptions(statuses, plannedMap.sets, this.#map.sets);
+    this.#startSwitch(options);
     this.#options.log.report('map planned', {
       group: statuses[0]?.group,
       version: options.version,
@@ -351,6 +382,53 @@
     });
   }
 
+  #startSwitch(options: SwitchOptions): void {
+    this.#switch = new BarrierSwitch(options);
+    this.#holder = options.holder;
+    this.#switchSets = options.sets;
+    this.#switchStartMs = this.#options.clock.getNow();
+  }
+
+  /**
+   * Releases what late orders hold after the last switch of this process was completed. All ranks are
+   * still armed for it, so there is nothing to undo.
+   *
+   * @returns false if the holds may belong to something else
+   */
+  #releaseCompleted(statuses: readonly RankStatus[]): boolean {
+    const completed = this.#completed;
+    if (completed === null) return false;
+    for (const status of statuses) {
+      const { epoch, rank, held } = status;
+      const isCurrent = (this.#statuses.get(rank)?.receivedMs ?? 0) > completed.atMs;
+      if (epoch !== completed.epoch || (isCurrent && !isArmedFor(status, completed))) return false;
+      // Another rank that holds the pass does so for the rollback of another planner.
+      if (held !== null && held >= completed.step && rank !== completed.holder) return false;
+    }
+    if (!this.#isReleasing) void this.#releaseLate(this.#listHeld(statuses), completed);
+    return true;
+  }
+
+  async #releaseLate(
+    holders: readonly RankStatus[],
+    { epoch, version }: CompletedSwitch,
+  ): Promise<void> {
+    this.#isReleasing = true;
+    this.#options.log.warn('a late order holds a completed switch; releasing it', {
+      version,
+      holders: holders.map(({ rank }) => rank),
+      steps: holders.map(({ held }) => held),
+    });
+    const answers: (Promise<OrderAnswer> | undefined)[] = [];
+    for (const { rank, held } of holders) {
+      if (held === null) continue;
+      const order = { operation: 'go' as const, step: held };
+      answers.push(this.#options.getRank(rank)?.order(order, epoch, null));
+    }
+    await Promise.all(answers);
+    this.#isReleasing = false;
+  }
+
   /** Lists the ranks with a hold in force; the statuses of other ranks may be older than its release. */
   #listHeld(statuses: readonly RankStatus[]): RankStatus[] {
     const step = this.#getOwnStatus()?.step ?? 0;
@@ -402,23 +480,23 @@
    * @param absent rank that does not answer and is not armed; null if all ranks answer
    */
   #recover(statuses: readonly RankStatus[], absent: number | null): void {
-    const held = this.#listHeld(statuses);
-    if (held.length === 0 || this.#map === null) return;
-    const boundary = Math.min(...held.map((status) => status.held ?? Infinity));
-    const holders = held.filter((status) => status.held === boundary).map(({ rank }) => rank);
+    if (this.#map !== null) this.#resumeSwitch(statuses, absent, this.#map.sets);
+  }
+
+  /** @param sets map that the ranks have, to which the switch is rolled back */
+  #resumeSwitch(statuses: readonly RankStatus[], absent: number | null, sets: ExpertSets): void {
+    const holds: { rank: number; step: number }[] = [];
+    for (const { rank, held } of this.#listHeld(statuses)) {
+      if (held !== null) holds.push({ rank, step: held });
+    }
+    if (holds.length === 0) return;
     const armed = statuses.find((status) => status.armed !== null)?.armed ?? null;
-    const { ownRank } = this.#options;
-    const free = statuses.filter((status) => status.held === null).map(({ rank }) => rank);
-    const isResponsive = (rank: number): boolean => {
-      const path = this.#options.getRank(rank)?.getPath();
-      return path === 'agent' || path === 'local';
-    };
-    const responsive = free.filter(isResponsive);
-    const holder = responsive.includes(ownRank) ? ownRank : responsive[0];
-    if (holder === undefined) return;
-    const options = { ...this.#createSwitchOptions(statuses, this.#map.sets), holder };
+    const boundary = Math.min(...holds.map(({ step }) => step));
+    const fence = this.#chooseFence(statuses, boundary);
+    if (fence === null) return;
+    const options = { ...this.#createSwitchOptions(statuses, sets, sets), fence };
     this.#switch = BarrierSwitch.resume(options, {
-      holders,
+      holds,
       boundary,
       armedVersion: armed?.version ?? this.#lastVersion,
       absent,
@@ -426,17 +504,38 @@
     this.#switchStartMs = this.#options.clock.getNow();
     this.#options.log.warn('rolling back an unfinished switch', {
       group: statuses[0]?.group,
-      holders,
+      holds,
       step: boundary,
       armed: armed?.version,
       absent,
     });
   }
 
+  /**
+   * Returns the rank that holds the pass of an unfinished switch during its rollback; null if each
+   * holds another one. It is best one that has not held the pass, and so not the likely holder of the
+   * switch: a release that was ordered before may still be carried out.
+   */
+  #chooseFence(statuses: readonly RankStatus[], boundary: number): number | null {
+    const size = statuses[0]?.size ?? 0;
+    const planner = findSwitchPlanner(statuses, size);
+    let best: { readonly rank: number; readonly drawbacks: number } | null = null;
+    for (const { rank, held } of statuses) {
+      if (held !== null && held !== boundary) continue;
+      let drawbacks = rank === this.#options.ownRank ? 0 : 1;
+      if (planner !== null && rank === (planner + 1) % size) drawbacks += 2;
+      if (this.#options.getRank(rank)?.getPath() === 'direct') drawbacks += 4;
+      if (held !== null) drawbacks += 8;
+      if (drawbacks < (best?.drawbacks ?? Infinity)) best = { rank, drawbacks };
+    }
+    return best?.rank ?? null;
+  }
+
   #createSwitchOptions(
     statuses: readonly RankStatus[],
     sets: ExpertSets,
-  ): ConstructorParameters<typeof BarrierSwitch>[0] {
+    rollbackSets: ExpertSets,
+  ): SwitchOptions {
     const size = statuses[0]?.size ?? 0;
     const { ownRank } = this.#options;
     const highestVersion = Math.max(this.#lastVersion, findHighestVersion(statuses));
@@ -444,15 +543,17 @@
     const firstVersion = (Math.floor(highestVersion / (2 * size)) + 1) * 2 * size;
     const version = firstVersion + ownRank;
     this.#lastVersion = version + size;
-    const rollbackSets = this.#map?.sets ?? [];
     this.#mapOrders.clear();
     this.#addMapOrder(version, sets, size);
     this.#addMapOrder(version + size, rollbackSets, size);
+    const holder = this.#chooseHolder(size);
     return {
       epoch: statuses[0]?.epoch ?? 0,
       size,
-      holder: this.#chooseHolder(size),
+      holder,
       planner: ownRank,
+      fence: holder === ownRank ? (ownRank + 1) % size : ownRank,
+      firstBoundary: this.#boundaries.getFirst(),
       version,
       sets,
       rollbackVersion: version + size,
@@ -461,13 +562,14 @@
   }
 
   /**
-   * Returns the rank that holds the pass of a switch. Its agent plans next if this machine fails,
-   * and can then release the hold.
+   * Returns the rank that holds the pass of a switch: the next one, whose agent plans next if this
+   * machine fails and can then release the hold. Planners of different ranks have different holders.
    */
   #chooseHolder(size: number): number {
     const { ownRank, getRank } = this.#options;
-    for (let rank = 0; rank < size; rank += 1) {
-      if (rank !== ownRank && getRank(rank)?.getPath() === 'agent') return rank;
+    for (let distance = 1; distance < size; distance += 1) {
+      const rank = (ownRank + distance) % size;
+      if (getRank(rank)?.getPath() === 'agent') return rank;
     }
     return ownRank;
   }
@@ -566,6 +668,7 @@
     this.#options.log.report('map switch entered a new phase', {
       version: current.getVersion(),
       phase: current.getPhase(),
+      step: current.getBoundary(),
       ms: Math.round(this.#options.clock.getNow() - this.#switchStartMs),
     });
   }
@@ -577,9 +680,11 @@
     this.#holdStartMs = null;
     this.#options.metrics.increase('limpetbay_held_ms_total', heldMs);
     this.#switch = null;
+    this.#boundaries.recordUse(current.epoch, current.getNextBoundary());
     this.#options.metrics.increase(`limpetbay_map_switches_total{done="${String(isSuccessful)}"}`);
     this.#options.log.report(isSuccessful ? 'expert map active' : 'map switch failed', {
       version: current.getVersion(),
+      step: current.getBoundary(),
       ms,
       heldMs,
     });
@@ -588,9 +693,12 @@
       if (this.#map?.version === 0) this.#map = null;
       return;
     }
-    if (this.#map === null) return;
-    const { epoch } = this.#map;
-    this.#map = { version: current.getVersion(), epoch, sets: this.#switchSets };
+    const { epoch } = current;
+    const version = current.getVersion();
+    this.#map = { version, epoch, sets: this.#switchSets };
+    const step = current.getBoundary() ?? 0;
+    const atMs = this.#options.clock.getNow();
+    this.#completed = { epoch, version, step, holder: this.#holder, atMs };
     this.#hasSuitableMap = true;
   }
 
@@ -598,23 +706,41 @@
     if (this.#isReadingMap) return;
     this.#isReadingMap = true;
     const [first] = statuses;
-    const replies = await Promise.all(
-      statuses.map(({ rank }) => this.#options.getRank(rank)?.readHeld() ?? null),
-    );
+    const replies = await this.#readHeld(statuses);
     this.#isReadingMap = false;
     if (first === undefined) return;
-    const sets: number[][][] = [];
-    for (const [rank, reply] of replies.entries()) {
-      if (reply === null || reply.version !== first.map) return;
-      for (const [set, experts] of reply.sets.entries()) {
-        (sets[set] ??= [])[rank] = [...experts].sort((a, b) => a - b);
-      }
-    }
+    const sets = assembleSets(replies, new Array<number>(statuses.length).fill(first.map));
+    if (sets === null) return;
     this.#map = { version: first.map, epoch: first.epoch, sets };
     // A group starts with map 0, which is built without knowledge of the demand.
     this.#hasSuitableMap = first.map > 0;
     this.#options.log.report('active expert map read', { group: first.group, version: first.map });
   }
+
+  #readHeld(statuses: readonly RankStatus[]): Promise<(HeldReply | null)[]> {
+    return Promise.all(statuses.map(({ rank }) => this.#options.getRank(rank)?.readHeld() ?? null));
+  }
+}
+
+/**
+ * Assembles the experts that the ranks hold, by set.
+ *
+ * @param versions version of the map that each rank should have
+ * @returns null unless all ranks have answered and have it
+ */
+function assembleSets(
+  replies: readonly (HeldReply | null)[],
+  versions: readonly number[],
+): ExpertSets | null {
+  const sets: number[][][] = [];
+  for (const [rank, version] of versions.entries()) {
+    const reply = replies[rank] ?? null;
+    if (reply?.version !== version) return null;
+    for (const [set, experts] of reply.sets.entries()) {
+      (sets[set] ??= [])[rank] = [...experts].sort((a, b) => a - b);
+    }
+  }
+  return sets;
 }
 
 /** Returns the highest version of a map that a rank uses, has prepared or is armed for. */
@@ -626,6 +752,13 @@
   return highest;
 }
 
+function isArmedFor(
+  { armed }: RankStatus,
+  change: { readonly version: number; readonly step: number },
+): boolean {
+  return armed?.version === change.version && armed.step === change.step;
+}
+
 /** Returns the rank of the planner whose map was prepared last; null if none is prepared. */
 function findSwitchPlanner(statuses: readonly RankStatus[], size: number): number | null {
   let highest = 0;
