Hold the pass at a further rank before each rollback

Cause: only recoveries held the boundary at a further rank. A planner that withdrew its own switch disarmed ranks under the hold of the holder alone, which the agent of the holder releases if it has armed the planner's rank and the planner's machine is silent. By reading, and by the model.

Change: every rollback holds the pass at a further rank first. A test that expected `withdrawing` after a withdrawal now expects the further hold and then `withdrawing`.

--- a/packages/core/src/barrierswitch/BarrierSwitch.ts
+++ b/packages/core/src/barrierswitch/BarrierSwitch.ts
@@ -9,7 +9,7 @@
  *
  * - `preparing`: all ranks load the new map.
  * - `holding`: the holder is asked to hold the boundary pass.
- * - `fencing`: in a recovery, a further rank is asked to hold the boundary pass as well.
+ * - `fencing`: before a rollback, a further rank is asked to hold the boundary pass as well.
  * - `arming`: all ranks are armed to switch at the boundary pass.
  * - `releasing`: the holders are asked to release the boundary pass.
  * - `withdrawing`: after a refusal, all ranks are disarmed.
@@ -42,7 +42,7 @@
   readonly holder: number;
   /** Rank at the machine of the planner; it is armed last. */
   readonly planner: number;
-  /** Rank other than the holder that holds the boundary pass as well in a recovery. */
+  /** Rank other than the holder that holds the boundary pass as well before a rollback. */
   readonly fence: number;
   /** First pass that no earlier switch of this formation of the group may have had as its boundary. */
   readonly firstBoundary: number;
@@ -88,8 +88,9 @@
  * released only after every rank has confirmed that it is armed, or that it is disarmed and can no
  * longer be armed. Orders may be lost, repeated or delayed.
  *
- * A recovery first holds the boundary pass at a further rank, because the planner that left the
- * switch may continue at any time and release its hold while some ranks are disarmed already.
+ * A rollback first holds the boundary pass at a further rank, because another process may release
+ * the hold while some ranks are disarmed already: the planner that left the switch, or the agent of
+ * the holder, which takes all ranks for armed.
  *
  * A hold and its release are told apart by their pass only, and a release may be carried out late.
  * Therefore no two switches of a formation have the same boundary.
@@ -155,9 +156,10 @@
     recovery.#version = armedVersion;
     recovery.#boundary = boundary;
     recovery.#foreignHolds = holds;
-    const { fence } = options;
-    recovery.#rollBack([...new Set([...holds.map(({ rank }) => rank), fence])], absent);
-    recovery.#steps = [{ phase: 'fencing', ranks: [fence] }, ...recovery.#steps];
+    recovery.#rollBack(
+      holds.map(({ rank }) => rank),
+      absent,
+    );
     return recovery;
   }
 
@@ -355,18 +357,20 @@
   }
 
   /**
-   * Disarms all ranks for good and releases the pass.
+   * Holds the pass at a further rank, disarms all ranks for good and releases the pass.
    *
-   * @param holders ranks with a hold
+   * @param holders ranks with a hold, without the further one
    * @param absent rank that is left out; null for none
    */
   #rollBack(holders: readonly number[], absent: number | null): void {
+    const { fence } = this.#options;
     const ranks = this.#listRanks(absent);
     this.#result = 'failed';
     this.#begin([
+      { phase: 'fencing', ranks: [fence] },
       { phase: 'withdrawing', ranks },
       { phase: 'superseding', ranks },
-      { phase: 'releasing', ranks: holders },
+      { phase: 'releasing', ranks: [...new Set([...holders, fence])] },
     ]);
   }
 
--- a/packages/core/test/barrierswitch/BarrierSwitch.test.ts
+++ b/packages/core/test/barrierswitch/BarrierSwitch.test.ts
@@ -253,6 +253,10 @@
     expect(last.map(({ rank }) => rank)).toEqual([0]);
     // Guards against a group that waits for as long as the agent that arms that rank is away.
     mapSwitch.withdraw();
+    for (const { rank, order } of last) mapSwitch.handleAnswer(rank, order, 'lost');
+    const [fence] = mapSwitch.listOrders(ARMED_STEP - 1);
+    expect(fence).toEqual({ rank: 0, order: { operation: 'hold', step: ARMED_STEP } });
+    mapSwitch.handleAnswer(0, fence?.order as RankOrder, 'done');
     expect(mapSwitch.getPhase()).toBe('withdrawing');
   });
 
@@ -304,4 +308,27 @@
       expect(mapSwitch.getPhase()).toBe('failed');
     }
   });
+
+  // Guards against an agent of the holder that takes all ranks for armed and releases the pass while
+  // the planner disarms them.
+  it('never lets a pass begin with two maps when its hold is released during a rollback', () => {
+    for (let seed = 1; seed <= SCHEDULE_COUNT; seed += 1) {
+      const random = new SeededRandom(seed);
+      const group = createArmedGroup(1);
+      const mapSwitch = createHoldingSwitch({ ...createOptions(0, 8), firstBoundary: ARMED_STEP });
+      const [hold] = mapSwitch.listOrders(ARMED_STEP - 1);
+      mapSwitch.handleAnswer(1, hold?.order as RankOrder, 'done');
+      for (const { rank, order } of mapSwitch.listOrders(ARMED_STEP - 1)) {
+        mapSwitch.handleAnswer(rank, order, rank === 1 ? 'refused' : 'lost');
+      }
+      const releaseTick = seed % MAX_RELEASE_TICKS;
+      for (let tick = 0; tick < MAX_LATE_TICKS; tick += 1) {
+        if (tick === releaseTick) group.apply(1, { operation: 'go', step: ARMED_STEP });
+        if (!mapSwitch.isFinished()) advanceWithLosses(mapSwitch, group, random);
+        group.tick();
+      }
+      expect(group.mixedPasses, `seed ${seed}`).toBe(0);
+      expect(group.stalledTicks, `seed ${seed}`).toBe(0);
+    }
+  });
 });
