Leave a rollback to the planner of a newer map

Cause: a planner that rolled back while another one had prepared a newer map either took that map for its own and released the pass, which the other might hold by then, or disarmed and prepared in turns for ever, a round in 4 ms, as its prepared version was refused.

Change: a status with a newer prepared map ends the rollback without a release. The hold that stays is undone by the planner of the group.

Measured: the new test of BarrierSwitch fails before.

--- a/packages/core/src/barrierswitch/BarrierSwitch.ts
+++ b/packages/core/src/barrierswitch/BarrierSwitch.ts
@@ -217,7 +217,7 @@
   handleStatus(status: RankStatus): void {
     if (this.isFinished()) return;
     const isOver = this.#isReleasedByOther(status) || this.#isOccupied(status);
-    if (status.epoch !== this.epoch || isOver) {
+    if (status.epoch !== this.epoch || isOver || this.#isSuperseded(status)) {
       this.#fail();
       return;
     }
@@ -307,12 +307,21 @@
     return phase === 'preparing' || rank !== this.#options.holder || held !== this.#boundary;
   }
 
+  /**
+   * Returns whether another planner has prepared a newer map while this switch is rolled back. Its
+   * ranks refuse the rest of the rollback, and the pass may be held for another switch now.
+   */
+  #isSuperseded({ prepared }: RankStatus): boolean {
+    const phase = this.getPhase();
+    const isRollback = phase === 'fencing' || phase === 'withdrawing' || phase === 'superseding';
+    return isRollback && (prepared ?? 0) > this.#options.rollbackVersion;
+  }
+
   #hasPreparedMap({ prepared, armed }: RankStatus): boolean {
     const { version, rollbackVersion } = this.#options;
     const phase = this.getPhase();
     if (phase === 'preparing') return prepared === version;
-    // A newer map of another planner supersedes the withdrawn one as well.
-    return phase === 'superseding' && armed === null && (prepared ?? 0) >= rollbackVersion;
+    return phase === 'superseding' && armed === null && prepared === rollbackVersion;
   }
 
   /** Chooses the boundary pass. @returns false while no pass soon enough is left */
--- a/packages/core/test/barrierswitch/BarrierSwitch.test.ts
+++ b/packages/core/test/barrierswitch/BarrierSwitch.test.ts
@@ -331,4 +331,20 @@
       expect(group.stalledTicks, `seed ${seed}`).toBe(0);
     }
   });
+
+  // Guards against two rollbacks that refuse each other's maps for ever, and against a release of the
+  // pass that the other planner holds.
+  it('leaves a rollback to another planner that has prepared a newer map', () => {
+    const group = createArmedGroup(1);
+    const recovery = BarrierSwitch.resume(
+      { ...createOptions(3, 16), fence: 3 },
+      { holds: [{ rank: 1, step: 5 }], boundary: ARMED_STEP, armedVersion: 8, absent: null },
+    );
+    const [fence] = recovery.listOrders(ARMED_STEP - 1);
+    recovery.handleAnswer(3, fence?.order as RankOrder, 'done');
+    expect(recovery.getPhase()).toBe('withdrawing');
+    recovery.handleStatus({ ...group.readStatus(2), armed: null, prepared: 32 });
+    expect(recovery.getPhase()).toBe('failed');
+    expect(recovery.listOrders(ARMED_STEP - 1)).toEqual([]);
+  });
 });
