Undo a switch by what its ranks are armed for

Cause: a recovery took the pass that a rank holds for the one for which the ranks are armed. A late hold of an earlier pass made it leave out a planner's rank that was armed, and hold a pass of which late releases were still on their way: one rank began the pass with the new map. It also disarmed all ranks for one version; a rank armed late for another one refused the old map for ever.

Change: the further hold is at the pass for which ranks are armed, each hold is released at its own pass, and a rank is disarmed for the version that its status shows.

Measured: three new tests fail before.

--- a/packages/core/src/barrierswitch/BarrierSwitch.ts
+++ b/packages/core/src/barrierswitch/BarrierSwitch.ts
@@ -127,6 +127,9 @@
   /** Ranks that began to load the map of the current step. */
   #loading = new Set<number>();
 
+  /** Versions with which ranks were last seen armed: one may be armed late, after others have said so. */
+  readonly #armedVersions = new Map<number, number>();
+
   /** Holds of other processes that are to be released in the end. */
   #foreignHolds: readonly Hold[] = [];
 
@@ -223,6 +226,7 @@
     }
     if (this.#hasPreparedMap(status)) this.#confirm(status.rank);
     const { armed } = status;
+    if (armed !== null) this.#armedVersions.set(status.rank, armed.version);
     if (this.getPhase() !== 'arming' || armed === null) return;
     if (armed.version === this.#version && armed.step === this.#boundary) {
       this.#confirm(status.rank);
@@ -344,15 +348,16 @@
       case 'arming':
         return { operation: 'arm', version, step: this.#boundary as number };
       case 'withdrawing':
-        return { operation: 'disarm', version: this.#version };
+        return { operation: 'disarm', version: this.#armedVersions.get(rank) ?? this.#version };
       case 'superseding':
         return { operation: 'prepare', version: rollbackVersion, sets: cloneSets(rollbackSets) };
       default:
-        return { operation: 'go', step: this.#getHeldStep() };
+        return { operation: 'go', step: this.#getHeldStep(rank) };
     }
   }
 
-  #getHeldStep(): number {
+  #getHeldStep(rank: number): number {
+    for (const hold of this.#foreignHolds) if (hold.rank === rank) return hold.step;
     return this.#boundary as number;
   }
 
--- a/packages/core/test/barrierswitch/BarrierSwitch.test.ts
+++ b/packages/core/test/barrierswitch/BarrierSwitch.test.ts
@@ -347,4 +347,45 @@
     expect(recovery.getPhase()).toBe('failed');
     expect(recovery.listOrders(ARMED_STEP - 1)).toEqual([]);
   });
+
+  // Guards against a group that is held for ever because a rank that was armed late is disarmed for
+  // the wrong version.
+  it('disarms each rank for the version that its status shows', () => {
+    const group = createArmedGroup(1);
+    const recovery = BarrierSwitch.resume(
+      { ...createOptions(3, 16), fence: 3 },
+      { holds: [{ rank: 1, step: 5 }], boundary: ARMED_STEP, armedVersion: 12, absent: null },
+    );
+    recovery.handleStatus(group.readStatus(2));
+    const [fence] = recovery.listOrders(ARMED_STEP - 1);
+    recovery.handleAnswer(3, fence?.order as RankOrder, 'done');
+    const versions = recovery
+      .listOrders(ARMED_STEP - 1)
+      .map(({ order }) => ('version' in order ? order.version : null));
+    expect(versions).toEqual([12, 12, 8, 12]);
+  });
+
+  // Guards against a group that is held for ever by a late hold of a pass before the boundary.
+  it('releases each hold at the pass that it holds', () => {
+    const recovery = BarrierSwitch.resume(
+      { ...createOptions(3, 16), fence: 3 },
+      { holds: [{ rank: 1, step: 4 }], boundary: ARMED_STEP, armedVersion: 8, absent: null },
+    );
+    const orders: RankOrder[] = [];
+    const group = createArmedGroup(1);
+    for (let round = 0; round < 40 && !recovery.isFinished(); round += 1) {
+      for (const { rank, order } of recovery.listOrders(3)) {
+        orders.push(order);
+        recovery.handleAnswer(rank, order, group.apply(rank, order));
+      }
+      group.hasWork = false;
+      group.tick();
+      for (let rank = 0; rank < RANKS; rank += 1) recovery.handleStatus(group.readStatus(rank));
+    }
+    const releases = orders.filter(({ operation }) => operation === 'go');
+    expect(releases).toEqual([
+      { operation: 'go', step: 4 },
+      { operation: 'go', step: ARMED_STEP },
+    ]);
+  });
 });
--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -452,7 +452,9 @@
     const [planner] = missing;
     if (planner === undefined || missing.length > 1 || !this.#isUnanswered(planner)) return;
     if (findSwitchPlanner(statuses, own.size) !== planner) return;
-    const pass = { epoch: own.epoch, step: own.held };
+    // A late order may hold a pass before the one for which the ranks are armed.
+    const armed = findArmed(statuses);
+    const pass = { epoch: own.epoch, step: armed?.step ?? own.held };
     const state = this.#options.armGuard.getState(pass);
     if (state === 'armed') this.#releaseArmed(own);
     if (state !== 'not_armed') return;
@@ -490,8 +492,8 @@
       if (held !== null) holds.push({ rank, step: held });
     }
     if (holds.length === 0) return;
-    const armed = statuses.find((status) => status.armed !== null)?.armed ?? null;
-    const boundary = Math.min(...holds.map(({ step }) => step));
+    const armed = findArmed(statuses);
+    const boundary = armed?.step ?? Math.min(...holds.map(({ step }) => step));
     const fence = this.#chooseFence(statuses, boundary);
     if (fence === null) return;
     const options = { ...this.#createSwitchOptions(statuses, sets, sets), fence };
@@ -752,6 +754,17 @@
   return highest;
 }
 
+/** Returns the first change for which a rank is armed and whose pass has not begun; null if none is. */
+function findArmed(statuses: readonly RankStatus[]): RankStatus['armed'] {
+  let first: RankStatus['armed'] = null;
+  for (const { step, armed } of statuses) {
+    if (armed !== null && armed.step > step && armed.step < (first?.step ?? Infinity)) {
+      first = armed;
+    }
+  }
+  return first;
+}
+
 function isArmedFor(
   { armed }: RankStatus,
   change: { readonly version: number; readonly step: number },
--- a/packages/rankagent/test/MapPlanner.test.ts
+++ b/packages/rankagent/test/MapPlanner.test.ts
@@ -84,4 +84,24 @@
     for (const sets of prepared) expect(sets).toEqual(ACTIVE_SETS);
     expect(orders[0]).toEqual({ rank: 0, order: { operation: 'hold', step: 9 } });
   });
+
+  // Guards against a rollback whose further hold is at the pass of a late hold, before the one for
+  // which the ranks are armed: a late release of that pass ends both.
+  it('holds the pass for which ranks are armed before it disarms them', async () => {
+    const heldBefore = ({ rank }: RankStatus) => ({
+      map: ACTIVE_VERSION,
+      step: 8,
+      prepared: 12,
+      armed: { version: 12, step: 10 },
+      held: rank === 2 ? 9 : null,
+    });
+    isStalled = true;
+    for (let round = 0; round < 20; round += 1) {
+      reportStatuses(heldBefore);
+      planner.advance();
+      await timers.advance(10);
+    }
+    expect(orders[0]).toEqual({ rank: 0, order: { operation: 'hold', step: 10 } });
+    expect(orders[1]?.order).toEqual({ operation: 'disarm', version: 12 });
+  });
 });
