Tell the changes of a pass apart in the arm guard

Cause: the state `armed` of an earlier change was taken for a later change of the same pass, so that the agent of the holder could release it for a planner whose rank is not armed. By reading; no play has shown it.

Change: PlannerArmGuard keys its state by the version too, and the agent releases for another planner only if all ranks that answer are armed.

Measured: the new test of PlannerArmGuard fails before.

--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -454,11 +454,14 @@
     if (findSwitchPlanner(statuses, own.size) !== planner) return;
     // A late order may hold a pass before the one for which the ranks are armed.
     const armed = findArmed(statuses);
-    const pass = { epoch: own.epoch, step: armed?.step ?? own.held };
-    const state = this.#options.armGuard.getState(pass);
-    if (state === 'armed') this.#releaseArmed(own);
+    const version = armed?.version ?? findHighestVersion(statuses);
+    const change = { epoch: own.epoch, step: armed?.step ?? own.held, version };
+    const state = this.#options.armGuard.getState(change);
+    if (state === 'armed' && statuses.every((status) => isArmedFor(status, change))) {
+      this.#releaseArmed(own);
+    }
     if (state !== 'not_armed') return;
-    this.#options.armGuard.refuse(pass);
+    this.#options.armGuard.refuse(change);
     if (statuses.some(({ map }) => map !== own.map) || !this.#restoreActiveMap(own)) return;
     this.#recover(statuses, planner);
   }
--- a/packages/rankagent/src/planner/PlannerArmGuard.ts
+++ b/packages/rankagent/src/planner/PlannerArmGuard.ts
@@ -6,6 +6,12 @@
   readonly step: number;
 }
 
+/** A change of map at a held pass. */
+interface HeldChange extends HeldPass {
+  /** Version of the map for which ranks are armed. */
+  readonly version: number;
+}
+
 /**
  * - `not_armed`: the planner's rank is not armed for the pass, and will not be after `refuse`.
  * - `armed`: it is, and so are all others.
@@ -22,8 +28,8 @@
   /** Epoch in which this process has seen its rank without a hold. */
   #freeEpoch: number | null = null;
 
-  /** The last pass for which the planner's rank was to be armed. */
-  #last: (HeldPass & { state: PlannerArmState }) | null = null;
+  /** The last change for which the planner's rank was to be armed. */
+  #last: (HeldChange & { state: PlannerArmState }) | null = null;
 
   /** The last pass for which it will not be armed any more. */
   #refused: HeldPass | null = null;
@@ -34,27 +40,32 @@
   }
 
   /** Begins to arm the planner's rank. @returns false if it must not be armed */
-  begin(pass: HeldPass): boolean {
-    if (isSamePass(this.#refused, pass)) return false;
-    if (!isSamePass(this.#last, pass)) this.#last = { ...pass, state: 'unknown' };
+  begin(change: HeldChange): boolean {
+    if (isSamePass(this.#refused, change)) return false;
+    if (!this.#isLast(change)) this.#last = { ...change, state: 'unknown' };
     return true;
   }
 
   /** Records the answer of the planner's rank. */
-  finish(pass: HeldPass, answer: OrderAnswer): void {
-    if (!isSamePass(this.#last, pass) || this.#last === null) return;
+  finish(change: HeldChange, answer: OrderAnswer): void {
+    if (!this.#isLast(change) || this.#last === null) return;
     if (answer === 'done') this.#last.state = 'armed';
   }
 
-  getState(pass: HeldPass): PlannerArmState {
-    if (this.#last !== null && isSamePass(this.#last, pass)) return this.#last.state;
-    return this.#freeEpoch === pass.epoch ? 'not_armed' : 'unknown';
+  /** Returns the state for one change; that of an earlier one at the same pass says nothing of it. */
+  getState(change: HeldChange): PlannerArmState {
+    if (this.#last !== null && this.#isLast(change)) return this.#last.state;
+    return this.#freeEpoch === change.epoch ? 'not_armed' : 'unknown';
   }
 
   /** Ensures that this process does not arm the planner's rank for a pass any more. */
   refuse(pass: HeldPass): void {
     this.#refused = { epoch: pass.epoch, step: pass.step };
   }
+
+  #isLast(change: HeldChange): boolean {
+    return isSamePass(this.#last, change) && this.#last?.version === change.version;
+  }
 }
 
 function isSamePass(pass: HeldPass | null, other: HeldPass): boolean {
--- a/packages/rankagent/src/process/RankAgent.ts
+++ b/packages/rankagent/src/process/RankAgent.ts
@@ -687,7 +687,8 @@
   ): Promise<void> {
     const status = await this.#readStatus();
     const isHeld = status?.epoch === epoch && status.held === step;
-    if (!isHeld || !this.#armGuard.begin({ epoch, step })) {
+    const change = { epoch, step, version };
+    if (!isHeld || !this.#armGuard.begin(change)) {
       this.#socket.send({ kind: 'answer', id, answer: 'refused' }, [from]);
       return;
     }
@@ -695,7 +696,7 @@
       this.#plannerRank = { address: rankAddress, rank: this.#options.openRank(rankAddress) };
     }
     const answer = await this.#plannerRank.rank.order({ operation: 'arm', version, step }, epoch);
-    this.#armGuard.finish({ epoch, step }, answer);
+    this.#armGuard.finish(change, answer);
     this.#socket.send({ kind: 'answer', id, answer }, [from]);
   }
 
--- a/packages/rankagent/test/PlannerArmGuard.test.ts
+++ b/packages/rankagent/test/PlannerArmGuard.test.ts
@@ -3,7 +3,7 @@
 import { SimGroup } from '@limpetbay/standins';
 import { PlannerArmGuard } from '../src/index.js';
 
-const PASS = { epoch: 1, step: 5 };
+const PASS = { epoch: 1, step: 5, version: 8 };
 
 function createStatus(held: number | null, epoch = 1): RankStatus {
   return { ...new SimGroup(2, 0).readStatus(1), epoch, held };
@@ -21,7 +21,7 @@
     const guard = new PlannerArmGuard();
     guard.recordStatus(createStatus(null));
     expect(guard.getState(PASS)).toBe('not_armed');
-    expect(guard.getState({ epoch: 2, step: 5 })).toBe('unknown');
+    expect(guard.getState({ ...PASS, epoch: 2 })).toBe('unknown');
   });
 
   // Guards against an order without an answer that is carried out after the ranks were disarmed.
@@ -40,6 +40,18 @@
     const guard = new PlannerArmGuard();
     guard.refuse(PASS);
     expect(guard.begin(PASS)).toBe(false);
-    expect(guard.begin({ epoch: 1, step: 6 })).toBe(true);
+    expect(guard.begin({ ...PASS, step: 6 })).toBe(true);
+  });
+
+  // Guards against a release for a later change of the same pass, for which the rank is not armed.
+  it('does not take the state of an earlier change of the same pass for that of a later one', () => {
+    const guard = new PlannerArmGuard();
+    guard.recordStatus(createStatus(null));
+    guard.begin(PASS);
+    guard.finish(PASS, 'done');
+    expect(guard.getState({ ...PASS, version: 16 })).toBe('not_armed');
+    guard.begin({ ...PASS, version: 16 });
+    guard.finish(PASS, 'done');
+    expect(guard.getState({ ...PASS, version: 16 })).toBe('unknown');
   });
 });
