Change ranks with different maps to one map

Cause: the planner plans only where all ranks show one map, so a group with two maps kept them until the group formed anew.

Change: if statuses that are read for it still differ after 300 ms, all ranks are switched to one map that keeps what each rank holds; an expert that none holds goes to the rank with the fewest. A warning names the versions.

Measured: the new tests fail before.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,6 +34,7 @@
 export { RankOrder } from './barrierswitch/RankOrder.js';
 export { RankStatus } from './barrierswitch/RankStatus.js';
 export { applyMapDelta } from './barrierswitch/applyMapDelta.js';
+export { completeSets } from './barrierswitch/completeSets.js';
 export { createInitialMap } from './barrierswitch/createInitialMap.js';
 export { diffMaps } from './barrierswitch/diffMaps.js';
 export { BodyBudget } from './body/BodyBudget.js';
--- a/packages/rankagent/src/planner/MapPlanner.ts
+++ b/packages/rankagent/src/planner/MapPlanner.ts
@@ -4,6 +4,7 @@
   BoundaryChooser,
   type Clock,
   type EngineModel,
+  completeSets,
   createInitialMap,
   type ExpertSets,
   type MapOrder,
@@ -68,6 +69,9 @@
 /** A group is held for this long at most for the process that arms the planner's rank, milliseconds. */
 const PLANNER_ARM_TIMEOUT_MS = 600;
 
+/** Ranks whose maps differ for this long get one map; a status may be older than a switch, milliseconds. */
+const MAP_DIFFERENCE_TIMEOUT_MS = 300;
+
 /** Interval of the warnings about a switch that holds the group, milliseconds. */
 const HOLD_WARNING_INTERVAL_MS = 1000;
 
@@ -131,6 +135,9 @@
 
   #lastHoldWarningMs = -Infinity;
 
+  /** Time since which ranks have different maps; null if they do not. */
+  #mapsDifferSinceMs: number | null = null;
+
   /** Time since which a rank holds a pass without a switch of this process; null if none does. */
   #unexplainedHoldSinceMs: number | null = null;
 
@@ -279,10 +286,14 @@
     const isHeld = this.#listHeld(statuses).length > 0;
     const isArmed = statuses.some(({ armed }) => armed !== null);
     const isSameMap = statuses.every(({ map }) => map === first.map);
+    if (isSameMap) this.#mapsDifferSinceMs = null;
+    else {
+      if (isHeld || !isArmed) this.#repairMaps(statuses);
+      return;
+    }
     const isKnown = this.#map !== null && this.#map.epoch === epoch;
     // A process that was paused may take another map for the active one.
     if (!isKnown || (isHeld && this.#map?.version !== first.map)) {
-      if (!isSameMap) return;
       if (!isHeld || !this.#restoreActiveMap(first)) {
         void this.#readActiveMap(statuses);
         return;
@@ -292,7 +303,7 @@
     else if (this.#isHoldUnexplained() && !this.#releaseCompleted(statuses)) {
       this.#recover(statuses, null);
     }
-    if (isHeld || isArmed || !isSameMap) return;
+    if (isHeld || isArmed) return;
     if (first.map !== this.#map?.version) {
       void this.#readActiveMap(statuses);
       return;
@@ -429,6 +440,45 @@
     this.#isReleasing = false;
   }
 
+  /**
+   * Starts a switch of all ranks to one map if their maps differ. It keeps what each rank holds, so
+   * that none has to load more experts than it has room for.
+   */
+  #repairMaps(statuses: readonly RankStatus[]): void {
+    const nowMs = this.#options.clock.getNow();
+    this.#mapsDifferSinceMs ??= nowMs;
+    const sinceMs = this.#mapsDifferSinceMs + MAP_DIFFERENCE_TIMEOUT_MS;
+    if (nowMs < sinceMs) return;
+    for (const { rank } of statuses) {
+      if ((this.#statuses.get(rank)?.receivedMs ?? 0) >= sinceMs) continue;
+      this.#pollRank(rank, WAITING_POLL_INTERVAL_MS);
+      return;
+    }
+    if (this.#isReadingMap || this.#model === null) return;
+    void this.#startRepair(statuses, this.#model);
+  }
+
+  async #startRepair(
+    statuses: readonly RankStatus[],
+    { count }: NonNullable<EngineModel['experts']>,
+  ): Promise<void> {
+    this.#isReadingMap = true;
+    const replies = await this.#readHeld(statuses);
+    this.#isReadingMap = false;
+    const versions = statuses.map(({ map }) => map);
+    const held = assembleSets(replies, versions);
+    if (held === null || this.#switch !== null) return;
+    const sets = completeSets(held, count);
+    this.#mapsDifferSinceMs = null;
+    this.#map = null;
+    this.#options.log.warn('ranks have different expert maps; changing all to one', {
+      group: statuses[0]?.group,
+      versions,
+    });
+    if (this.#listHeld(statuses).length > 0) this.#resumeSwitch(statuses, null, sets);
+    else this.#startSwitch(this.#createSwitchOptions(statuses, sets, sets));
+  }
+
   /** Lists the ranks with a hold in force; the statuses of other ranks may be older than its release. */
   #listHeld(statuses: readonly RankStatus[]): RankStatus[] {
     const step = this.#getOwnStatus()?.step ?? 0;
--- a/packages/rankagent/test/MapPlanner.test.ts
+++ b/packages/rankagent/test/MapPlanner.test.ts
@@ -19,12 +19,15 @@
   let timers: SimTimers;
   let planner: MapPlanner;
   let isStalled = false;
+  /** Returns the version of the map that a rank names with the experts that it holds. */
+  let readVersion: (rank: number) => number;
 
   beforeEach(() => {
     timers = new SimTimers();
     timers.begin();
     orders.length = 0;
     isStalled = false;
+    readVersion = () => 0;
     planner = new MapPlanner({
       clock: timers,
       log: { report: () => {}, warn: () => {}, alert: () => {} },
@@ -38,7 +41,7 @@
         },
         armPlanner: () => Promise.resolve('done'),
         pollStatus: () => Promise.resolve(),
-        readHeld: () => Promise.resolve({ version: 0, sets: [[rank]] }),
+        readHeld: () => Promise.resolve({ version: readVersion(rank), sets: [[rank]] }),
       }),
       findMap: (_epoch, version) => (version === ACTIVE_VERSION ? ACTIVE_SETS : INITIAL_SETS),
       isGroupStalled: () => isStalled,
@@ -104,4 +107,17 @@
     expect(orders[0]).toEqual({ rank: 0, order: { operation: 'hold', step: 10 } });
     expect(orders[1]?.order).toEqual({ operation: 'disarm', version: 12 });
   });
+
+  // Guards against a group that runs with two maps for as long as nothing else changes them.
+  it('changes ranks with different maps to one map that keeps what they hold', async () => {
+    readVersion = (rank) => (rank === 2 ? ACTIVE_VERSION : 0);
+    for (let round = 0; round < 60; round += 1) {
+      reportStatuses(({ rank }) => ({ map: rank === 2 ? ACTIVE_VERSION : 0, step: 8 }));
+      planner.advance();
+      await timers.advance(10);
+    }
+    const prepared = orders.filter(({ order }) => order.operation === 'prepare');
+    expect(prepared.map(({ rank }) => rank)).toEqual([0, 1, 2]);
+    for (const { order } of prepared) expect(order).toMatchObject({ sets: INITIAL_SETS });
+  });
 });
