--- a/packages/rankagent/test/MapPlanner.test.ts
+++ b/packages/rankagent/test/MapPlanner.test.ts
@@ -19,12 +19,15 @@
   let timers: SimTimers;
   let planner: MapPlanner;
   let isStalled = false;
+  /** Returns the version of the map that a rank names with the experts that it holds. */
+  let readVersion: (rank: number) => number;
 
   beforeEach(() => {
     timers = new SimTimers();
     timers.begin();
     orders.length = 0;
     isStalled = false;
+    readVersion = () => 0;
     planner = new MapPlanner({
       clock: timers,
       log: { report: () => {}, warn: () => {}, alert: () => {} },
@@ -38,7 +41,7 @@
         },
         armPlanner: () => Promise.resolve('done'),
         pollStatus: () => Promise.resolve(),
-        readHeld: () => Promise.resolve({ version: 0, sets: [[rank]] }),
+        readHeld: () => Promise.resolve({ version: readVersion(rank), sets: [[rank]] }),
       }),
       findMap: (_epoch, version) => (version === ACTIVE_VERSION ? ACTIVE_SETS : INITIAL_SETS),
       isGroupStalled: () => isStalled,
@@ -84,4 +87,37 @@
     for (const sets of prepared) expect(sets).toEqual(ACTIVE_SETS);
     expect(orders[0]).toEqual({ rank: 0, order: { operation: 'hold', step: 9 } });
   });
+
+  // Guards against a rollback whose further hold is at the pass of a late hold, before the one for
+  // which the ranks are armed: a late release of that pass ends both.
+  it('holds the pass for which ranks are armed before it disarms them', async () => {
+    const heldBefore = ({ rank }: RankStatus) => ({
+      map: ACTIVE_VERSION,
+      step: 8,
+      prepared: 12,
+      armed: { version: 12, step: 10 },
+      held: rank === 2 ? 9 : null,
+    });
+    isStalled = true;
+    for (let round = 0; round < 20; round += 1) {
+      reportStatuses(heldBefore);
+      planner.advance();
+      await timers.advance(10);
+    }
+    expect(orders[0]).toEqual({ rank: 0, order: { operation: 'hold', step: 10 } });
+    expect(orders[1]?.order).toEqual({ operation: 'disarm', version: 12 });
+  });
+
+  // Guards against a group that runs with two maps for as long as nothing else changes them.
+  it('changes ranks with different maps to one map that keeps what they hold', async () => {
+    readVersion = (rank) => (rank === 2 ? ACTIVE_VERSION : 0);
+    for (let round = 0; round < 60; round += 1) {
+      reportStatuses(({ rank }) => ({ map: rank === 2 ? ACTIVE_VERSION : 0, step: 8 }));
+      planner.advance();
+      await timers.advance(10);
+    }
+    const prepared = orders.filter(({ order }) => order.operation === 'prepare');
+    expect(prepared.map(({ rank }) => rank)).toEqual([0, 1, 2]);
+    for (const { order } of prepared) expect(order).toMatchObject({ sets: INITIAL_SETS });
+  });
 });
