Check the contents of maps in the model of late orders

Cause: the rule names version and content; the model compared versions.

Change: the simulated group keeps the map that each rank was first ordered to load under a version, and counts passes whose ranks have different maps under one version.

--- a/packages/rankagent/test/lateOrders.test.ts
+++ b/packages/rankagent/test/lateOrders.test.ts
@@ -101,7 +101,7 @@
     await timers.advance(CALM_MS / 2);
     return {
       seed,
-      mixedPasses: group.mixedPasses,
+      mixedPasses: group.mixedPasses + deployment.group.conflictingPasses,
       isMoving: deployment.group.passes - passes >= MIN_CALM_PASSES,
       maps: new Set(group.ranks.map(({ map }) => map)).size,
       switches: deployment.group.mapTimesMs.length,
--- a/packages/rankagent/test/support/SimExpertGroup.ts
+++ b/packages/rankagent/test/support/SimExpertGroup.ts
@@ -50,6 +50,9 @@
 
   passes = 0;
 
+  /** Number of passes that began while ranks had different maps under one version. */
+  conflictingPasses = 0;
+
   readonly #clock: Clock;
 
   readonly #shape: GroupShape;
@@ -61,6 +64,9 @@
 
   readonly #prepared = new Map<string, number[][]>();
 
+  /** The whole map that each rank was last ordered to load, by rank and version. */
+  readonly #maps = new Map<string, string>();
+
   readonly #counts: number[][];
 
   /** Fraction of the choices by set and expert. */
@@ -106,7 +112,12 @@
   apply(rank: number, order: RankOrder): OrderAnswer {
     if (order.operation !== 'prepare') return this.group.apply(rank, order);
     const sets = order.sets.map((ranks) => ranks[rank] ?? []);
-    this.#prepared.set(`${rank}/${order.version}`, sets);
+    const key = `${rank}/${order.version}`;
+    // A rank that has the version already keeps the map that came first.
+    if (!this.#prepared.has(key)) {
+      this.#prepared.set(key, sets);
+      this.#maps.set(key, describeMap(order.sets));
+    }
     let copies = 0;
     for (const [set, experts] of sets.entries()) {
       const held = new Set(this.experts[rank]?.[set]);
@@ -134,6 +145,9 @@
       if (map !== oldMaps[rank]) this.experts[rank] = this.#prepared.get(`${rank}/${map}`) ?? [];
     }
     if (this.group.ranks[0]?.map !== oldMaps[0]) this.mapTimesMs.push(this.#clock.getNow());
+    const versions = this.group.ranks.map(({ map }) => map);
+    const contents = versions.map((version, rank) => this.#maps.get(`${rank}/${version}`));
+    if (new Set(versions).size === 1 && new Set(contents).size > 1) this.conflictingPasses += 1;
     this.#countChoices();
     const skew = this.#computeSkew();
     this.skewSum += skew;
@@ -184,6 +198,10 @@
   }
 }
 
+function describeMap(sets: Extract<RankOrder, { operation: 'prepare' }>['sets']): string {
+  return JSON.stringify(sets.map((ranks) => ranks.map((held) => [...held].sort((a, b) => a - b))));
+}
+
 function shuffle(values: readonly number[], random: SeededRandom): number[] {
   const keys = values.map((value) => ({ value, key: random.next() }));
   return keys.sort((a, b) => a.key - b.key).map(({ value }) => value);
