Tell answers of a keeper to an earlier process apart

Cause: every process of an entry numbered its requests to the keeper of a shared rate from 1. A keeper that was paused, or a slow link, could answer an earlier process of the entry, and the answer granted a request of the next one, perhaps of another target.

Change: the numbers begin at the time of day, as those of orders do.

--- a/packages/gateway/src/rates/SharedRates.ts
+++ b/packages/gateway/src/rates/SharedRates.ts
@@ -70,12 +70,14 @@
   /** Hashes of entry names, which every request to a limited target needs. */
   readonly #nameHashes = new Map<string, number>();
 
-  #lastId = 0;
+  #lastId: number;
 
   constructor(options: SharedRatesOptions) {
     this.#options = options;
     this.#grants = new RateGrants(options.clock);
     this.#startMs = options.clock.getNow();
+    // An answer to an earlier process of this entry matches no request of this one.
+    this.#lastId = options.clock.getWallTime().getTime();
   }
 
   /**
