Name the times of the model of late orders

Cause: a loop advanced its own variable, and a bound did not say that it holds for the second half of the calm time.

Change: a while loop, a named constant and the comment.

--- a/packages/rankagent/test/lateOrders.test.ts
+++ b/packages/rankagent/test/lateOrders.test.ts
@@ -30,12 +30,14 @@
 /** After the troubles the last late order is carried out within this time. */
 const CALM_MS = 20_000;
 
-/** Passes that a group with work begins at least in `CALM_MS`, far fewer than it usually does. */
+/** Passes that a group with work begins at least in the second half of `CALM_MS`; usually about 300. */
 const MIN_CALM_PASSES = 100;
 
 /** Longest time for which the group has requests, and for which it has none. */
 const MAX_TURN_MS = { busy: 900, idle: 3000 };
 
+const FIRST_ABSENCE_MS = 3000;
+
 /** Longest absence of an agent, and longest time between two absences. */
 const MAX_ABSENCE_MS = 4000;
 
@@ -67,7 +69,8 @@
   untilMs: number,
 ): void {
   if (trouble === 'none') return;
-  for (let atMs = 3000; atMs < untilMs; atMs += 500 + random.next() * MAX_ABSENCE_MS) {
+  let atMs = FIRST_ABSENCE_MS;
+  while (atMs < untilMs) {
     const rank = Math.floor(random.next() ** 2 * GROUP.ranks);
     const endMs = atMs + 100 + random.next() * MAX_ABSENCE_MS;
     const host = deployment.agentHosts[rank];
@@ -78,7 +81,7 @@
       setTimeout(() => deployment.stopAgent(rank), atMs);
       setTimeout(() => void deployment.startAgent(rank), endMs);
     }
-    atMs = endMs;
+    atMs = endMs + 500 + random.next() * MAX_ABSENCE_MS;
   }
 }
 
