--- a/packages/rankagent/test/lateOrders.test.ts
+++ b/packages/rankagent/test/lateOrders.test.ts
@@ -3,19 +3,7 @@
 import { SimTimers } from '@limpetbay/standins';
 import { OrderFaults } from './support/OrderFaults.js';
 import { SimDeployment } from './support/SimDeployment.js';
-
-const GROUP = {
-  ranks: 4,
-  sets: 2,
-  experts: 16,
-  slotsPerRank: 7,
-  otherTargets: 0,
-  entries: 1,
-  agentBitsPerSecond: 14_000_000,
-  entryBitsPerSecond: 700_000_000,
-  evenPassMs: 30,
-  copyMs: 37,
-};
+import { smallGroup } from './support/smallGroup.js';
 
 /** Shares of `OrderFaults`. */
 const FAULTS = { unansweredBarriers: 0.5, silence: 0.2, late: 0.8 };
@@ -71,7 +59,7 @@
   if (trouble === 'none') return;
   let atMs = FIRST_ABSENCE_MS;
   while (atMs < untilMs) {
-    const rank = Math.floor(random.next() ** 2 * GROUP.ranks);
+    const rank = Math.floor(random.next() ** 2 * smallGroup.ranks);
     const endMs = atMs + 100 + random.next() * MAX_ABSENCE_MS;
     const host = deployment.agentHosts[rank];
     if (trouble === 'machines freeze') {
@@ -89,7 +77,7 @@
   const timers = new SimTimers();
   timers.begin();
   const random = new SeededRandom(seed);
-  const deployment = new SimDeployment(timers, GROUP, seed);
+  const deployment = new SimDeployment(timers, smallGroup, seed);
   const { group } = deployment.group;
   try {
     await deployment.start();
--- a/packages/rankagent/test/lateRelease.test.ts
+++ b/packages/rankagent/test/lateRelease.test.ts
@@ -2,19 +2,7 @@
 import type { OrderAnswer, RankOrder } from '@limpetbay/core';
 import { SimTimers } from '@limpetbay/standins';
 import { SimDeployment } from './support/SimDeployment.js';
-
-const GROUP = {
-  ranks: 4,
-  sets: 2,
-  experts: 16,
-  slotsPerRank: 7,
-  otherTargets: 0,
-  entries: 1,
-  agentBitsPerSecond: 14_000_000,
-  entryBitsPerSecond: 700_000_000,
-  evenPassMs: 30,
-  copyMs: 37,
-};
+import { smallGroup } from './support/smallGroup.js';
 
 const SEED = 7;
 
@@ -89,7 +77,7 @@
   it('does not release the pass of a later change', async () => {
     const timers = new SimTimers();
     timers.begin();
-    const deployment = new SimDeployment(timers, GROUP, SEED);
+    const deployment = new SimDeployment(timers, smallGroup, SEED);
     const change = new IdleChange(deployment);
     deployment.orderFaults = change;
     try {
