Keep the largest recent figure of any kind by key

Cause: only the durations of streams had their recent maxima; the sizes of answers need the same.

Change: StreamDurations becomes RecentMaxima. No change of behaviour.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -119,7 +119,7 @@
 export { RouteExplanation } from './direct/RouteExplanation.js';
 export { RouteQuery } from './direct/RouteQuery.js';
 export { RouteTable } from './direct/RouteTable.js';
-export { StreamDurations } from './direct/StreamDurations.js';
+export { RecentMaxima } from './direct/RecentMaxima.js';
 export { TargetCheck } from './direct/TargetCheck.js';
 export { TargetHolds } from './direct/TargetHolds.js';
 export { TargetPace } from './direct/TargetPace.js';
--- a/packages/gateway/src/request/RequestContext.ts
+++ b/packages/gateway/src/request/RequestContext.ts
@@ -3,11 +3,11 @@
   BodyBudget,
   Clock,
   RandomSource,
+  RecentMaxima,
   RetryBudget,
   RouteTable,
   TargetHolds,
   TargetPace,
-  StreamDurations,
   TargetPicker,
   TargetRegistry,
 } from '@limpetbay/core';
@@ -41,7 +41,8 @@
   readonly suspects: SharedSuspectBreaker;
   readonly endCheck: TargetEndCheck;
   readonly stopDeadline: StopDeadline;
-  readonly streamDurations: StreamDurations;
+  /** The longest streams that recently ended as complete, by route, milliseconds. */
+  readonly streamDurations: RecentMaxima;
   readonly metrics: MetricRegistry;
   readonly log: Log;
   /** Returns the active routes; null before the first configuration. */
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -262,7 +262,7 @@
     const stopMs = this.#context.stopDeadline.getMs();
     if (route.kind === 'stream') {
       const { clock, streamDurations } = this.#context;
-      const longestMs = Math.max(MIN_STREAM_DURATION_MS, streamDurations.getLongestMs(route.name));
+      const longestMs = Math.max(MIN_STREAM_DURATION_MS, streamDurations.getLargest(route.name));
       return clock.getNow() + longestMs <= stopMs;
     }
     return this.#mayHaveRun || this.#startMs + route.timeoutMs <= stopMs;
