--- a/packages/callers/src/direct/DirectAnswer.ts
+++ b/packages/callers/src/direct/DirectAnswer.ts
@@ -8,14 +8,7 @@
 } from '@limpetbay/core';
 import { abortResponse } from '../answer/abortResponse.js';
 import { toErrorBody } from '../answer/toErrorBody.js';
-
-/** Why an answer was broken off, and since when its connection had taken nothing of it. */
-export interface DroppedAnswer {
-  readonly cause: 'memory' | 'unread';
-  /** What was not sent. */
-  readonly bytes: number;
-  readonly noProgressMs: number;
-}
+import type { DroppedAnswer } from './DroppedAnswer.js';
 
 interface AnswerOptions {
   readonly clock: Clock;
--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -15,8 +15,9 @@
 import type { ClosedRequest } from '../connection/ClosedRequest.js';
 import { ConnectionMonitor } from '../connection/ConnectionMonitor.js';
 import type { OpenRequest } from '../connection/OpenRequest.js';
-import { DirectAnswer, type DroppedAnswer } from './DirectAnswer.js';
+import { DirectAnswer } from './DirectAnswer.js';
 import type { DirectHandler } from './DirectHandler.js';
+import type { DroppedAnswer } from './DroppedAnswer.js';
 
 interface DirectServerOptions {
   readonly host: string;
--- a/packages/gateway/src/request/AttemptRun.ts
+++ b/packages/gateway/src/request/AttemptRun.ts
@@ -191,7 +191,7 @@
   }
 
   /** Stops to read the answer until `resume` is called, which keeps its target from sending more. */
-  pause(): void {
+  suspend(): void {
     if (this.#hasEnded) return;
     this.#cancelProgressTimeout?.();
     this.#transport?.setPaused(true);
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -648,7 +648,7 @@
       });
     }
     const attempt = this.#attempt;
-    attempt?.pause();
+    attempt?.suspend();
     this.#answer.waitUntilTaken(maxBytes, () => attempt?.resume());
   }
 
