Read streams at the pace of their callers instead of breaking them off

What callers saw: a stream that its target sends faster than the caller reads was broken off once 1 MiB waited, though the caller read all the time.

Cause: the same as for bodies: the entry took all that a target sent, and cut what it could not hold.

Change: the target is not read while more than 1 MiB waits for the caller, 16 KiB where memory is short. A caller that reads nothing loses the stream after the idle timeout.

--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -586,7 +586,7 @@
             this.#lastEventId = lastId;
             this.#answer.write(bytes);
             this.#progressMs = this.#context.clock.getNow();
-            this.#checkUnsent();
+            this.#holdBack();
           }),
         onBody: (head, parts, length) => this.#runStep(() => this.#forward(head, parts, length)),
         canBeReplaced: () => this.#canReplaceAttempt(),
@@ -625,13 +625,6 @@
     this.#holdBack();
   }
 
-  /** Breaks off a stream whose caller does not read it, instead of keeping all of it. */
-  #checkUnsent(): void {
-    if (this.#answer.countUnsentBytes() <= MAX_UNSENT_BYTES) return;
-    this.#abort(`the caller left ${MAX_UNSENT_BYTES} bytes unread`);
-    this.#stopAttempt(this.#admission as Admission);
-  }
-
   /** Stops to read the answer from its target until the caller has taken enough of it. */
   #holdBack(): void {
     const isShort = this.#context.answerBudget.isShort();
