Keep no route table for requests that run

Cause: a request kept the whole table of the version with which it was admitted, for the version in a log line, until it ended. So all versions of the last 7 s were in the heap at once.

Change: a request keeps the number of its version. The tables in memory and their sizes are metrics and stand in the line `configuration active`.

--- a/packages/gateway/src/feed/GatewayView.ts
+++ b/packages/gateway/src/feed/GatewayView.ts
@@ -13,6 +13,7 @@
 import type { IgnoredRecordLog, Log } from '@limpetbay/runtime';
 import type { SharedTargetLimits } from '../limits/SharedTargetLimits.js';
 import type { SharedSuspectBreaker } from '../suspects/SharedSuspectBreaker.js';
+import { HeldTables } from './HeldTables.js';
 import type { MirrorListener } from './MirrorListener.js';
 import type { MirrorSnapshot } from './MirrorSnapshot.js';
 import type { RecordLayout } from './RecordLayout.js';
@@ -44,6 +45,8 @@
 
   #table: RouteTable | null = null;
 
+  readonly #heldTables = new HeldTables();
+
   #hasTargets = false;
 
   constructor(options: GatewayViewOptions) {
@@ -54,6 +57,10 @@
     return this.#table;
   }
 
+  getHeldTables(): HeldTables {
+    return this.#heldTables;
+  }
+
   /** Returns whether configuration and targets have been read at least once. */
   isComplete(): boolean {
     return this.#table !== null && this.#hasTargets;
@@ -192,11 +199,14 @@
     const previousVersion = this.#table?.config.version ?? -1;
     if (version <= previousVersion) return;
     this.#table = new RouteTable(decoded.val);
+    this.#heldTables.add(this.#table, Buffer.byteLength(record.value));
     log.report('configuration active', {
       version,
       was: previousVersion,
       revision: record.revision,
       routes: decoded.val.routes.length,
+      bytes: Buffer.byteLength(record.value),
+      heldTables: this.#heldTables.count(),
     });
     onConfig(this.#table);
   }
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -21,6 +21,7 @@
 import { IgnoredRecordLog, tryStep, type Log } from '@limpetbay/runtime';
 import { EntryLease } from '../feed/EntryLease.js';
 import { GatewayView } from '../feed/GatewayView.js';
+import type { HeldTables } from '../feed/HeldTables.js';
 import { PositionProbe } from '../feed/PositionProbe.js';
 import { StoreMirror } from '../feed/StoreMirror.js';
 import type { TargetPool } from '../ports/TargetPool.js';
@@ -361,6 +362,11 @@
     void this.#lease.stop();
   }
 
+  /** Returns the route tables in memory. */
+  getHeldTables(): HeldTables {
+    return this.#view.getHeldTables();
+  }
+
   /** Returns the number of open connections to targets. */
   countTargetConnections(): number {
     let count = 0;
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -254,6 +254,8 @@
       limpetbay_dropped_bodies: () => bodyBudget.countEvictions(),
       limpetbay_open_answer_bytes: () => this.#answerBudget.countBytes(),
       limpetbay_answer_limit_bytes: () => this.#answerBudget.getMaxBytes(),
+      limpetbay_held_configs: () => this.#core.getHeldTables().count(),
+      limpetbay_held_config_bytes: () => this.#core.getHeldTables().countBytes(),
       limpetbay_open_unsent_bytes: () => this.#server.countUnsentBytes(),
     };
     for (const [name, read] of Object.entries(gauges)) this.#options.metrics.register(name, read);
--- a/packages/gateway/src/request/RequestRun.ts
+++ b/packages/gateway/src/request/RequestRun.ts
@@ -14,7 +14,6 @@
   type DirectTarget,
   type ErrorKind,
   type RequestHead,
-  type RouteTable,
   type SuspectDecision,
   type UnavailableReason,
 } from '@limpetbay/core';
@@ -35,7 +34,8 @@
 }
 
 interface Admission {
-  readonly table: RouteTable;
+  /** Not its table, which may be as large as the heap allows, and lasts as long as the request then. */
+  readonly configVersion: number;
   readonly route: DirectRoute;
   readonly service: DirectService;
   readonly workspace: string | null;
@@ -256,7 +256,7 @@
     const waitMs = Math.min(this.#head.timeoutMs ?? Infinity, route.timeoutMs);
     const priority = workspace?.priority ?? route.priority;
     return {
-      table,
+      configVersion: table.config.version,
       route,
       service,
       workspace: workspace?.name ?? null,
@@ -554,7 +554,7 @@
     this.#context.log.report('request sent', {
       id: this.#head.id,
       route: admission.route.name,
-      config: admission.table.config.version,
+      config: admission.configVersion,
       target: target.id,
       attempt: this.#sentAttempts,
       leftMs: timeoutMs,
