Read all records where the changes are too large for one answer

Cause: a watch whose answer exceeds 16 MiB ended as failed and was resumed at the same position, which has the same answer until the store drops its history. The same holds for an answer that takes longer than the watch waits.

--- a/packages/core/src/store/StoreWatchListener.ts
+++ b/packages/core/src/store/StoreWatchListener.ts
@@ -8,8 +8,8 @@
   /** Called when the store confirms that all changes up to `revision` have been delivered. */
   onProgress(revision: Revision): void;
   /**
-   * Called when the watch has ended. A full read is needed after `gap` (revisions were compacted)
-   * and `restored` (the store has another era).
+   * Called when the watch has ended. A full read is needed after `gap` (revisions were compacted, or
+   * are more than one answer can hold) and `restored` (the store has another era).
    */
   onEnd(reason: 'gap' | 'restored' | 'failed'): void;
 }
--- a/packages/targets/src/direct/requestJson.ts
+++ b/packages/targets/src/direct/requestJson.ts
@@ -23,6 +23,8 @@
   readonly bodyBudget?: BodyBudget;
   /** Longest idle time of a connection that is reused, milliseconds; 5 s by default. */
   readonly maxIdleMs?: number;
+  /** Called if the answer breaks off or is given up before its end, with the bytes of its body so far. */
+  readonly onIncomplete?: (bytes: number) => void;
   /** Cancels the request, which then fails with `outcome_unknown`. */
   readonly signal?: AbortSignal;
 }
@@ -59,8 +61,10 @@
       onEvicted: () => abandon('the bodies of all answers take too much memory'),
     });
     let head: Pick<JsonAnswer, 'status' | 'headers'> = { status: 0, headers: {} };
+    let receivedBytes = 0;
     const abandon = (reason: string): void => {
       cancel();
+      request.onIncomplete?.(receivedBytes);
       finish(fail('outcome_unknown', `${url}: ${reason}`));
     };
     const handleAbort = (): void => abandon('cancelled');
@@ -80,10 +84,12 @@
           head = { status, headers };
         },
         onData: (data) => {
+          receivedBytes += data.length;
           if (!answerBody.append(data)) abandon(`the answer is longer than ${maxBodyBytes} bytes`);
         },
         onEnd: () => finish(decodeAnswer(url, head, answerBody.take())),
         onFailure: (message, isUnsent) => {
+          request.onIncomplete?.(receivedBytes);
           const kind = isUnsent ? 'store_unavailable' : 'outcome_unknown';
           finish(fail(kind, `${url}: ${message}`));
         },
