Close connections after their answers where many are open

Cause: an answer kept its connection open whatever was left for others.

Change: while more than nine tenths of the connections are open, an answer says `Connection: close`. No connection is closed that its caller may be about to use. A counted warning and a metric tell of it.

--- a/packages/callers/src/direct/DirectServer.ts
+++ b/packages/callers/src/direct/DirectServer.ts
@@ -43,6 +43,8 @@
   readonly onAnswerDropped?: (dropped: DroppedAnswer) => void;
   /** Called when a connection beyond the limit is closed. */
   readonly onConnectionDropped?: () => void;
+  /** Called when a connection is closed after its answer, because many are open. */
+  readonly onConnectionUnkept?: () => void;
 }
 
 /** Largest request head; above the limit of any configuration. */
@@ -63,6 +65,9 @@
 /** Retry-After of a request whose body had no space among those of others. */
 const NO_SPACE_RETRY_AFTER_MS = 500;
 
+/** Share of the connections that may be kept open after their answers; the rest is for new callers. */
+const KEPT_SHARE = 0.9;
+
 /** Interval at which connections are checked for the head timeout. */
 const HEAD_TIMEOUT_CHECK_INTERVAL_MS = 1000;
 
@@ -103,7 +108,7 @@
       },
       (message, response) => {
         const connection = this.#connections.addRequest(message, response);
-        const isLast = (): boolean => this.#isDraining && !connection.hasFollowing(response);
+        const isLast = (): boolean => !this.#isKept(connection, response);
         const answer = new DirectAnswer(response, isLast, {
           clock: this.#clock,
           budget: answerBudget,
@@ -128,7 +133,10 @@
     this.#server.on('drop', () => options.onConnectionDropped?.());
   }
 
-  /** Sets the most open connections; others are closed when they are accepted. */
+  /**
+   * Sets the most open connections; others are closed when they are accepted. Before that, connections
+   * are closed after their answers.
+   */
   setMaxConnections(maxConnections: number): void {
     this.#server.maxConnections = maxConnections;
   }
@@ -179,6 +187,16 @@
     this.#isDraining = true;
   }
 
+  /** Returns whether a connection stays open after an answer. */
+  #isKept(connection: CallerConnection, response: ServerResponse): boolean {
+    if (connection.hasFollowing(response)) return true;
+    if (this.#isDraining) return false;
+    const { maxConnections = Infinity } = this.#server;
+    if (this.countConnections() <= maxConnections * KEPT_SHARE) return true;
+    this.#options.onConnectionUnkept?.();
+    return false;
+  }
+
   /** Stops listening and closes idle connections; requests in progress continue. */
   close(): void {
     this.#answers.callWhenWritten(() => this.#server.close());
--- a/packages/gateway/src/process/Gateway.ts
+++ b/packages/gateway/src/process/Gateway.ts
@@ -26,6 +26,7 @@
   type Log,
 } from '@limpetbay/runtime';
 import { DirectPool, checkListener } from '@limpetbay/targets';
+import { CountedWarning } from './CountedWarning.js';
 import { EntryCore } from './EntryCore.js';
 import { computeCallerConnections } from './computeCallerConnections.js';
 import type { GatewayLimits } from './GatewayLimits.js';
@@ -34,9 +35,6 @@
 /** Largest request body before the first configuration. */
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
-/** Least time between two log lines about connections of callers that are refused. */
-const REFUSED_LOG_INTERVAL_MS = 10_000;
-
 /**
  * Share of the heap for the heads of all open requests. A head takes about three times its bytes,
  * since it is sent on to a target.
@@ -86,10 +84,9 @@
 
   #lastRequestMs = 0;
 
-  #refusedConnections = 0;
+  readonly #refusedWarning: CountedWarning;
 
-  /** When these were logged last, monotonic milliseconds. */
-  #refusedLogMs = -Infinity;
+  readonly #unkeptWarning: CountedWarning;
 
   /** Until when callers may keep an address that they were told under earlier limits. */
   #earlierExpiryMs = -Infinity;
@@ -100,6 +97,16 @@
     const { clock, codec, metrics, createLog } = options;
     this.#log = createLog('entry');
     this.#connectionsLog = createLog('connections');
+    this.#refusedWarning = new CountedWarning(
+      clock,
+      this.#log,
+      'caller connections refused; too many are open',
+    );
+    this.#unkeptWarning = new CountedWarning(
+      clock,
+      this.#log,
+      'caller connections closed after their answers; many are open',
+    );
     const bodyBudget = new BodyBudget(DEFAULT_MAX_BODY_BYTES, clock);
     this.#bodyBudget = bodyBudget;
     this.#answerBudget = new AnswerBudget(bodyBudget, clock);
@@ -142,7 +149,14 @@
         metrics.increase(`limpetbay_dropped_answers_total{cause="${dropped.cause}"}`);
         this.#log.warn('answer broken off; its caller did not read it in time', { ...dropped });
       },
-      onConnectionDropped: () => this.#handleRefusedConnection(),
+      onConnectionDropped: () => {
+        metrics.increase('limpetbay_refused_connections_total');
+        this.#refusedWarning.add();
+      },
+      onConnectionUnkept: () => {
+        metrics.increase('limpetbay_unkept_connections_total');
+        this.#unkeptWarning.add();
+      },
     });
     this.#applyLimits(options.limits);
     this.#registerGauges(bodyBudget);
@@ -294,19 +308,6 @@
     this.#server.setMaxConnections(computeCallerConnections(maxDescriptors));
   }
 
-  #handleRefusedConnection(): void {
-    const { clock, metrics } = this.#options;
-    metrics.increase('limpetbay_refused_connections_total');
-    this.#refusedConnections += 1;
-    const nowMs = clock.getNow();
-    if (nowMs - this.#refusedLogMs < REFUSED_LOG_INTERVAL_MS) return;
-    this.#refusedLogMs = nowMs;
-    this.#log.warn('caller connections refused; too many are open', {
-      connections: this.#refusedConnections,
-    });
-    this.#refusedConnections = 0;
-  }
-
   async #waitUntil(latestMs: number, isDone: (nowMs: number) => boolean): Promise<void> {
     const { clock, timers } = this.#options;
     while (clock.getNow() < latestMs && !isDone(clock.getNow())) {
