Forget recent maxima of keys that are not used any more

Cause: a key was kept for ever, and with the sizes of answers each route has one.

Change: keys without a figure for 60 s are dropped, in one pass in 30 s.

Measured: the new test.

--- a/packages/core/src/direct/RecentMaxima.ts
+++ b/packages/core/src/direct/RecentMaxima.ts
@@ -19,11 +19,14 @@
 
   readonly #keys = new Map<string, KeyWindows>();
 
+  #expiredMs = -Infinity;
+
   constructor(clock: Clock) {
     this.#clock = clock;
   }
 
   record(key: string, figure: number): void {
+    this.#expire();
     const { current, previous } = this.#advance(key);
     const largest = Math.max(current.largest, figure);
     this.#keys.set(key, { current: { ...current, largest }, previous });
@@ -35,6 +38,21 @@
     return Math.max(current.largest, previous?.largest ?? 0);
   }
 
+  /** Returns the number of keys in memory. */
+  countKeys(): number {
+    return this.#keys.size;
+  }
+
+  /** Forgets keys without a recent figure, such as routes that were removed. */
+  #expire(): void {
+    const nowMs = this.#clock.getNow();
+    if (nowMs - this.#expiredMs < WINDOW_MS) return;
+    this.#expiredMs = nowMs;
+    for (const [key, { current }] of this.#keys) {
+      if (nowMs - current.sinceMs >= 2 * WINDOW_MS) this.#keys.delete(key);
+    }
+  }
+
   #advance(key: string): KeyWindows {
     const nowMs = this.#clock.getNow();
     const windows = this.#keys.get(key);
--- a/packages/core/test/direct/recentMaxima.test.ts
+++ b/packages/core/test/direct/recentMaxima.test.ts
@@ -21,3 +21,16 @@
   nowMs = 200_000;
   expect(durations.getLargest('chat')).toBe(0);
 });
+
+// Guards against memory that grows with each route that there ever was.
+it('forgets keys that are not used any more', () => {
+  let nowMs = 0;
+  const durations = new RecentMaxima({
+    getNow: () => nowMs,
+    getWallTime: () => new Date(nowMs),
+  });
+  for (let route = 0; route < 100; route += 1) durations.record(`route ${route}`, 1);
+  nowMs = 70_000;
+  durations.record('chat', 1);
+  expect(durations.countKeys()).toBe(1);
+});
