Do not reuse a connection on which a large answer was read slowly

Cause: a target that has sent a large answer counts its connection as idle while the rest waits in the kernel, and closes it after its idle timeout. The entry saw the close only behind the last byte of the answer, when it had taken the connection for idle and sent the next request. Reading at the pace of callers makes such answers long. The log told it: `socket hang up`, progress `none`, 1 to 9 ms after the send.

Change: a connection is closed after an answer of more than 64 KiB that took over 0.5 s from its head to its end.

--- a/packages/targets/src/direct/DirectConnection.ts
+++ b/packages/targets/src/direct/DirectConnection.ts
@@ -41,6 +41,15 @@
 
 const FRAMING_SHARE = 1 / 4;
 
+/**
+ * Bytes of an answer that may wait in the kernel. A target that has sent them may have closed the
+ * connection behind them, which shows only after they were read.
+ */
+const LARGE_ANSWER_BYTES = 65_536;
+
+/** Longest time for which a large answer is read before its connection is not used again. */
+const MAX_LARGE_ANSWER_MS = 500;
+
 /**
  * One connection to a target with at most one request at a time. It is closed after an incomplete
  * answer and after any byte outside an answer, so that late bytes are never read as the answer to
@@ -69,6 +78,9 @@
   /** Answers whose heads have arrived. */
   #answerCount = 0;
 
+  /** Whether the target may have closed the connection while its answer was read. */
+  #mayBeClosed = false;
+
   readonly #closeOnData = (): void => this.close();
 
   /** @param address `IP:PORT` */
@@ -77,7 +89,7 @@
     this.#events = events;
     this.#agent.on('free', (socket: Socket) => {
       // The agent has ended the connection if the answer announced its end.
-      if (this.#isClosed || !socket.writable) {
+      if (this.#isClosed || this.#mayBeClosed || !socket.writable) {
         this.close();
         return;
       }
@@ -161,6 +173,7 @@
       hasHead = true;
       const framing = readFraming(call.method, response);
       let bodyBytes = 0;
+      const headMs = performance.now();
       isWhole = () => response.complete && framing !== 'close';
       const isFirst = this.#answerCount === 0;
       this.#answerCount += 1;
@@ -184,6 +197,8 @@
         onEnd: () => {
           if (isFinished) return;
           isFinished = true;
+          const isSlow = performance.now() - headMs > MAX_LARGE_ANSWER_MS;
+          this.#mayBeClosed = isSlow && bodyBytes > LARGE_ANSWER_BYTES;
           // The next call may use the connection.
           socket.resume();
           listener.onEnd();
