Keep no list of priorities for each service in a route table

What callers would see: one valid configuration of 0.5 MB ends every entry that reads it, or keeps it from answering for seconds.

Cause: a route table listed, for each service, the priorities of its routes and of all workspaces. 20,000 services and 1,000 priorities are 160 MB in a heap of 96 MB; 30,000 services and 8,500 routes took 2.5 s to walk, in which the entry did nothing else.

Change: the priorities of workspaces are kept once, and each route adds its own to its services, in one pass.

--- a/packages/core/src/direct/RouteTable.ts
+++ b/packages/core/src/direct/RouteTable.ts
@@ -19,8 +19,11 @@
 
   readonly #services = new Map<string, DirectService>();
 
-  /** Priorities of the requests of each service, the most urgent first. */
-  readonly #priorities = new Map<string, number[]>();
+  /** Priorities that routes give the requests of each service, without repeats. */
+  readonly #routePriorities = new Map<string, number[]>();
+
+  /** Priorities that workspaces give their requests, at every service. */
+  readonly #workspacePriorities = new Set<number>();
 
   constructor(config: DirectConfig) {
     this.config = config;
@@ -28,17 +31,16 @@
       const routes = this.#routes.get(route.host);
       if (routes === undefined) this.#routes.set(route.host, [route]);
       else routes.push(route);
+      for (const { service } of route.services) this.#addPriority(service, route.priority);
     }
     for (const routes of this.#routes.values()) {
       routes.sort((a, b) => b.prefix.length - a.prefix.length);
     }
     for (const { name, apiKeys, priority } of config.workspaces ?? []) {
       for (const key of apiKeys) this.#workspaces.set(key, { name, priority });
+      if (priority !== null) this.#workspacePriorities.add(priority);
     }
-    for (const service of config.services) {
-      this.#services.set(service.name, service);
-      this.#priorities.set(service.name, listPriorities(config, service.name));
-    }
+    for (const service of config.services) this.#services.set(service.name, service);
   }
 
   /** Finds the route with the longest matching prefix. @param path path without its query */
@@ -61,20 +63,20 @@
   /** Returns the number of classes of requests of a service that are more urgent than a priority. */
   rankPriority(service: string, priority: number): number {
     let rank = 0;
-    for (const other of this.#priorities.get(service) ?? []) if (other < priority) rank += 1;
+    for (const other of this.#workspacePriorities) if (other < priority) rank += 1;
+    for (const other of this.#routePriorities.get(service) ?? []) {
+      if (other < priority && !this.#workspacePriorities.has(other)) rank += 1;
+    }
     return rank;
   }
 
   findService(name: string): DirectService | undefined {
     return this.#services.get(name);
   }
-}
 
-function listPriorities({ routes, workspaces }: DirectConfig, service: string): number[] {
-  const priorities = new Set<number>();
-  for (const { services, priority } of routes) {
-    if (services.some((split) => split.service === service)) priorities.add(priority);
+  #addPriority(service: string, priority: number): void {
+    const priorities = this.#routePriorities.get(service);
+    if (priorities === undefined) this.#routePriorities.set(service, [priority]);
+    else if (!priorities.includes(priority)) priorities.push(priority);
   }
-  for (const { priority } of workspaces ?? []) if (priority !== null) priorities.add(priority);
-  return [...priorities].sort((a, b) => a - b);
 }
--- a/packages/core/test/direct/RouteTable.test.ts
+++ b/packages/core/test/direct/RouteTable.test.ts
@@ -53,6 +53,51 @@
   });
 });
 
+/** Builds a configuration of 1,001 workspaces with a priority each, and services with one route. */
+function buildPriorities(services: number): DirectConfig {
+  const names = Array.from({ length: services }, (_, index) => `s${index}`);
+  return {
+    ...CONFIG,
+    routes: names.map((service, index) => ({
+      ...createRoute(service, `${service}.example`, '/'),
+      priority: index % 3,
+      services: [{ service, weight: 1 }],
+    })),
+    services: names.map((name) => ({ name, maxConnections: 1, coldPerSecond: 0, engine: null })),
+    workspaces: Array.from({ length: 1001 }, (_, priority) => ({
+      name: `w${priority}`,
+      apiKeys: [],
+      priority,
+    })),
+  };
+}
+
+describe('the rank of a priority', () => {
+  it('counts each priority of the routes of a service and of the workspaces once', () => {
+    const table = new RouteTable({
+      ...CONFIG,
+      routes: [
+        { ...createRoute('a', 'a.example', '/'), priority: 1 },
+        { ...createRoute('b', 'b.example', '/'), priority: 1 },
+        { ...createRoute('c', 'c.example', '/'), priority: 2 },
+        { ...createRoute('d', 'd.example', '/'), priority: 0, services: [] },
+      ],
+    });
+    expect([0, 1, 2, 3].map((priority) => table.rankPriority('s', priority))).toEqual([0, 0, 1, 2]);
+  });
+
+  // Guards against a table that grows with services times priorities, which exhausts the heap.
+  it('takes no memory for each service and workspace', () => {
+    const config = buildPriorities(5000);
+    const before = process.memoryUsage().heapUsed;
+    const table = new RouteTable(config);
+    const growth = process.memoryUsage().heapUsed - before;
+    expect(table.rankPriority('s7', 5)).toBe(5);
+    // A list of the priorities of each service alone would take 40 MB.
+    expect(growth).toBeLessThan(20_000_000);
+  });
+});
+
 describe('EventSplitter', () => {
   it('passes on complete events only, so that no part of an event is ever sent twice', () => {
     const splitter = new EventSplitter();
