Keep the usual response times of the routes that answered last

Cause: once 64 routes had answered since the start, the times of no further route were kept, so configurations that rename their routes leave the pace of targets without a usual time: late answers of a route count as slow although its targets always take as long.

Change: beyond 64 routes the one that answered longest ago is forgotten.

Measured: the new test fails before ("slow" where "in_time" is due).

--- a/packages/core/src/direct/ResponseTimes.ts
+++ b/packages/core/src/direct/ResponseTimes.ts
@@ -11,7 +11,7 @@
  */
 type ResponseVerdict = 'in_time' | 'slow' | 'uncertain';
 
-/** Configurations have few routes; times of further ones are not kept. */
+/** Routes whose times are kept; those that answered last. */
 const MAX_ROUTES = 64;
 
 /** Answers of which the median is the usual time. */
@@ -33,11 +33,13 @@
   /** Records a response time of a target that counts as usual. */
   record(service: string, { name }: Pick<DirectRoute, 'name'>, durationMs: number): void {
     const key = buildKey(service, name);
-    let times = this.#times.get(key);
-    if (times === undefined) {
-      if (this.#times.size >= MAX_ROUTES) return;
-      times = [];
-      this.#times.set(key, times);
+    const times = this.#times.get(key) ?? [];
+    // Inserted again, so that the map is in the order of use.
+    this.#times.delete(key);
+    this.#times.set(key, times);
+    if (this.#times.size > MAX_ROUTES) {
+      const [oldest] = this.#times.keys();
+      if (oldest !== undefined) this.#times.delete(oldest);
     }
     times.push(durationMs);
     if (times.length > KEPT_TIMES) times.shift();
--- a/packages/core/test/direct/paceLevel.test.ts
+++ b/packages/core/test/direct/paceLevel.test.ts
@@ -50,3 +50,11 @@
   expect(times.evaluate('s', ROUTE, 500)).toBe('in_time');
   expect(times.evaluate('other', ROUTE, 500)).toBe('slow');
 });
+
+// Guards against routes that were added later and whose usual times are never learned.
+it('the usual times of a route are known however many other routes there were before', () => {
+  const times = new ResponseTimes();
+  for (let route = 0; route < 100; route += 1) times.record('s', { name: `r${route}` }, 100);
+  for (let count = 0; count < 8; count += 1) times.record('s', ROUTE, 450);
+  expect(times.evaluate('s', ROUTE, 500)).toBe('in_time');
+});
