Forget the retry budgets of services that were removed

Cause: an entry kept a budget for each service that ever got a request, which grows with configurations that rename their services.

Change: a budget is forgotten after a minute without a request once its service is not configured any more. A service that returns sooner finds what it had left, so that it does not get its burst twice.

The map had no removal before, so there is no test that fails without the new class.

--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -4,7 +4,6 @@
   ColdLimiter,
   EntryDirectory,
   RecentMaxima,
-  RetryBudget,
   TargetHolds,
   TargetPace,
   TargetPicker,
@@ -33,6 +32,7 @@
 import { SharedRates } from '../rates/SharedRates.js';
 import type { RequestContext } from '../request/RequestContext.js';
 import { RequestRun } from '../request/RequestRun.js';
+import { RetryBudgets } from '../request/RetryBudgets.js';
 import { StopDeadline } from '../request/StopDeadline.js';
 import { reportPaceChange } from '../pace/reportPaceChange.js';
 import type { EntryCoreOptions } from './EntryCoreOptions.js';
@@ -82,7 +82,7 @@
 
   readonly #subscriptions: ReportSubscriptions;
 
-  readonly #budgets = new Map<string, RetryBudget>();
+  readonly #budgets: RetryBudgets;
 
   readonly #pools = new Map<string, TargetPool>();
 
@@ -104,6 +104,7 @@
     const { clock, random, timers, store, codec, layout, metrics, createLog } = options;
     this.#registry = new TargetRegistry(clock);
     this.#entries = new EntryDirectory(clock);
+    this.#budgets = new RetryBudgets(clock, () => this.#computeRetryShare());
     const limitsLog = createLog('limits');
     const suspectsLog = createLog('suspects');
     const sendToEntries = (message: PeerMessage): void =>
@@ -214,7 +215,7 @@
       log: createLog('request'),
       countEntries: () => this.#entries.countSharingEntries(),
       getTable: () => this.#view.getTable(),
-      getBudget: (service) => this.#getBudget(service),
+      getBudget: (service) => this.#budgets.get(service),
       getPool: (address) => this.#getPool(address),
     };
     this.#subscriptions = new ReportSubscriptions({
@@ -309,8 +310,7 @@
 
   setLimits(limits: GatewayLimits): void {
     this.#gatewayLimits = limits;
-    const { ratio, burst } = this.#computeRetryShare();
-    for (const budget of this.#budgets.values()) budget.setLimits(ratio, burst);
+    this.#budgets.updateShare();
   }
 
   /**
@@ -408,6 +408,7 @@
       'expire limits': () => this.#limits.expire(),
       'expire target holds': () =>
         this.#holds.expire(new Set(this.#registry.listAll().map(buildRunName))),
+      'expire retry budgets': () => this.#expireBudgets(),
       'expire paces': () => this.#requestContext.pace.expire(),
       'expire shared rates': () => this.#rates.expire(),
       subscribe: () => this.#subscriptions.advance(this.#listOverdueAgents()),
@@ -458,14 +459,10 @@
     return [...agents];
   }
 
-  #getBudget(service: string): RetryBudget {
-    let budget = this.#budgets.get(service);
-    if (budget === undefined) {
-      const { ratio, burst } = this.#computeRetryShare();
-      budget = new RetryBudget(ratio, burst);
-      this.#budgets.set(service, budget);
-    }
-    return budget;
+  #expireBudgets(): void {
+    const table = this.#view.getTable();
+    if (table === null) return;
+    this.#budgets.expire((service) => table.findService(service) !== undefined);
   }
 
   /** Returns this entry's share of the retry limits, which all entries keep together. */
