Forget targets, ranks and groups that are gone

Cause: an entry kept the statistics of each target that ever ran, the bucket of each cold one, the last report of each rank with the loads of its whole group, and the share of each group. Targets get new ids with each start, so releases fill the heap of an entry that runs for long.

Change: what left a minute ago is forgotten in the periodic tasks; a target with open requests, recent failures or a current report is kept, as is a rank that is registered. `limpetbay_remembered_targets` shows the number.

--- a/packages/core/src/direct/ColdLimiter.ts
+++ b/packages/core/src/direct/ColdLimiter.ts
@@ -57,6 +57,16 @@
     this.#buckets.get(id)?.take();
   }
 
+  /** Forgets targets that are gone. @param isKnown whether a target may still get requests */
+  expire(isKnown: (id: string) => boolean): void {
+    for (const id of this.#buckets.keys()) if (!isKnown(id)) this.#buckets.delete(id);
+  }
+
+  /** Returns the number of targets in memory. */
+  count(): number {
+    return this.#buckets.size;
+  }
+
   /** Returns whether this entry is one of the `assigned` entries that rank highest for a target. */
   #isAssigned(id: string, names: readonly string[], assigned: number): boolean {
     const { ownName } = this.#options;
--- a/packages/core/src/direct/FreeSlotShares.ts
+++ b/packages/core/src/direct/FreeSlotShares.ts
@@ -59,4 +59,16 @@
     share.draw ??= this.#random.next();
     return sent < Math.floor(ownSlots + share.draw);
   }
+
+  /** Forgets groups that have not reported since a time, monotonic milliseconds. */
+  expire(sinceMs: number): void {
+    for (const [group, { reportedMs }] of this.#groups) {
+      if (reportedMs < sinceMs) this.#groups.delete(group);
+    }
+  }
+
+  /** Returns the number of groups in memory. */
+  count(): number {
+    return this.#groups.size;
+  }
 }
--- a/packages/core/src/direct/GroupStates.ts
+++ b/packages/core/src/direct/GroupStates.ts
@@ -95,6 +95,26 @@
     return this.#clock.getNow() - state.openSinceMs < FORMATION_TIMEOUT_MS;
   }
 
+  /**
+   * Forgets ranks that are not registered and were last seen before a time.
+   *
+   * @param addresses of the targets that are registered
+   * @param sinceMs monotonic milliseconds
+   */
+  expire(addresses: ReadonlySet<string>, sinceMs: number): void {
+    for (const [address, { receivedMs }] of this.#states) {
+      if (receivedMs < sinceMs && !addresses.has(address)) this.#states.delete(address);
+    }
+    for (const [address, firstMs] of this.#awaitingReportSinceMs) {
+      if (firstMs < sinceMs && !addresses.has(address)) this.#awaitingReportSinceMs.delete(address);
+    }
+  }
+
+  /** Returns the number of ranks in memory. */
+  count(): number {
+    return this.#states.size + this.#awaitingReportSinceMs.size;
+  }
+
   /** Closes the ranks that a report does not name: a group is closed as a whole. */
   #closeGroup({ group, epoch }: GroupReport, nowMs: number): void {
     for (const [address, state] of this.#states) {
--- a/packages/core/src/direct/TargetPicker.ts
+++ b/packages/core/src/direct/TargetPicker.ts
@@ -75,6 +75,12 @@
  */
 const INITIAL_MAP_SLOTS_PER_RANK = 2;
 
+/** Least time between two searches for targets and groups that are gone, milliseconds. */
+const EXPIRY_INTERVAL_MS = 10_000;
+
+/** What is gone for longer is forgotten, milliseconds; a target may come back before. */
+const GONE_RETENTION_MS = 60_000;
+
 /** Ranks compared for one request; two bound the longest queue almost as well as all. */
 const CANDIDATE_COUNT = 2;
 
@@ -91,6 +97,8 @@
   /** Zones from which operators have withdrawn new work. */
   #evacuated: ReadonlySet<string> = new Set();
 
+  #expiredMs = -Infinity;
+
   constructor(options: PickerOptions) {
     this.#options = options;
     this.#groups = new GroupStates(options.clock);
@@ -135,6 +143,30 @@
     return this.#groups.isReportOverdue(target.address);
   }
 
+  /** Forgets targets and groups that are gone; call it at an interval. */
+  expire(): void {
+    const { clock, registry, coldLimiter } = this.#options;
+    const nowMs = clock.getNow();
+    if (nowMs - this.#expiredMs < EXPIRY_INTERVAL_MS) return;
+    this.#expiredMs = nowMs;
+    const isKnown = (id: string): boolean => registry.isKnown(id);
+    for (const [id, stats] of this.#stats) {
+      if (!isKnown(id) && stats.isIdle(nowMs)) this.#stats.delete(id);
+    }
+    coldLimiter.expire(isKnown);
+    const sinceMs = nowMs - GONE_RETENTION_MS;
+    const addresses = new Set(registry.listAll().map(({ address }) => address));
+    this.#groups.expire(addresses, sinceMs);
+    this.#slotShares.expire(sinceMs);
+  }
+
+  /** Returns the number of targets, ranks and groups in memory. */
+  countRemembered(): number {
+    const { coldLimiter } = this.#options;
+    const groups = this.#groups.count() + this.#slotShares.count();
+    return this.#stats.size + coldLimiter.count() + groups;
+  }
+
   /** Chooses a target for a request and counts it against the rate of a cold one. */
   pick(request: PickRequest): PickResult {
     const usable = this.#listUsable(request);
--- a/packages/core/src/direct/TargetRegistry.ts
+++ b/packages/core/src/direct/TargetRegistry.ts
@@ -200,6 +200,11 @@
     return this.#targets.get(id)?.target;
   }
 
+  /** Returns whether a target is registered, or has left a short time ago and may come back. */
+  isKnown(id: string): boolean {
+    return this.#targets.has(id) || this.#departed.has(id);
+  }
+
   isCold(id: string): boolean {
     return this.#clock.getNow() < (this.#targets.get(id)?.warmAtMs ?? 0);
   }
--- a/packages/core/src/direct/TargetStats.ts
+++ b/packages/core/src/direct/TargetStats.ts
@@ -7,6 +7,9 @@
 /** Delay until a sent request appears in the reports of its target, milliseconds. */
 const REPORT_DELAY_MS = 60;
 
+/** Decayed failures below this number change no choice of a target. */
+const NEGLIGIBLE_FAILURES = 0.01;
+
 /** Load and recent failures of one target, as one entry sees them. */
 export class TargetStats {
   /** Requests of this entry that the target has not answered yet. */
@@ -76,6 +79,12 @@
     return load.active + load.queued + this.#sentAtMs.length;
   }
 
+  /** Returns whether nothing would be lost if the target were forgotten. */
+  isIdle(nowMs: number): boolean {
+    const hasFailed = this.getFailures(nowMs) >= NEGLIGIBLE_FAILURES;
+    return this.inFlight === 0 && !hasFailed && this.getLoad(nowMs) === null;
+  }
+
   /** Forgets the requests that a report of this moment shows. */
   #forgetSent(nowMs: number): void {
     this.#sentAtMs = this.#sentAtMs.filter((sentAtMs) => sentAtMs > nowMs - REPORT_DELAY_MS);
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -158,6 +158,7 @@
       countEntries: () => this.#entries.countSharingEntries(),
     });
     metrics.register('limpetbay_paced_targets', () => pace.countPaced());
+    metrics.register('limpetbay_remembered_targets', () => picker.countRemembered());
     this.#suspects = new SharedSuspectBreaker({
       clock,
       random,
@@ -408,6 +409,7 @@
       'expire limits': () => this.#limits.expire(),
       'expire target holds': () =>
         this.#holds.expire(new Set(this.#registry.listAll().map(buildRunName))),
+      'expire targets that are gone': () => this.#requestContext.picker.expire(),
       'expire retry budgets': () => this.#expireBudgets(),
       'expire paces': () => this.#requestContext.pace.expire(),
       'expire shared rates': () => this.#rates.expire(),
