Add review case 12: a restored store makes a cold target seem warm

Cause: TargetRegistry.restore passes the older record of a copy to upsert, which ends the cold time of a target that turned cold after the copy was made. Change: a script with stand-ins of the store, workers and clients; no code of the product.

--- a/review/lib-3/WorkerServer.js
+++ b/review/lib-3/WorkerServer.js
@@ -47,8 +47,8 @@
     this.port = options.port ?? 0;
   }
 
-  /** @param options `coldMs`: how long it is cold */
-  async start({ coldMs = 0 } = {}) {
+  /** @param options `coldMs`: how long it is cold; `canWrite`: false while the store is down */
+  async start({ coldMs = 0, canWrite = true } = {}) {
     this.#server = createServer({ keepAliveTimeout: 15_000 }, (request, response) => {
       const chunks = [];
       request.on('data', (chunk) => chunks.push(chunk));
@@ -61,14 +61,14 @@
     this.port = this.#server.address().port;
     this.born = Date.now();
     this.#active = 0;
-    this.turnCold(coldMs);
+    this.turnCold(coldMs, canWrite);
   }
 
-  /** Turns cold, and writes so. */
-  turnCold(coldMs) {
+  /** Turns cold, and writes so unless the store is down. */
+  turnCold(coldMs, canWrite = true) {
     this.coldSinceMs = performance.now();
     this.coldUntilMs = this.coldSinceMs + coldMs;
-    this.register('ready');
+    if (canWrite) this.register('ready');
   }
 
   isCold(atMs = performance.now()) {
@@ -117,8 +117,14 @@
       hasEnded: false,
       body: body.toString(),
     };
-    if (request.url === this.healthPath) {
-      response.writeHead(200, { ...common, 'X-Limpetbay-Instance-Id': this.id }).end();
+    if (request.url === '/health') {
+      const coldMs = Math.max(0, Math.round(this.coldUntilMs - performance.now()));
+      response.writeHead(200, {
+        ...common,
+        'X-Limpetbay-Instance-Id': this.id,
+        'X-Limpetbay-Cold-Remaining': String(coldMs),
+      });
+      response.end();
       return;
     }
     if (expected !== this.id) {
