--- a/review/12/case.js
+++ b/review/12/case.js
@@ -5,29 +5,11 @@
 import { buildConfig } from '../lib-3/buildConfig.js';
 import { runCase } from '../lib-3/runCase.js';
 
-/** The rule: a cold worker gets no more in one second than `MAX_REQUESTS`. */
-const COLD_PER_S = 26;
+/** The users' `drain_ms`. */
+const DRAIN_MS = 2000;
 
-const COLD_OVER = 1.5;
-
-const COLD_SLACK = 5;
-
-const MAX_REQUESTS = COLD_PER_S * COLD_OVER + COLD_SLACK;
-
-const SPAN_MS = 1000;
-
-/** A cold worker crashes at a rate well above `COLD_PER_S`: at more than this in one second. */
-const CRASH_REQUESTS = 2.5 * COLD_PER_S;
-
-/** How long a worker that has crashed is away; it comes back cold. */
-const RESTART_MS = 2000;
-
-const WORK_MS = 20;
-
-/** The requests that cross the first word of the cold time are not judged. */
-const SETTLING_MS = 300;
-
-const COLD_MS = 3000;
+/** The users' `stable_window_ms`. */
+const STABLE_MS = 3000;
 
 const ENTRIES = 2;
 
@@ -35,58 +17,38 @@
 
 const ROUNDS = 3;
 
-const CLIENTS_PER_ENTRY = 4;
+/** After the rounds that are judged, the watches are cut again and again in one more. */
+const REPEATED_CUTS = 6;
 
-const PAUSE_MS = 1;
+const CUT_INTERVAL_MS = 1500;
 
-/** Age of the copy at the drill, and the time for which the store is away. */
-const COPY_AGE_MS = 2000;
+/** From the cut of the watches to the removal of a worker's registration. */
+const CUT_TO_REMOVAL_MS = 1050;
 
-const AWAY_MS = 300;
+/** How long a worker serves after `DRAIN_MS`; then it exits. */
+const LONGER_MS = 300;
 
-/** When a worker turns cold, after the copy was made. */
-const COLD_AFTER_MS = 500;
+const WORK_MS = 100;
 
-/** When the workers and the operator write again what the store has lost. */
-const HEARTBEAT_MS = 1200;
+const CLIENTS_PER_ENTRY = 4;
+
+const PAUSE_MS = 15;
 
 await runCase(import.meta.url, async ({ deployment, recorder, hasTrouble, addCloser }) => {
   const store = new StoreServer(deployment.assignHost());
   addCloser(() => store.close());
-  const config = buildConfig(1, { cold: { cold_per_s: COLD_PER_S, cold_s: COLD_MS / 1000 } });
-  store.put('op/config', config);
+  store.put('op/config', buildConfig(1));
   const workers = [];
-  let crashes = 0;
-  for (let at = 1; at <= WORKERS; at += 1) {
+  const addWorker = async () => {
+    const id = `worker-${workers.length + 1}`;
     const host = deployment.assignHost();
-    const worker = new WorkerServer({
-      id: `worker-${at}`,
-      host,
-      store,
-      service: 'orders',
-      workMs: WORK_MS,
-      onArrival: () => checkOverload(worker),
-    });
+    const worker = new WorkerServer({ id, host, store, service: 'orders', workMs: WORK_MS });
     workers.push(worker);
     await worker.start();
     addCloser(() => worker.close());
-  }
-  /** Lets a cold worker crash that gets far too many requests; it starts again and is cold. */
-  function checkOverload(worker) {
-    const nowMs = performance.now();
-    const sinceMs = Math.max(nowMs - SPAN_MS, worker.coldSinceMs + SETTLING_MS);
-    const recent = worker.arrivals.filter(({ atMs }) => atMs > sinceMs);
-    if (!worker.isCold() || recent.length <= CRASH_REQUESTS) return;
-    recorder.add(
-      `${worker.id} crashes: ${recent.length} requests in ${SPAN_MS} ms while it is cold`,
-    );
-    crashes += 1;
-    worker.close();
-    setTimeout(() => {
-      void worker.start({ coldMs: COLD_MS });
-    }, RESTART_MS);
-  }
-
+    return worker;
+  };
+  for (let at = 0; at < WORKERS; at += 1) await addWorker();
   for (let at = 0; at < ENTRIES; at += 1) deployment.start(await deployment.addEntry(store));
   for (const entry of deployment.entries) await deployment.waitUntilReady(entry);
 
@@ -110,61 +72,86 @@
       loops.push(sendUntilOver(client, at));
     }
   }
-  await sleep(5000);
+  // All processes and the store are calm for longer than the stable window.
+  await sleep(STABLE_MS + 2000);
 
-  const violations = [];
+  const rounds = [];
   for (let round = 1; round <= ROUNDS; round += 1) {
     const worker = workers[round - 1];
-    const copy = store.copy();
-    await sleep(COLD_AFTER_MS);
-    const coldMs = performance.now();
-    worker.turnCold(COLD_MS);
-    recorder.add(`round ${round}: ${worker.id} turns cold for ${COLD_MS} ms`, coldMs);
-    await sleep(COPY_AGE_MS - COLD_AFTER_MS);
+    const cutMs = performance.now();
     if (hasTrouble) {
-      recorder.add(`round ${round}: the store is away`);
-      await store.restore(copy, AWAY_MS);
-      recorder.add(`round ${round}: the store is back from a copy of ${COPY_AGE_MS} ms ago`);
-      await sleep(HEARTBEAT_MS);
-      store.put('op/config', config);
-      for (const each of workers) each.register('ready');
-      recorder.add(`round ${round}: the workers and the operator have written again`);
+      const count = store.cutWatches();
+      recorder.add(`round ${round}: the store cuts ${count} waiting watches`, cutMs);
     }
-    await sleep(Math.max(0, coldMs + COLD_MS - performance.now()));
-    const whileCold = worker.arrivals.filter(
-      ({ atMs }) => atMs >= coldMs + SETTLING_MS && worker.isCold(atMs),
-    );
-    const most = findMost(whileCold);
-    const text =
-      `round ${round}: ${worker.id} got ${whileCold.length} requests while it was cold, at most ` +
-      `${most.count} in ${SPAN_MS} ms, from ${recorder.format(most.atMs)} on; allowed: ${MAX_REQUESTS}`;
-    recorder.print(text);
-    for (const { id, atMs } of whileCold) recorder.add(`${id} reached ${worker.id}`, atMs);
-    if (most.count > MAX_REQUESTS) violations.push(`FAILBACK, ${text}`);
-    await sleep(COLD_MS + 5000);
+    await sleep(CUT_TO_REMOVAL_MS);
+    worker.unregister();
+    const ackMs = performance.now();
+    recorder.add(`round ${round}: the store has removed servers/${worker.id}`, ackMs);
+    await sleep(DRAIN_MS + LONGER_MS);
+    worker.close();
+    recorder.add(`round ${round}: ${worker.id} has exited`);
+    rounds.push({ round, worker, cutMs, ackMs });
+    await addWorker();
+    await sleep(STABLE_MS + 1000);
   }
+  const cutAgain = async () => {
+    for (let cut = 0; hasTrouble && cut < REPEATED_CUTS; cut += 1) {
+      store.cutWatches();
+      await sleep(CUT_INTERVAL_MS);
+    }
+  };
+  const lastWorker = workers[ROUNDS];
+  const cuts = cutAgain();
+  await sleep(CUT_TO_REMOVAL_MS);
+  const removedMs = performance.now();
+  lastWorker.unregister();
+  await cuts;
+  await sleep(STABLE_MS);
+  const late = lastWorker.arrivals.filter(({ atMs }) => atMs > removedMs);
+  const latestMs = late.length === 0 ? 0 : late[late.length - 1].atMs - removedMs;
+  recorder.print(
+    `not judged: with a cut each ${CUT_INTERVAL_MS} ms, ${lastWorker.id} got ${late.length} ` +
+      `requests after its removal, the last ${Math.round(latestMs)} ms after it`,
+  );
   isOver = true;
   await Promise.all(loops);
-  const outcomes = {};
-  for (const { requests } of clients) {
-    for (const { path, status, cause } of requests) {
-      const outcome = `${path} ${status ?? '-'} ${cause}`;
-      outcomes[outcome] = (outcomes[outcome] ?? 0) + 1;
+
+  const sent = new Map();
+  for (const { requests } of clients) for (const request of requests) sent.set(request.id, request);
+  const violations = [];
+  for (const { round, worker, cutMs, ackMs } of rounds) {
+    const after = worker.arrivals.filter(({ atMs }) => atMs > ackMs);
+    const last = after[after.length - 1];
+    const lost = after.filter(({ id, atMs }) => {
+      const request = sent.get(id);
+      return (
+        atMs > ackMs + DRAIN_MS && request.path.startsWith('/order/') && request.status !== 200
+      );
+    });
+    recorder.print(
+      `round ${round}: ${worker.id} got ${after.length} requests after its removal, the last ` +
+        `${last === undefined ? '-' : Math.round(last.atMs - ackMs)} ms after it; ` +
+        `${lost.length} orders that it got after drain_ms were lost with it`,
+    );
+    for (const { id, atMs } of after) {
+      // The entry counts as in touch from then on even if the cut were a reset of its channels.
+      if (atMs <= ackMs + DRAIN_MS || atMs <= cutMs + STABLE_MS) continue;
+      const request = sent.get(id);
+      violations.push(
+        `DRAIN, round ${round}: ${id} (sent at ${recorder.format(request.sentMs)}, answered ` +
+          `${request.status}) reached ${worker.id} ${Math.round(atMs - ackMs)} ms after the store ` +
+          `had removed it`,
+      );
+      recorder.add(`${id} reached ${worker.id}`, atMs);
     }
   }
-  recorder.print(`cold workers crashed ${crashes} times`);
-  recorder.print(`requests: ${JSON.stringify(outcomes)}`);
+  const outcomes = new Map();
+  for (const { status, cause } of sent.values()) {
+    const name = `${status ?? '-'} ${cause}`;
+    outcomes.set(name, (outcomes.get(name) ?? 0) + 1);
+  }
+  for (const [name, count] of outcomes) {
+    recorder.print(`requests that ended with ${name}: ${count}`);
+  }
   return violations;
 });
-
-/** Finds the second in which most requests arrived. */
-function findMost(arrivals) {
-  let most = { count: 0, atMs: performance.now() };
-  let first = 0;
-  for (const [last, { atMs }] of arrivals.entries()) {
-    while (arrivals[first].atMs <= atMs - SPAN_MS) first += 1;
-    const count = last - first + 1;
-    if (count > most.count) most = { count, atMs: arrivals[first].atMs };
-  }
-  return most;
-}
--- a/review/lib-3/StoreServer.js
+++ b/review/lib-3/StoreServer.js
@@ -1,8 +1,10 @@
 import { createServer } from 'node:http';
 
-/** Items of one page of a range read. */
+/** Items and bytes of one page of a range read. */
 const PAGE_ITEMS = 500;
 
+const PAGE_BYTES = 1_048_576;
+
 /** Stand-in of the platform's store: keys, leases that expire, watches and transactions. */
 export class StoreServer {
   #items = new Map();
@@ -115,10 +117,10 @@
 
   put(key, value, lease = 0) {
     this.#revision += 1;
-    const text = typeof value === 'string' ? value : JSON.stringify(value);
+    const bytes = Buffer.isBuffer(value) ? value : toBuffer(value);
     const item = {
       key,
-      value: Buffer.from(text).toString('base64'),
+      value: bytes.toString('base64'),
       revision: this.#revision,
       created: this.#items.get(key)?.created ?? this.#revision,
       lease,
@@ -183,8 +185,15 @@
     const found = [...this.#items.values()]
       .filter(({ key }) => key.startsWith(prefix) && key > after)
       .sort((a, b) => (a.key < b.key ? -1 : 1));
-    const page = { items: found.slice(0, PAGE_ITEMS), has_more: found.length > PAGE_ITEMS };
-    return [200, { ...page, current_rev: this.#revision }];
+    const items = [];
+    let bytes = 0;
+    for (const item of found) {
+      bytes += item.value.length;
+      if (items.length === PAGE_ITEMS || (items.length > 0 && bytes > PAGE_BYTES)) break;
+      items.push(item);
+    }
+    const hasMore = items.length < found.length;
+    return [200, { items, has_more: hasMore, current_rev: this.#revision }];
   }
 
   #answerWatch(machine, url, response) {
@@ -247,3 +256,7 @@
     for (const item of [...this.#items.values()]) if (item.lease === id) this.remove(item.key);
   }
 }
+
+function toBuffer(value) {
+  return Buffer.from(typeof value === 'string' ? value : JSON.stringify(value));
+}
