--- a/review/12/case.js
+++ b/review/12/case.js
@@ -153,5 +153,6 @@
   for (const [name, count] of outcomes) {
     recorder.print(`requests that ended with ${name}: ${count}`);
   }
+  recorder.addTraffic(clients, workers);
   return violations;
 });
