Bound the use of a removed target by the time of its own removal

Cause: the grace for registrations that may only have lapsed was one end for all targets. Each return of the store set it anew, for targets that had been removed long before too, and nothing ended during an outage.

Change: the registry keeps an end for each target, set once when its removal is learned: the end of the grace, at most drain_ms less the time to send a request. A further outage or read does not move it, and it holds while the store is away. What a copy of the store lacks was not removed and keeps its 2.3 s. A registration that is not valid is kept apart, as before.

--- a/packages/core/src/direct/EntryDirectory.ts
+++ b/packages/core/src/direct/EntryDirectory.ts
@@ -44,7 +44,7 @@
 
   /**
    * Entries whose registrations were lost with the store or lapsed while it was away, and until when
-   * they are listed, monotonic milliseconds; Infinity while the store is away.
+   * they are listed, monotonic milliseconds.
    */
   readonly #missingUntilMs = new Map<string, number>();
 
@@ -71,14 +71,23 @@
     this.#returned.delete(entry.name);
   }
 
-  /** Handles a removed registration; keeps the entry for a grace period around a store outage. */
-  remove(name: string): void {
+  /**
+   * Handles a removed registration. Right after an outage of the store it may only have lapsed.
+   *
+   * @returns how long the entry remains listed, milliseconds
+   */
+  remove(name: string): number {
     this.#returned.delete(name);
-    if (!this.#entries.has(name) || this.#missingUntilMs.has(name)) return;
-    if (this.#isStoreDown) this.#missingUntilMs.set(name, Infinity);
-    else if (this.#clock.getNow() < this.#graceEndMs) {
-      this.#missingUntilMs.set(name, this.#graceEndMs);
-    } else this.#delete(name);
+    if (!this.#entries.has(name)) return 0;
+    // Each removal is learned once: neither a further outage nor a further read extends the time.
+    const untilMs = this.#missingUntilMs.get(name) ?? this.#graceEndMs;
+    const nowMs = this.#clock.getNow();
+    if (nowMs >= untilMs) {
+      this.#delete(name);
+      return 0;
+    }
+    this.#missingUntilMs.set(name, untilMs);
+    return untilMs - nowMs;
   }
 
   #delete(name: string): void {
@@ -89,12 +98,7 @@
 
   /** Records whether the store is down; the grace period begins when it is available again. */
   setStoreUnavailable(isDown: boolean): void {
-    if (this.#isStoreDown && !isDown) {
-      this.#startGrace();
-      for (const [name, untilMs] of this.#missingUntilMs) {
-        if (untilMs === Infinity) this.#missingUntilMs.set(name, this.#graceEndMs);
-      }
-    }
+    if (this.#isStoreDown && !isDown) this.#startGrace();
     this.#isStoreDown = isDown;
   }
 
--- a/packages/core/src/direct/TargetRegistry.ts
+++ b/packages/core/src/direct/TargetRegistry.ts
@@ -14,6 +14,9 @@
  */
 const LAPSE_GRACE_MS = 2300;
 
+/** Time from the choice of a target until the request reaches it, milliseconds. */
+const SEND_MARGIN_MS = 100;
+
 /** How long it is remembered which incarnations have left, milliseconds. */
 const DEPARTED_RETENTION_MS = 60_000;
 
@@ -35,15 +38,33 @@
   readonly fromMs: number;
 }
 
-/** The registered targets, including those that lapsed only because the store was unavailable. */
+/**
+ * The registered targets, including those whose registrations lapsed or were lost only because the
+ * store was away. A target whose registration was removed is not used from `getDrainMs` after this
+ * process learned of the removal on, whatever happens to the store meanwhile.
+ */
 export class TargetRegistry {
   readonly #clock: Clock;
 
+  readonly #getDrainMs: () => number;
+
   readonly #targets = new Map<string, RegisteredTarget>();
 
-  /** Until when targets whose registration lapsed remain in use, by id, monotonic milliseconds. */
+  /**
+   * Until when targets whose registration was removed, and may only have lapsed, remain in use, by
+   * id, monotonic milliseconds.
+   */
   readonly #lapsedUntilMs = new Map<string, number>();
 
+  /** The earliest of these times; Infinity if there is none. */
+  #nextLapseEndMs = Infinity;
+
+  /** Lapsed targets that did not register again, since they were last taken. */
+  #expired: string[] = [];
+
+  /** Until when targets whose registration is not valid remain in use, by id, monotonic milliseconds. */
+  readonly #retainedUntilMs = new Map<string, number>();
+
   /** Targets whose registration was removed, by id. */
   readonly #departed = new Map<string, DepartedTarget>();
 
@@ -52,6 +73,7 @@
 
   #isStoreDown = false;
 
+  /** Until when a registration that is removed may only have lapsed, monotonic milliseconds. */
   #graceEndMs = -Infinity;
 
   /** Cached index by service; null until it is needed after a change. */
@@ -59,8 +81,13 @@
 
   #revision = 0;
 
-  constructor(clock: Clock) {
+  /**
+   * @param getDrainMs returns how long a target serves after its registration was removed,
+   *   milliseconds
+   */
+  constructor(clock: Clock, getDrainMs: () => number = () => Infinity) {
     this.#clock = clock;
+    this.#getDrainMs = getDrainMs;
   }
 
   /**
@@ -78,6 +105,7 @@
     const warmAtMs =
       isSameIncarnation && !hasTurnedCold ? Math.min(existing.warmAtMs, coldUntilMs) : coldUntilMs;
     this.#lapsedUntilMs.delete(target.id);
+    this.#retainedUntilMs.delete(target.id);
     this.#departed.delete(target.id);
     this.#returned.delete(target.id);
     this.#targets.set(target.id, { target, warmAtMs });
@@ -94,19 +122,39 @@
     return false;
   }
 
-  /** Handles a removed registration; keeps the target for a grace period around a store outage. */
-  remove(id: string): void {
+  /**
+   * Handles a removed registration. Right after an outage of the store it may only have lapsed.
+   *
+   * @returns how long the target remains in use, milliseconds
+   */
+  remove(id: string): number {
     this.#returned.delete(id);
-    if (!this.#targets.has(id)) return;
+    const drainEndMs = this.#clock.getNow() + this.#getDrainMs() - SEND_MARGIN_MS;
+    return this.#keepUntil(id, Math.min(this.#graceEndMs, drainEndMs));
+  }
+
+  /**
+   * Keeps a target that is not registered any more. Neither a further outage nor a further read
+   * extends the time for which it is kept.
+   *
+   * @returns how long it remains in use, milliseconds
+   */
+  #keepUntil(id: string, endMs: number): number {
+    if (!this.#targets.has(id)) return 0;
     const nowMs = this.#clock.getNow();
-    if (this.#isStoreDown || nowMs < this.#graceEndMs) {
-      this.#lapsedUntilMs.set(id, Math.max(this.#graceEndMs, nowMs));
-      return;
+    const untilMs = this.#lapsedUntilMs.get(id) ?? endMs;
+    if (nowMs >= untilMs) {
+      this.#delete(id);
+      return 0;
     }
-    this.#delete(id);
+    this.#lapsedUntilMs.set(id, untilMs);
+    this.#nextLapseEndMs = Math.min(this.#nextLapseEndMs, untilMs);
+    return untilMs - nowMs;
   }
 
   #delete(id: string): void {
+    this.#lapsedUntilMs.delete(id);
+    this.#retainedUntilMs.delete(id);
     const removed = this.#targets.get(id)?.target;
     if (removed === undefined) return;
     const { bornMs, isDraining } = removed;
@@ -116,14 +164,28 @@
     this.#revision += 1;
   }
 
+  /** Ends the use of lapsed targets at the millisecond, so it precedes each use of `#targets`. */
+  #expireLapsed(): void {
+    const nowMs = this.#clock.getNow();
+    if (nowMs < this.#nextLapseEndMs) return;
+    this.#nextLapseEndMs = Infinity;
+    for (const [id, untilMs] of this.#lapsedUntilMs) {
+      if (nowMs < untilMs) this.#nextLapseEndMs = Math.min(this.#nextLapseEndMs, untilMs);
+      else {
+        this.#delete(id);
+        this.#expired.push(id);
+      }
+    }
+  }
+
   /**
    * Keeps a target whose registration was replaced by one that is not valid until its next heartbeat
    * is due. Its last valid registration holds meanwhile.
    */
   retain(id: string): void {
     this.#returned.delete(id);
-    if (!this.#targets.has(id) || this.#lapsedUntilMs.has(id)) return;
-    this.#lapsedUntilMs.set(id, this.#clock.getNow() + LAPSE_GRACE_MS);
+    if (!this.#targets.has(id) || this.#retainedUntilMs.has(id)) return;
+    this.#retainedUntilMs.set(id, this.#clock.getNow() + LAPSE_GRACE_MS);
   }
 
   /**
@@ -153,7 +215,10 @@
     this.#returned.clear();
     const current = targets.filter((target) => !this.#hasLaterIncarnation(target));
     const present = new Set(current.map(({ id }) => id));
-    for (const id of [...this.#targets.keys()]) if (!present.has(id)) this.remove(id);
+    for (const id of [...this.#targets.keys()]) {
+      // Nobody has removed what the copy lacks.
+      if (!present.has(id)) this.#keepUntil(id, this.#graceEndMs);
+    }
     for (const target of current) {
       const existing = this.#targets.get(target.id)?.target;
       const departed = this.#departed.get(target.id);
@@ -177,10 +242,12 @@
   }
 
   /**
-   * Removes lapsed targets that have not registered again within the grace period, and uses those
-   * that returned from a copy of the store and whose registrations have not lapsed.
+   * Removes targets that have not registered again in time, and uses those that returned from a copy
+   * of the store and whose registrations have not lapsed.
    */
   expire(): void {
+    this.#expireLapsed();
+    // Without the store, targets can neither replace a registration that is not valid nor lapse.
     if (this.#isStoreDown) return;
     const nowMs = this.#clock.getNow();
     for (const { target, fromMs } of this.#returned.values()) {
@@ -189,19 +256,30 @@
     for (const [id, { atMs }] of this.#departed) {
       if (nowMs - atMs > DEPARTED_RETENTION_MS) this.#departed.delete(id);
     }
-    for (const [id, untilMs] of this.#lapsedUntilMs) {
-      if (nowMs < Math.max(untilMs, this.#graceEndMs)) continue;
-      this.#lapsedUntilMs.delete(id);
-      this.#delete(id);
+    for (const [id, untilMs] of this.#retainedUntilMs) {
+      if (nowMs >= Math.max(untilMs, this.#graceEndMs)) this.#delete(id);
     }
   }
 
+  /** Returns the lapsed targets that did not register again, each of them once. */
+  takeExpired(): string[] {
+    return this.#expired.splice(0);
+  }
+
+  /** Lists the targets in use whose registrations were removed and may only have lapsed. */
+  listLapsed(): string[] {
+    this.#expireLapsed();
+    return [...this.#lapsedUntilMs.keys()];
+  }
+
   get(id: string): DirectTarget | undefined {
+    this.#expireLapsed();
     return this.#targets.get(id)?.target;
   }
 
   /** Returns whether a target is registered, or has left a short time ago and may come back. */
   isKnown(id: string): boolean {
+    this.#expireLapsed();
     return this.#targets.has(id) || this.#departed.has(id);
   }
 
@@ -211,20 +289,24 @@
 
   /** Lists the targets of a service, including those that are draining. */
   listTargets(service: string): readonly DirectTarget[] {
+    this.#expireLapsed();
     this.#targetsByService ??= this.#groupByService();
     return (this.#targetsByService.get(service) ?? []).map(({ target }) => target);
   }
 
   listAll(): DirectTarget[] {
+    this.#expireLapsed();
     return Array.from(this.#targets.values(), ({ target }) => target);
   }
 
   /** Returns a number that changes with each change of the registered targets. */
   getRevision(): number {
+    this.#expireLapsed();
     return this.#revision;
   }
 
   count(): number {
+    this.#expireLapsed();
     return this.#targets.size;
   }
 
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -102,7 +102,7 @@
     this.#options = options;
     this.#gatewayLimits = options.limits;
     const { clock, random, timers, store, codec, layout, metrics, createLog } = options;
-    this.#registry = new TargetRegistry(clock);
+    this.#registry = new TargetRegistry(clock, () => this.#gatewayLimits.drainMs);
     this.#entries = new EntryDirectory(clock);
     this.#budgets = new RetryBudgets(clock, () => this.#computeRetryShare());
     const limitsLog = createLog('limits');
