Tell a lost watch from an outage of the store by the calls after it

Cause: StoreMirror reported the store as unavailable at the first watch that failed, and as available again at the next answer. Registry and directory then took each removal within 2.3 s for a lapse in an outage.

Change: StoreContact decides from the results of all calls to the store. An outage is a second or more without an answer with a failed call in it; the end of a watch is no call, and a pause of the process does not count. After a watch has failed, the mirror reads one key before it resumes the watch, so that there is an answer.

The listeners of the mirror lose onStoreAvailabilityChange; two tests lose the empty function that implemented it, and their checks stay as they are.

--- a/packages/gateway/src/feed/GatewayView.ts
+++ b/packages/gateway/src/feed/GatewayView.ts
@@ -113,6 +113,7 @@
       era: snapshot.era,
       isRestored,
       targets: targets.length,
+      lapsedTargets: registry.listLapsed(),
       entries: entryRecords.length,
       zonesOut: [...this.#evacuatedZones],
       lostEvacuations: [...this.#lostEvacuations.keys()],
@@ -159,30 +160,33 @@
       log.report('zone put back into service', { zone });
     } else if (key.startsWith(layout.targetPrefix)) {
       const id = this.#readTargetId(key);
-      log.report('target registration removed', { target: id });
-      registry.remove(id);
+      const keptMs = registry.remove(id);
+      log.report('target registration removed', { target: id, keptMs });
     } else if (key.startsWith(layout.entryPrefix)) {
       const name = this.#readEntryName(key);
-      log.report('entry registration removed', { entry: name });
-      entries.remove(name);
+      const keptMs = entries.remove(name);
+      log.report('entry registration removed', { entry: name, keptMs });
     } else if (key.startsWith(layout.suspectPrefix)) this.#options.suspects.handleRemoval(key);
     else if (key.startsWith(layout.limitPrefix)) this.#options.limits.handleRemoval(key);
   }
 
-  /** Takes back evacuations that were lost with the store and not written again. */
+  /** Ends what was kept because the store was away or restored, and was not written again. */
   expire(): void {
-    const nowMs = this.#options.clock.getNow();
+    const { registry, log, clock } = this.#options;
+    const nowMs = clock.getNow();
+    registry.expire();
+    const expired = registry.takeExpired();
+    if (expired.length > 0) log.report('targets did not register again', { targets: expired });
     for (const [zone, untilMs] of this.#lostEvacuations) {
       if (nowMs < untilMs) continue;
       this.#lostEvacuations.delete(zone);
       this.#evacuatedZones.delete(zone);
-      this.#options.log.warn('zone put back into service: its evacuation was not written again', {
-        zone,
-      });
+      log.warn('zone put back into service: its evacuation was not written again', { zone });
     }
   }
 
-  onStoreAvailabilityChange(isUnavailable: boolean): void {
+  /** Handles that the store becomes unavailable to this process, or available again. */
+  handleStoreAvailability(isUnavailable: boolean): void {
     const { registry, entries } = this.#options;
     registry.setStoreUnavailable(isUnavailable);
     entries.setStoreUnavailable(isUnavailable);
--- a/packages/gateway/src/feed/MirrorListener.ts
+++ b/packages/gateway/src/feed/MirrorListener.ts
@@ -8,6 +8,4 @@
   /** Called when a record was created or changed. */
   onRecord(record: StoreRecord): void;
   onRemoval(key: string): void;
-  /** Called when the store becomes unavailable to this process, or available again. */
-  onStoreAvailabilityChange(isUnavailable: boolean): void;
 }
--- a/packages/gateway/src/feed/PositionProbe.ts
+++ b/packages/gateway/src/feed/PositionProbe.ts
@@ -1,12 +1,14 @@
 import type { Clock, Result, Failure, StorePosition } from '@limpetbay/core';
 import { tryAsyncStep, type Log } from '@limpetbay/runtime';
 import type { Timers } from '../ports/Timers.js';
+import type { StoreContact } from './StoreContact.js';
 import type { StoreMirror } from './StoreMirror.js';
 
 interface PositionProbeOptions {
   readonly clock: Clock;
   readonly timers: Timers;
   readonly mirror: StoreMirror;
+  readonly contact: StoreContact;
   readonly ownName: string;
   readonly log: Log;
   /** Lists the names of the live entries. */
@@ -100,11 +102,11 @@
   }
 
   async #probe(): Promise<void> {
-    const { clock, mirror, readPosition, announce } = this.#options;
+    const { clock, mirror, contact, readPosition, announce } = this.#options;
     this.#heardMs = clock.getNow();
     this.#ownProbes += 1;
-    // Without the store, the watch is being started again anyway.
-    if (mirror.getPosition() === null || !mirror.isStoreAvailable()) return;
+    // In an outage, the mirror asks the store anyway.
+    if (mirror.getPosition() === null || !contact.isAvailable()) return;
     const isCurrent = clock.getNow() - mirror.getAnsweredMs() <= RECENT_ANSWER_MS;
     const read = isCurrent ? null : await readPosition();
     if (read?.err === true || this.#isStopped) return;
--- a/packages/gateway/src/feed/StoreMirror.ts
+++ b/packages/gateway/src/feed/StoreMirror.ts
@@ -16,6 +16,8 @@
   readonly clock: Clock;
   readonly store: Store;
   readonly prefix: string;
+  /** Key that is read to find out whether the store answers. */
+  readonly checkKey: string;
   readonly listener: MirrorListener;
   readonly timers: Timers;
   readonly random: RandomSource;
@@ -64,8 +66,6 @@
   /** Full reads in a row that the listener could not apply. */
   #failedSnapshots = 0;
 
-  #isStoreUnavailable = false;
-
   /** When the store last answered a read or the watch, monotonic milliseconds. */
   #answeredMs = -Infinity;
 
@@ -102,11 +102,6 @@
     return this.#answeredMs;
   }
 
-  /** Returns whether the last read and the watch did not fail. */
-  isStoreAvailable(): boolean {
-    return !this.#isStoreUnavailable;
-  }
-
   /**
    * Handles a position of the store that this process or another one has learned. A watch request
    * whose connection has gone silent shows it only at the end of its wait.
@@ -142,7 +137,7 @@
     const read = await store.readPrefix(prefix);
     if (this.#isStopped) return;
     if (read.err) {
-      this.#setStoreUnavailable(true, read.val.message);
+      log.warn('could not read the store; trying again', { prefix, cause: read.val.message });
       this.#scheduleRetry();
       return;
     }
@@ -150,7 +145,6 @@
     const nowMs = clock.getNow();
     if (this.#era !== null && this.#era !== era) this.#restorationEndMs = nowMs + RESTORATION_MS;
     const isRestored = nowMs < this.#restorationEndMs;
-    this.#setStoreUnavailable(false, 'read');
     this.#position = { era, revision };
     this.#answeredMs = nowMs;
     this.#era = era;
@@ -182,7 +176,6 @@
   }
 
   #recordRevision(revision: Revision): void {
-    this.#setStoreUnavailable(false, 'watch');
     this.#answeredMs = this.#options.clock.getNow();
     this.#backoff.reset();
     if (this.#position === null || revision <= this.#position.revision) return;
@@ -192,13 +185,13 @@
   #handleWatchEnd(reason: 'gap' | 'restored' | 'failed'): void {
     if (this.#isStopped) return;
     this.#stopWatch = null;
+    const { prefix, log, random, countMirrors } = this.#options;
+    const fields = { prefix, ...this.#position };
     if (reason === 'failed') {
-      this.#setStoreUnavailable(true, 'the watch failed');
+      log.warn('watch ended; resuming it after the last revision', fields);
       this.#scheduleRetry();
       return;
     }
-    const { prefix, log, random, countMirrors } = this.#options;
-    const fields = { prefix, ...this.#position };
     this.#position = null;
     if (reason === 'gap') {
       log.warn('watch missed revisions; reading all records again', fields);
@@ -213,15 +206,25 @@
     this.#options.timers.schedule(delayMs, () => {
       if (this.#isStopped) return;
       if (this.#position === null) void this.#startRead();
-      else this.#watch(this.#position);
+      else void this.#startResumption();
     });
   }
 
-  #setStoreUnavailable(isUnavailable: boolean, cause: string): void {
-    if (this.#isStoreUnavailable === isUnavailable) return;
-    this.#isStoreUnavailable = isUnavailable;
-    const sentence = isUnavailable ? 'store unavailable; trying again' : 'store available again';
-    this.#options.log.warn(sentence, { prefix: this.#options.prefix, cause });
-    this.#options.listener.onStoreAvailabilityChange(isUnavailable);
+  async #startResumption(): Promise<void> {
+    const { log } = this.#options;
+    const hasEnded = await tryAsyncStep(log, 'resume the watch', () => this.#resumeWatch());
+    if (!hasEnded && !this.#isStopped) this.#scheduleRetry();
+  }
+
+  /**
+   * Resumes a watch that failed. A resumed watch may stay silent until the next change, so another
+   * call finds out first whether the store answers.
+   */
+  async #resumeWatch(): Promise<void> {
+    const { store, checkKey } = this.#options;
+    const checked = await store.read(checkKey);
+    if (this.#isStopped) return;
+    if (checked.err || this.#position === null) this.#scheduleRetry();
+    else this.#watch(this.#position);
   }
 }
--- a/packages/gateway/src/process/EntryCore.ts
+++ b/packages/gateway/src/process/EntryCore.ts
@@ -21,7 +21,9 @@
 import { EntryLease } from '../feed/EntryLease.js';
 import { GatewayView } from '../feed/GatewayView.js';
 import type { HeldTables } from '../feed/HeldTables.js';
+import { ObservedStore } from '../feed/ObservedStore.js';
 import { PositionProbe } from '../feed/PositionProbe.js';
+import { StoreContact } from '../feed/StoreContact.js';
 import { StoreMirror } from '../feed/StoreMirror.js';
 import type { TargetPool } from '../ports/TargetPool.js';
 import { SharedTargetLimits } from '../limits/SharedTargetLimits.js';
@@ -74,6 +76,8 @@
 
   readonly #limits: SharedTargetLimits;
 
+  readonly #contact: StoreContact;
+
   readonly #mirror: StoreMirror;
 
   readonly #lease: EntryLease;
@@ -101,7 +105,15 @@
   constructor(options: EntryCoreOptions) {
     this.#options = options;
     this.#gatewayLimits = options.limits;
-    const { clock, random, timers, store, codec, layout, metrics, createLog } = options;
+    const { clock, random, timers, codec, layout, metrics, createLog } = options;
+    const log = createLog('store');
+    this.#contact = new StoreContact({
+      clock,
+      log,
+      metrics,
+      onChange: (isUnavailable) => this.#view.handleStoreAvailability(isUnavailable),
+    });
+    const store = new ObservedStore(options.store, this.#contact, metrics);
     this.#registry = new TargetRegistry(clock, () => this.#gatewayLimits.drainMs);
     this.#entries = new EntryDirectory(clock);
     this.#budgets = new RetryBudgets(clock, () => this.#computeRetryShare());
@@ -225,12 +237,13 @@
       ownName: options.self.name,
       subscribe: (agents) => options.network.sendToPeers({ kind: 'subscribe' }, agents),
     });
-    const log = createLog('store');
     this.#log = createLog('entry');
+    const ownKey = `${layout.entryPrefix}${options.self.name}`;
     this.#mirror = new StoreMirror({
       clock,
       store,
       prefix: '',
+      checkKey: ownKey,
       listener: this.#view,
       timers,
       random,
@@ -243,17 +256,18 @@
       random,
       log,
       countEntries: () => this.#entries.countSharingEntries(),
-      key: `${layout.entryPrefix}${options.self.name}`,
+      key: ownKey,
       record: options.self,
     });
     this.#probe = new PositionProbe({
       clock,
       timers,
       mirror: this.#mirror,
+      contact: this.#contact,
       ownName: options.self.name,
       log,
       listNames: () => this.#entries.listEntries().map(({ name }) => name),
-      readPosition: () => store.read(`${layout.entryPrefix}${options.self.name}`),
+      readPosition: () => store.read(ownKey),
       announce: (position, names) =>
         options.network.sendToPeers(
           { kind: 'store_position', era: position.era, revision: position.revision },
@@ -403,7 +417,7 @@
 
   #tick(): void {
     const tasks = {
-      'expire targets': () => this.#registry.expire(),
+      'check the store': () => this.#contact.advance(),
       'expire the view': () => this.#view.expire(),
       'expire suspects': () => this.#suspects.expire(),
       'expire limits': () => this.#limits.expire(),
--- a/packages/gateway/test/StoreMirror.test.ts
+++ b/packages/gateway/test/StoreMirror.test.ts
@@ -36,6 +36,7 @@
     clock: timers,
     store,
     prefix: '',
+    checkKey: 'check',
     timers: new RealTimers(),
     random: new SeededRandom(2),
     log: LOG,
@@ -46,7 +47,6 @@
       },
       onRecord: ({ key }) => seen.push(key),
       onRemoval: (key) => seen.push(`-${key}`),
-      onStoreAvailabilityChange: () => {},
       ...listener,
     },
   });
--- a/packages/gateway/test/followingFaults.test.ts
+++ b/packages/gateway/test/followingFaults.test.ts
@@ -53,13 +53,13 @@
         },
       } as unknown as Store,
       prefix: '',
+      checkKey: 'check',
       listener: {
         onSnapshot,
         onRecord,
         onRemoval: () => {
           throw FAULT;
         },
-        onStoreAvailabilityChange: () => {},
       },
       timers: new RealTimers(),
       random: new SeededRandom(1),
--- a/packages/gateway/test/support/SimEntry.ts
+++ b/packages/gateway/test/support/SimEntry.ts
@@ -114,6 +114,11 @@
     return this.#core.listAddresses();
   }
 
+  /** Begins a planned stop: the entry withdraws its registration and goes on serving. */
+  beginStop(): void {
+    this.#core.beginStop(this.#clock.getNow() + LIMITS.graceMs);
+  }
+
   /** Ends the process without a farewell; its callers get no answers. */
   kill(): void {
     this.#isRunning = false;
--- a/packages/gateway/test/support/SimFleet.ts
+++ b/packages/gateway/test/support/SimFleet.ts
@@ -219,6 +219,16 @@
     void this.#startTarget(index);
   }
 
+  /** Removes the registration of a target, which goes on serving. */
+  async unregisterTarget(index: number): Promise<void> {
+    await this.#remove(`${simLayout.targetPrefix}target-${index}.0`);
+  }
+
+  /** Writes the registration of a target that has never ended again. */
+  async registerTarget(index: number): Promise<void> {
+    await this.#register(index, 0);
+  }
+
   /** Ends running targets for a reason that no request causes. */
   endTargets(count: number): void {
     const running = [...this.#targets.values()].filter((target) => !target.hasEnded());
@@ -336,10 +346,15 @@
       },
     });
     this.#targets.set(address, target);
+    await this.#register(index, run);
+  }
+
+  async #register(index: number, run: number): Promise<void> {
+    const id = `target-${index}.${run}`;
     const record: DirectTarget = {
       id,
       service: 's',
-      address,
+      address: `10.0.0.${index}:80`,
       zone: 'a',
       capacity: 12,
       isDraining: false,
--- a/packages/gateway/test/support/SimStoreLink.ts
+++ b/packages/gateway/test/support/SimStoreLink.ts
@@ -48,12 +48,17 @@
 
   setCut(isCut: boolean): void {
     this.#isCut = isCut;
-    if (!isCut) return;
-    for (const { stop, listener } of [...this.#watches]) {
+    if (isCut) this.cutWatches();
+  }
+
+  /** Cuts the open watches; every other call is answered. */
+  cutWatches(): void {
+    const watches = [...this.#watches];
+    this.#watches.clear();
+    for (const { stop, listener } of watches) {
       stop();
       listener.onEnd('failed');
     }
-    this.#watches.clear();
   }
 
   /** Lets the open watches go silent; new ones work. */
--- a/packages/gateway/test/support/SimView.ts
+++ b/packages/gateway/test/support/SimView.ts
@@ -3,6 +3,8 @@
 import type { MemoryStore } from '@limpetbay/standins';
 import { RealTimers } from '../../src/index.js';
 import { GatewayView } from '../../src/feed/GatewayView.js';
+import { ObservedStore } from '../../src/feed/ObservedStore.js';
+import { StoreContact } from '../../src/feed/StoreContact.js';
 import { StoreMirror } from '../../src/feed/StoreMirror.js';
 import { SimStoreLink } from './SimStoreLink.js';
 import { describeState } from './describeState.js';
@@ -18,6 +20,8 @@
 
 const EXPIRE_INTERVAL_MS = 100;
 
+const DRAIN_MS = 2000;
+
 /** What one entry takes from the store, with what it has confirmed before. */
 export class SimView {
   readonly link: SimStoreLink;
@@ -34,14 +38,15 @@
 
   constructor(clock: Clock, random: RandomSource, store: MemoryStore) {
     this.link = new SimStoreLink(store);
-    this.registry = new TargetRegistry(clock);
+    this.registry = new TargetRegistry(clock, () => DRAIN_MS);
+    const metrics = new MetricRegistry();
     this.#view = new GatewayView({
       clock,
       log: NOOP_LOG,
       ignored: new IgnoredRecordLog({
         clock,
         log: NOOP_LOG,
-        metrics: new MetricRegistry(),
+        metrics,
         component: 'view',
       }),
       layout: simLayout,
@@ -57,10 +62,17 @@
       onConfig: () => {},
     });
     const timers = new RealTimers();
+    const contact = new StoreContact({
+      clock,
+      log: NOOP_LOG,
+      metrics,
+      onChange: (isUnavailable) => this.#view.handleStoreAvailability(isUnavailable),
+    });
     const mirror = new StoreMirror({
       clock,
-      store: this.link,
+      store: new ObservedStore(this.link, contact, metrics),
       prefix: '',
+      checkKey: 'check',
       listener: this.#view,
       timers,
       random,
@@ -69,7 +81,7 @@
     });
     mirror.start();
     const expire = (): void => {
-      this.registry.expire();
+      contact.advance();
       this.#view.expire();
       timers.schedule(EXPIRE_INTERVAL_MS, expire);
     };
