--- a/packages/core/src/direct/TargetRegistry.ts
+++ b/packages/core/src/direct/TargetRegistry.ts
@@ -59,10 +59,13 @@
   /** The earliest of these times; Infinity if there is none. */
   #nextLapseEndMs = Infinity;
 
-  /** Lapsed targets that did not register again, since they were last taken. */
+  /** Targets that were kept and did not register again, since they were last taken. */
   #expired: string[] = [];
 
-  /** Until when targets whose registration is not valid remain in use, by id, monotonic milliseconds. */
+  /**
+   * Until when targets whose registration is not valid, or was lost with the store, remain in use, by
+   * id, monotonic milliseconds.
+   */
   readonly #retainedUntilMs = new Map<string, number>();
 
   /** Targets whose registration was removed, by id. */
@@ -129,20 +132,11 @@
    */
   remove(id: string): number {
     this.#returned.delete(id);
-    const drainEndMs = this.#clock.getNow() + this.#getDrainMs() - SEND_MARGIN_MS;
-    return this.#keepUntil(id, Math.min(this.#graceEndMs, drainEndMs));
-  }
-
-  /**
-   * Keeps a target that is not registered any more. Neither a further outage nor a further read
-   * extends the time for which it is kept.
-   *
-   * @returns how long it remains in use, milliseconds
-   */
-  #keepUntil(id: string, endMs: number): number {
     if (!this.#targets.has(id)) return 0;
     const nowMs = this.#clock.getNow();
-    const untilMs = this.#lapsedUntilMs.get(id) ?? endMs;
+    const drainEndMs = nowMs + this.#getDrainMs() - SEND_MARGIN_MS;
+    // Each removal is learned once: neither a further outage nor a further read extends the time.
+    const untilMs = this.#lapsedUntilMs.get(id) ?? Math.min(this.#graceEndMs, drainEndMs);
     if (nowMs >= untilMs) {
       this.#delete(id);
       return 0;
@@ -184,6 +178,11 @@
    */
   retain(id: string): void {
     this.#returned.delete(id);
+    this.#retain(id);
+  }
+
+  /** Keeps a target until it had time to write its registration again; an outage extends that. */
+  #retain(id: string): void {
     if (!this.#targets.has(id) || this.#retainedUntilMs.has(id)) return;
     this.#retainedUntilMs.set(id, this.#clock.getNow() + LAPSE_GRACE_MS);
   }
@@ -217,7 +216,7 @@
     const present = new Set(current.map(({ id }) => id));
     for (const id of [...this.#targets.keys()]) {
       // Nobody has removed what the copy lacks.
-      if (!present.has(id)) this.#keepUntil(id, this.#graceEndMs);
+      if (!present.has(id)) this.#retain(id);
     }
     for (const target of current) {
       const existing = this.#targets.get(target.id)?.target;
@@ -247,7 +246,7 @@
    */
   expire(): void {
     this.#expireLapsed();
-    // Without the store, targets can neither replace a registration that is not valid nor lapse.
+    // Without the store, targets can neither write their registrations again nor lapse.
     if (this.#isStoreDown) return;
     const nowMs = this.#clock.getNow();
     for (const { target, fromMs } of this.#returned.values()) {
@@ -257,19 +256,21 @@
       if (nowMs - atMs > DEPARTED_RETENTION_MS) this.#departed.delete(id);
     }
     for (const [id, untilMs] of this.#retainedUntilMs) {
-      if (nowMs >= Math.max(untilMs, this.#graceEndMs)) this.#delete(id);
+      if (nowMs < Math.max(untilMs, this.#graceEndMs)) continue;
+      this.#delete(id);
+      this.#expired.push(id);
     }
   }
 
-  /** Returns the lapsed targets that did not register again, each of them once. */
+  /** Returns the targets that were kept and did not register again, each of them once. */
   takeExpired(): string[] {
     return this.#expired.splice(0);
   }
 
-  /** Lists the targets in use whose registrations were removed and may only have lapsed. */
-  listLapsed(): string[] {
+  /** Lists the targets in use whose registrations were removed, are not valid or were lost. */
+  listUnregistered(): string[] {
     this.#expireLapsed();
-    return [...this.#lapsedUntilMs.keys()];
+    return [...new Set([...this.#lapsedUntilMs.keys(), ...this.#retainedUntilMs.keys()])];
   }
 
   get(id: string): DirectTarget | undefined {
--- a/packages/gateway/src/feed/GatewayView.ts
+++ b/packages/gateway/src/feed/GatewayView.ts
@@ -113,7 +113,7 @@
       era: snapshot.era,
       isRestored,
       targets: targets.length,
-      lapsedTargets: registry.listLapsed(),
+      unregisteredTargets: registry.listUnregistered(),
       entries: entryRecords.length,
       zonesOut: [...this.#evacuatedZones],
       lostEvacuations: [...this.#lostEvacuations.keys()],
