--- a/packages/gateway/test/support/SimWriters.ts
+++ b/packages/gateway/test/support/SimWriters.ts
@@ -86,6 +86,18 @@
     this.#targets.delete(id);
   }
 
+  /** Removes the registration of a target that leaves without draining. */
+  removeTarget(id: string): void {
+    if (!this.#targets.delete(id)) return;
+    const writes = [{ key: `${simLayout.targetPrefix}${id}`, value: null }];
+    void this.#store.commit({ conditions: [], writes });
+  }
+
+  /** Lists the targets that run and do not drain. */
+  listServing(): DirectTarget[] {
+    return [...this.#targets.values()].filter(({ isDraining }) => !isDraining);
+  }
+
   describe(): string {
     return describeState(this.#version, this.#evacuated, [...this.#targets.values()]);
   }
