Play cut watches and targets that leave in the soak, and check DRAIN there

The store of the soak answered, refused or hung as a whole, and no check looked at requests to targets that leave. The store now ends single waiting watches, targets withdraw their registrations without draining (`leave`), and `checkDrains` reports requests that reach a target later than drain_ms after that, or after it was announced as draining, from entries in touch. The schedules of the other profiles are unchanged.

--- a/soak/src/SoakRun.ts
+++ b/soak/src/SoakRun.ts
@@ -5,6 +5,7 @@
 import { Caller } from './callers/Caller.js';
 import type { Bounds } from './check/Bounds.js';
 import { Ledger } from './check/Ledger.js';
+import { checkDrains } from './check/checkDrains.js';
 import { checkRequests } from './check/checkRequests.js';
 import type { Violation } from './check/Violation.js';
 import { FaultPlayer } from './faults/FaultPlayer.js';
@@ -20,7 +21,12 @@
 
 const GRACE_S = 6;
 
-const BOUNDS: Bounds = { stableWindowMs: 3000, graceMs: GRACE_S * 1000, lossSlackMs: 200 };
+const BOUNDS: Bounds = {
+  stableWindowMs: 3000,
+  graceMs: GRACE_S * 1000,
+  drainMs: 2000,
+  lossSlackMs: 200,
+};
 
 const MEGABYTE = 1_000_000;
 
@@ -199,7 +205,7 @@
         'limits.memory_mb': String(memoryBytes / MEGABYTE),
         'limits.link_mbps': role === 'entry' ? '1000' : '14',
         internal_port_range: `${ports.peer},${ports.peer + 15}`,
-        'parameters.drain_ms': '2000',
+        'parameters.drain_ms': String(BOUNDS.drainMs),
         'parameters.grace_s': String(GRACE_S),
         'parameters.retry_ratio': '0.2',
         'parameters.retry_slack': '92',
@@ -322,7 +328,8 @@
 
   #report(): SoakResult {
     const { requests } = this.#ledger;
-    for (const { rule, atMs, seen } of checkRequests(this.#ledger, BOUNDS)) {
+    const found = [...checkRequests(this.#ledger, BOUNDS), ...checkDrains(this.#ledger, BOUNDS)];
+    for (const { rule, atMs, seen } of found) {
       this.#violations.push({ rule, atMs: atMs - this.#startMs, seen });
     }
     const lines = requests.map((request) => {
--- a/soak/src/check/Ledger.ts
+++ b/soak/src/check/Ledger.ts
@@ -6,9 +6,10 @@
   readonly object: string;
   /**
    * `unplanned`: a kill, freeze or fault of links; `starved`: the process waited for a processor;
-   * the others are planned work.
+   * `leaving`: the store names a run of a target, by its id, as draining or not at all; the others
+   * are planned work.
    */
-  readonly kind: 'unplanned' | 'starved' | 'stop' | 'reload' | 'config';
+  readonly kind: 'unplanned' | 'starved' | 'leaving' | 'stop' | 'reload' | 'config';
   readonly startMs: number;
   /** Infinity while it lasts. */
   endMs: number;
@@ -25,8 +26,9 @@
   /** Spans in which the runner itself was held up, so that its times are inexact. */
   readonly stalls: { readonly startMs: number; readonly endMs: number }[] = [];
 
-  addRun(id: string, target: string, startMs: number): RunRecord {
-    const run = { target, startMs, endMs: null, isBrokenOff: false };
+  /** @param targetRun id of the run of the target */
+  addRun(id: string, target: string, targetRun: string, startMs: number): RunRecord {
+    const run = { target, targetRun, startMs, endMs: null, isBrokenOff: false };
     const runs = this.runs.get(id);
     if (runs === undefined) this.runs.set(id, [run]);
     else runs.push(run);
--- /dev/null
+++ b/soak/src/check/storeName.ts
@@ -0,0 +1,2 @@
+/** Name of the store in the spans of a ledger. */
+export const STORE = 'store';
--- a/soak/src/faults/FaultPlayer.ts
+++ b/soak/src/faults/FaultPlayer.ts
@@ -9,6 +9,7 @@
 import type { StoreServer } from '../standins/StoreServer.js';
 import type { TargetServer } from '../standins/TargetServer.js';
 import type { Bounds } from '../check/Bounds.js';
+import { STORE } from '../check/storeName.js';
 import { holdAddress } from './holdAddress.js';
 
 interface FaultPlayerOptions {
@@ -33,6 +34,8 @@
   agent: ['metrics', 'peer'],
 } as const;
 
+const MAX_CUTS = 6;
+
 const MAX_ANSWER_BYTES = 8_388_608;
 const MAX_UPLOAD_BYTES = 4_194_304;
 const BURST_GAP_MS = 20;
@@ -76,13 +79,15 @@
     else if (plan.kind === 'store') await this.#disturbStore(plan);
     else if (plan.kind === 'config') this.#changeConfig();
     else if (plan.kind === 'drain') await this.#drain(target);
+    else if (plan.kind === 'leave') await this.#withdraw(target);
+    else if (plan.kind === 'cuts') await this.#endWatches(plan);
     else if (plan.kind === 'crash') await this.#crash(target, plan.durationMs);
     else if (plan.kind === 'endless') target.endless += Math.min(plan.count, 2);
     else if (plan.kind === 'largeAnswers') await this.#askForLargeAnswers(entry, plan);
     else if (plan.kind === 'uploads') await this.#upload(entry, plan);
-    else if (plan.kind === 'silence') {
-      (plan.choice < 0.5 ? this.#options.store : target).suspendLinks();
-    } else if (plan.kind === 'resets') await this.#resetCalls(entry, plan);
+    else if (plan.kind === 'silence' && plan.choice < 0.5) this.#silenceStore();
+    else if (plan.kind === 'silence') target.suspendLinks();
+    else if (plan.kind === 'resets') await this.#resetCalls(entry, plan);
   }
 
   #reload(instance: Instance): void {
@@ -164,12 +169,29 @@
   async #disturbStore({ choice, durationMs }: FaultPlan): Promise<void> {
     if (this.#storeFaults > 0) return;
     this.#storeFaults += 1;
+    const span = this.#options.ledger.addSpan(STORE, 'unplanned', performance.now());
     await this.#options.store.setMode(STORE_MODES[Math.floor(choice * STORE_MODES.length)]!);
     await sleep(durationMs);
     await this.#options.store.setMode('ok');
+    span.endMs = performance.now();
     this.#storeFaults -= 1;
   }
 
+  #silenceStore(): void {
+    const nowMs = performance.now();
+    this.#options.ledger.addSpan(STORE, 'unplanned', nowMs, nowMs);
+    this.#options.store.suspendLinks();
+  }
+
+  /** Cuts the waiting watches one to six times within the duration; the store works meanwhile. */
+  async #endWatches({ choice, durationMs }: FaultPlan): Promise<void> {
+    const cuts = 1 + Math.floor(choice * MAX_CUTS);
+    for (let cut = 0; cut < cuts; cut += 1) {
+      this.#options.store.endWatches();
+      await sleep(durationMs / cuts);
+    }
+  }
+
   #changeConfig(): void {
     this.#version += 1;
     const nowMs = performance.now();
@@ -182,6 +204,10 @@
     if (this.#hasSpareTarget(target)) await target.drain();
   }
 
+  async #withdraw(target: TargetServer): Promise<void> {
+    if (this.#hasSpareTarget(target)) await target.withdraw();
+  }
+
   async #crash(target: TargetServer, downMs: number): Promise<void> {
     if (this.#hasSpareTarget(target)) await target.failFor(downMs);
   }
--- a/soak/src/schedule/FaultPlan.ts
+++ b/soak/src/schedule/FaultPlan.ts
@@ -23,6 +23,8 @@
   | 'store'
   | 'config'
   | 'drain'
+  | 'leave'
+  | 'cuts'
   | 'crash'
   | 'endless'
   | 'largeAnswers'
--- a/soak/src/schedule/profiles.ts
+++ b/soak/src/schedule/profiles.ts
@@ -38,6 +38,25 @@
   ['planned', planned],
   ['signals', { ...planned, agents: 2, kinds: signalKinds }],
   ['full', { ...planned, agents: 2, maxBurst: 60, kinds: allKinds }],
+  [
+    'watches',
+    {
+      ...planned,
+      targets: 5,
+      kinds: [
+        'cuts',
+        'cuts',
+        'cuts',
+        'leave',
+        'leave',
+        'drain',
+        'store',
+        'stop',
+        'freeze',
+        'config',
+      ],
+    },
+  ],
   ['links', { ...planned, kinds: [...planned.kinds, 'silence', 'silence', 'resets', 'crash'] }],
   [
     'memory',
--- a/soak/src/standins/StoreServer.ts
+++ b/soak/src/standins/StoreServer.ts
@@ -37,7 +37,8 @@
 
   readonly #leases = new Map<number, { readonly ttlMs: number; timer: NodeJS.Timeout }>();
 
-  readonly #watches = new Set<() => void>();
+  /** Watch requests that wait: functions that answer them, and their responses. */
+  readonly #watches = new Map<() => void, ServerResponse>();
 
   readonly #sockets = new Set<Socket>();
 
@@ -94,6 +95,11 @@
     for (const socket of this.#sockets) this.#silent.add(socket);
   }
 
+  /** Ends the watch requests that wait without an answer; every other call is answered. */
+  endWatches(): void {
+    for (const response of [...this.#watches.values()]) response.destroy();
+  }
+
   put(key: string, value: string | object, lease = 0): void {
     this.#revision += 1;
     const text = typeof value === 'string' ? value : JSON.stringify(value);
@@ -122,7 +128,7 @@
   #recordChange(change: Change): void {
     this.#changes.push(change);
     if (this.#changes.length > MAX_CHANGES) this.#changes = this.#changes.slice(-MAX_CHANGES / 2);
-    for (const finish of [...this.#watches]) finish();
+    for (const finish of [...this.#watches.keys()]) finish();
   }
 
   #handle(request: IncomingMessage, response: ServerResponse, body: string): void {
@@ -206,7 +212,7 @@
       },
       Number(url.searchParams.get('wait_ms')),
     );
-    this.#watches.add(finish);
+    this.#watches.set(finish, response);
     response.on('close', () => {
       clearTimeout(timer);
       this.#watches.delete(finish);
--- a/soak/src/standins/TargetServer.ts
+++ b/soak/src/standins/TargetServer.ts
@@ -14,7 +14,7 @@
 /** Requests beyond the capacity that a target keeps before it refuses more. */
 const QUEUE = 8;
 
-/** Time for which a target that was announced as draining still serves, milliseconds. */
+/** Time for which a target that leaves still serves, milliseconds. */
 const DRAIN_MS = 3500;
 
 const ENDLESS_BLOCK = Buffer.from('1\r\nx\r\n'.repeat(4096));
@@ -81,6 +81,19 @@
   async drain(): Promise<void> {
     const { id } = this;
     this.#register('draining');
+    await this.#serveLeaving(id);
+  }
+
+  /** Withdraws the registration without an announcement; else as `drain`. */
+  async withdraw(): Promise<void> {
+    const { id } = this;
+    this.#state = 'draining';
+    this.store.remove(`servers/${id}`);
+    await this.#serveLeaving(id);
+  }
+
+  async #serveLeaving(id: string): Promise<void> {
+    this.ledger.addSpan(id, 'leaving', performance.now());
     await sleep(DRAIN_MS);
     if (id !== this.id || this.#server === null) return;
     const span = this.ledger.addSpan(this.name, 'unplanned', performance.now());
@@ -134,6 +147,7 @@
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { id } = this;
+    const arrivedMs = performance.now();
     const hash = createHash('sha1');
     try {
       for await (const chunk of request) hash.update(chunk as Buffer);
@@ -153,7 +167,7 @@
     else if (this.#active >= CAPACITY + QUEUE) refuse(503);
     else {
       this.#active += 1;
-      const run = this.ledger.addRun(requestId, this.name, performance.now());
+      const run = this.ledger.addRun(requestId, this.name, id, arrivedMs);
       response.on('close', () => {
         if (id !== this.id) run.isBrokenOff = true;
         else this.#active -= 1;
--- a/soak/test/brokenEntries.test.ts
+++ b/soak/test/brokenEntries.test.ts
@@ -29,6 +29,8 @@
   count: 1,
 };
 
+const WITHDRAWAL: FaultPlan = { ...RELOAD, kind: 'leave' };
+
 /** Guards against a soak that reports no violation because it cannot see one. */
 describe('a soak over an entry', { timeout: 60_000 }, () => {
   let folder = '';
@@ -40,12 +42,12 @@
   afterEach(() => rmSync(folder, { recursive: true, force: true }));
 
   /** Runs an entry with a fault. @returns rules that were broken, and what was seen */
-  async function run(fault: string, schedule: readonly FaultPlan[] = []) {
+  async function run(fault: string, schedule: readonly FaultPlan[] = [], targets = 1) {
     const command = [process.execPath, BROKEN_ENTRY, fault];
     const { violations, outcomes } = await new SoakRun({
       seed: 1,
       seconds: SECONDS,
-      profile,
+      profile: { ...profile, targets },
       schedule,
       folder,
       commands: { entry: command, agent: command },
@@ -100,6 +102,12 @@
     expect((await run('refuse')).rules).toEqual(new Set(['REFUSED']));
   });
 
+  it.each(['stale', 'none'])('finds requests to a target that has left (%s)', async (fault) => {
+    const { rules, seen } = await run(fault, [WITHDRAWAL], 2);
+    expect(rules).toEqual(new Set(fault === 'stale' ? ['DRAIN'] : []));
+    if (fault === 'stale') expect(seen).toMatch('after the end of its time to drain');
+  });
+
   it('finds an answer that lost a byte', async () => {
     expect((await run('truncate')).rules).toEqual(new Set(['MIXED']));
   });
--- a/soak/test/support/brokenEntry.js
+++ b/soak/test/support/brokenEntry.js
@@ -22,12 +22,16 @@
   return { host, port: Number(port) };
 }
 
+let firstTarget = null;
+
 async function findTarget() {
+  if (fault === 'stale' && firstTarget !== null) return firstTarget;
   const answer = await fetch(`http://${fields.get('platform.address')}/kv-range?prefix=servers/`);
   const { items } = await answer.json();
   const target = JSON.parse(Buffer.from(items[0].value, 'base64').toString());
   const [host, port] = target.address.split(':');
-  return { host, port: Number(port) };
+  firstTarget = { host, port: Number(port) };
+  return firstTarget;
 }
 
 /** Passes a request to a target. @returns status, headers and body of its answer */
