Keep a target cold that a copy of the store names as warm

Until the target had written again it got 66 requests in one second (44 are allowed), crashed, and an order was lost with it.

Cause: TargetRegistry.restore passed the record of the copy to upsert, which takes the earlier of two ends of the cold time, because a record that is read again overstates it. A record from before the target turned cold says "warm now", so the known end was dropped. A target that had left while it was cold and returned with the copy was taken for warm in the same way.

Change: a lower value in a copy does not shorten the known cold time of an incarnation; a higher one still means that it turned cold. What is known of a target that has left is kept for its return. The log names a target that turns cold and, at each full read, how many are cold.

--- a/packages/core/src/direct/TargetRegistry.ts
+++ b/packages/core/src/direct/TargetRegistry.ts
@@ -26,9 +26,8 @@
  */
 const RETURNED_HOLD_MS = 4500;
 
-interface DepartedTarget {
-  readonly bornMs: number;
-  readonly isDraining: boolean;
+interface DepartedTarget extends RegisteredTarget {
+  /** When it was removed, monotonic milliseconds. */
   readonly atMs: number;
 }
 
@@ -98,15 +97,18 @@
    * so of several targets at one address the one that started last is kept.
    */
   upsert(target: DirectTarget): void {
-    if (this.#isSuperseded(target)) return;
     const existing = this.#targets.get(target.id);
+    this.#put(target, existing?.target.bornMs === target.bornMs ? existing : null);
+  }
+
+  /** @param known what is known of this incarnation, if the registration may be older than that */
+  #put(target: DirectTarget, known: RegisteredTarget | null): void {
+    if (this.#isSuperseded(target)) return;
     const coldUntilMs = this.#clock.getNow() + target.coldLeftMs;
-    const isSameIncarnation = existing?.target.bornMs === target.bornMs;
     // `coldLeftMs` is not updated while it is stored, so the same incarnation read again would seem
     // cold for longer: the earlier end is right. A higher value means that it turned cold again.
-    const hasTurnedCold = isSameIncarnation && target.coldLeftMs > existing.target.coldLeftMs;
-    const warmAtMs =
-      isSameIncarnation && !hasTurnedCold ? Math.min(existing.warmAtMs, coldUntilMs) : coldUntilMs;
+    const hasTurnedCold = known === null || target.coldLeftMs > known.target.coldLeftMs;
+    const warmAtMs = hasTurnedCold ? coldUntilMs : Math.min(known.warmAtMs, coldUntilMs);
     this.#lapsedUntilMs.delete(target.id);
     this.#retainedUntilMs.delete(target.id);
     this.#departed.delete(target.id);
@@ -116,6 +118,12 @@
     this.#revision += 1;
   }
 
+  /** Finds what is known of the incarnation that a registration names, also if it has left. */
+  #findIncarnation({ id, bornMs }: DirectTarget): RegisteredTarget | null {
+    const known = this.#targets.get(id) ?? this.#departed.get(id);
+    return known?.target.bornMs === bornMs ? known : null;
+  }
+
   #isSuperseded(target: DirectTarget): boolean {
     for (const [id, { target: other }] of this.#targets) {
       if (other.address !== target.address || id === target.id) continue;
@@ -149,10 +157,9 @@
   #delete(id: string): void {
     this.#lapsedUntilMs.delete(id);
     this.#retainedUntilMs.delete(id);
-    const removed = this.#targets.get(id)?.target;
+    const removed = this.#targets.get(id);
     if (removed === undefined) return;
-    const { bornMs, isDraining } = removed;
-    this.#departed.set(id, { bornMs, isDraining, atMs: this.#clock.getNow() });
+    this.#departed.set(id, { ...removed, atMs: this.#clock.getNow() });
     this.#targets.delete(id);
     this.#targetsByService = null;
     this.#revision += 1;
@@ -205,8 +212,9 @@
   /**
    * Replaces all registrations by those of a store that was restored from a copy. Targets that the
    * copy lacks get time to register again. A registration in the copy may be older than what is
-   * known here: a target that was draining or had left is not used before it has written again, and
-   * one that has started again since is not replaced by its earlier incarnation.
+   * known here: a target that was draining or had left is not used before it has written again, one
+   * that has turned cold stays cold, and one that has started again since is not replaced by its
+   * earlier incarnation.
    */
   restore(targets: readonly DirectTarget[]): void {
     const nowMs = this.#clock.getNow();
@@ -218,20 +226,20 @@
       // Nobody has removed what the copy lacks.
       if (!present.has(id)) this.#retain(id);
     }
-    for (const target of current) {
-      const existing = this.#targets.get(target.id)?.target;
-      const departed = this.#departed.get(target.id);
-      if (existing?.bornMs === target.bornMs && existing.isDraining) continue;
-      if (existing !== undefined || departed?.bornMs !== target.bornMs) this.upsert(target);
-      else if (!departed.isDraining) {
-        this.#returned.set(target.id, { target, fromMs: nowMs + RETURNED_HOLD_MS });
-      }
+    for (const copied of current) {
+      const known = this.#findIncarnation(copied)?.target;
+      if (known?.isDraining === true) continue;
+      // A lower value may be from before it turned cold; the known end of that time holds.
+      const coldLeftMs = Math.max(copied.coldLeftMs, known?.coldLeftMs ?? 0);
+      const target = { ...copied, coldLeftMs };
+      if (known === undefined || this.#targets.has(target.id)) this.upsert(target);
+      else this.#returned.set(target.id, { target, fromMs: nowMs + RETURNED_HOLD_MS });
     }
   }
 
   #hasLaterIncarnation({ id, bornMs }: DirectTarget): boolean {
-    const known = this.#targets.get(id)?.target ?? this.#departed.get(id);
-    return known !== undefined && known.bornMs > bornMs;
+    const known = this.#targets.get(id) ?? this.#departed.get(id);
+    return known !== undefined && known.target.bornMs > bornMs;
   }
 
   /** Records whether the store is down; the grace period begins when it is available again. */
@@ -250,7 +258,7 @@
     if (this.#isStoreDown) return;
     const nowMs = this.#clock.getNow();
     for (const { target, fromMs } of this.#returned.values()) {
-      if (nowMs >= fromMs) this.upsert(target);
+      if (nowMs >= fromMs) this.#put(target, this.#findIncarnation(target));
     }
     for (const [id, { atMs }] of this.#departed) {
       if (nowMs - atMs > DEPARTED_RETENTION_MS) this.#departed.delete(id);
--- a/packages/core/test/direct/TargetRegistry.test.ts
+++ b/packages/core/test/direct/TargetRegistry.test.ts
@@ -74,6 +74,43 @@
     expect(registry.isCold('x')).toBe(true);
   });
 
+  // Guards against a flood of requests to a cold target (review case 13): the copy of a restored
+  // store may be from before it turned cold.
+  it.each(['in use', 'gone'])('keeps a target cold that a copy names as warm (%s)', (state) => {
+    const clock = new ManualClock();
+    const registry = new TargetRegistry(clock);
+    const warm = createTarget('x');
+    registry.upsert(warm);
+    registry.upsert({ ...warm, coldLeftMs: 8000 });
+    clock.advance(1000);
+    if (state === 'gone') registry.remove('x');
+    registry.restore([warm]);
+    clock.advance(4500);
+    registry.expire();
+    expect(registry.listAll()).toHaveLength(1);
+    expect(registry.isCold('x')).toBe(true);
+    clock.advance(2501);
+    expect(registry.isCold('x')).toBe(false);
+  });
+
+  it('counts a target as cold that a copy knows to be cold', () => {
+    const registry = new TargetRegistry(new ManualClock());
+    registry.upsert(createTarget('x'));
+    registry.restore([createTarget('x', { coldLeftMs: 3000 })]);
+    expect(registry.isCold('x')).toBe(true);
+  });
+
+  // Guards against a service without warm targets after each restoration.
+  it('keeps a target warm whose registration in the copy is the known one', () => {
+    const clock = new ManualClock();
+    const registry = new TargetRegistry(clock);
+    const target = createTarget('x', { coldLeftMs: 3000 });
+    registry.upsert(target);
+    clock.advance(3001);
+    registry.restore([target]);
+    expect(registry.isCold('x')).toBe(false);
+  });
+
   // Guards against losing a target that runs, and against keeping one that no heartbeat names again.
   it.each(['change', 'full read'])(
     'keeps a target whose registration became invalid with a %s until its heartbeat is overdue',
--- a/packages/gateway/src/feed/GatewayView.ts
+++ b/packages/gateway/src/feed/GatewayView.ts
@@ -113,6 +113,7 @@
       era: snapshot.era,
       isRestored,
       targets: targets.length,
+      coldTargets: targets.filter(({ id }) => registry.isCold(id)).length,
       unregisteredTargets: registry.listUnregistered(),
       entries: entryRecords.length,
       zonesOut: [...this.#evacuatedZones],
@@ -243,7 +244,9 @@
 
   #logTargetChange(target: DirectTarget): void {
     const previous = this.#options.registry.get(target.id);
-    if (previous?.isDraining === target.isDraining && previous.bornMs === target.bornMs) return;
+    const isSameRun = previous?.bornMs === target.bornMs;
+    const hasTurnedCold = isSameRun && target.coldLeftMs > previous.coldLeftMs;
+    if (isSameRun && !hasTurnedCold && previous.isDraining === target.isDraining) return;
     this.#options.log.report('target registered', {
       target: target.id,
       service: target.service,
