End the use of a lapsed target although a copy of the store names it

Cause: a copy from before a removal put a target back into use whose removal was learned and that was still kept as lapsed, for good, while one whose time was over had to prove first that it runs.

Change: what the copy names and this process has learned to be removed is held back for 4.5 s like other targets that had left.

--- a/packages/core/src/direct/TargetRegistry.ts
+++ b/packages/core/src/direct/TargetRegistry.ts
@@ -70,7 +70,7 @@
   /** Targets whose registration was removed, by id. */
   readonly #departed = new Map<string, DepartedTarget>();
 
-  /** Targets that had left and that a restored store names as registered, by id. */
+  /** Targets whose registration was removed and that a restored store names as registered, by id. */
   readonly #returned = new Map<string, ReturnedTarget>();
 
   #isStoreDown = false;
@@ -232,7 +232,8 @@
       // A lower value may be from before it turned cold; the known end of that time holds.
       const coldLeftMs = Math.max(copied.coldLeftMs, known?.coldLeftMs ?? 0);
       const target = { ...copied, coldLeftMs };
-      if (known === undefined || this.#targets.has(target.id)) this.upsert(target);
+      const isInUse = this.#targets.has(target.id) && !this.#lapsedUntilMs.has(target.id);
+      if (known === undefined || isInUse) this.upsert(target);
       else this.#returned.set(target.id, { target, fromMs: nowMs + RETURNED_HOLD_MS });
     }
   }
--- a/packages/core/test/direct/TargetRegistry.test.ts
+++ b/packages/core/test/direct/TargetRegistry.test.ts
@@ -93,6 +93,25 @@
     expect(registry.isCold('x')).toBe(false);
   });
 
+  // Guards against a target that has left, in use because a copy is from before its removal.
+  it('ends the use of a lapsed target although a copy names it, until it has proved to run', () => {
+    const clock = new ManualClock();
+    const registry = new TargetRegistry(clock, () => 2000);
+    const target = createTarget('x');
+    registry.upsert(target);
+    registry.setStoreUnavailable(true);
+    registry.setStoreUnavailable(false);
+    registry.remove('x');
+    clock.advance(500);
+    registry.restore([target]);
+    expect(registry.listAll()).toEqual([target]);
+    clock.advance(1500);
+    expect(registry.listAll()).toEqual([]);
+    clock.advance(3000);
+    registry.expire();
+    expect(registry.listAll()).toEqual([target]);
+  });
+
   it('counts a target as cold that a copy knows to be cold', () => {
     const registry = new TargetRegistry(new ManualClock());
     registry.upsert(createTarget('x'));
