Log the first of several failed reads, and forget the ends of superseded targets

A target that another one at its address supersedes no longer appears among those that did not register again.

--- a/packages/core/src/direct/TargetRegistry.ts
+++ b/packages/core/src/direct/TargetRegistry.ts
@@ -129,6 +129,8 @@
       if (other.address !== target.address || id === target.id) continue;
       if (other.bornMs > target.bornMs) return true;
       this.#targets.delete(id);
+      this.#lapsedUntilMs.delete(id);
+      this.#retainedUntilMs.delete(id);
     }
     return false;
   }
--- a/packages/gateway/src/feed/StoreMirror.ts
+++ b/packages/gateway/src/feed/StoreMirror.ts
@@ -63,6 +63,9 @@
   /** Until when full reads count as reads of a restored store, monotonic milliseconds. */
   #restorationEndMs = -Infinity;
 
+  /** Whether the last full read failed; only the first failure of several is logged. */
+  #hasReadFailed = false;
+
   /** Full reads in a row that the listener could not apply. */
   #failedSnapshots = 0;
 
@@ -137,10 +140,14 @@
     const read = await store.readPrefix(prefix);
     if (this.#isStopped) return;
     if (read.err) {
-      log.warn('could not read the store; trying again', { prefix, cause: read.val.message });
+      if (!this.#hasReadFailed) {
+        log.warn('could not read the store; trying again', { prefix, cause: read.val.message });
+      }
+      this.#hasReadFailed = true;
       this.#scheduleRetry();
       return;
     }
+    this.#hasReadFailed = false;
     const { records, era, revision } = read.val;
     const nowMs = clock.getNow();
     if (this.#era !== null && this.#era !== era) this.#restorationEndMs = nowMs + RESTORATION_MS;
