Share the copies of a simulated store between the two models of views

interruptedViews.test.ts repeated the set-up of restoredViews.test.ts: a store that is advanced, and its last copies. SimCopies has it now.

--- a/packages/gateway/test/interruptedViews.test.ts
+++ b/packages/gateway/test/interruptedViews.test.ts
@@ -1,6 +1,7 @@
 import { SeededRandom } from '@limpetbay/core';
 import { MemoryStore, SimTimers } from '@limpetbay/standins';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { SimCopies } from './support/SimCopies.js';
 import { SimView } from './support/SimView.js';
 import { SimWriters } from './support/SimWriters.js';
 
@@ -36,16 +37,10 @@
 
 const MAX_LINK_CUT_MS = 6000;
 
-const COPY_INTERVAL_MS = 500;
-
 const MAX_COPIES = 6;
 
-const STORE_TICK_MS = 4;
-
 const TIMEOUT_MS = 60_000;
 
-type Copy = ReturnType<MemoryStore['takeCopy']>;
-
 // Guards against what case 12 of the third review showed, in any mix of cut watches, outages,
 // restorations, dropped histories, and targets that leave, lapse and return.
 describe('what entries take from a store whose watches are cut', () => {
@@ -61,18 +56,7 @@
       const random = new SeededRandom(seed);
       const store = new MemoryStore(timers, random);
       store.setFaults({ latencyMs: [2, 8] });
-      const copies: Copy[] = [];
-      const tick = (): void => {
-        store.tick();
-        setTimeout(tick, STORE_TICK_MS);
-      };
-      tick();
-      const keepCopies = (): void => {
-        copies.push(store.takeCopy());
-        if (copies.length > MAX_COPIES) copies.shift();
-        setTimeout(keepCopies, COPY_INTERVAL_MS);
-      };
-      keepCopies();
+      const copies = new SimCopies(store, MAX_COPIES);
       const writers = new SimWriters(store, random);
       const views = Array.from({ length: VIEWS }, () => new SimView(timers, random, store));
       const drawTarget = (): string => `t${Math.floor(random.next() * TARGETS)}`;
@@ -83,7 +67,7 @@
       };
       let settledMs = 0;
       const begin = (isRestored: boolean): void => {
-        const copy = copies[Math.floor(random.next() * copies.length)];
+        const copy = copies.draw(random);
         if (timers.getNow() < settledMs || copy === undefined) return;
         const outageMs = random.next() * MAX_OUTAGE_MS;
         settledMs = timers.getNow() + outageMs + SETTLE_MS;
--- a/packages/gateway/test/restoredViews.test.ts
+++ b/packages/gateway/test/restoredViews.test.ts
@@ -1,6 +1,7 @@
 import { SeededRandom } from '@limpetbay/core';
 import { MemoryStore, SimTimers } from '@limpetbay/standins';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { SimCopies } from './support/SimCopies.js';
 import { SimView } from './support/SimView.js';
 import { SimWriters } from './support/SimWriters.js';
 
@@ -25,20 +26,14 @@
 /** Longer than any of the grace periods and a registration without renewals take. */
 const CALM_MS = 15_000;
 
-const COPY_INTERVAL_MS = 500;
-
 const MAX_COPIES = 18;
 
 const MAX_OUTAGE_MS = 3000;
 
 const MAX_CUT_MS = 12_000;
 
-const STORE_TICK_MS = 4;
-
 const TIMEOUT_MS = 60_000;
 
-type Copy = ReturnType<MemoryStore['takeCopy']>;
-
 // Guards against what any mix of restorations, cuts, gaps and changes makes entries forget, go back
 // to or keep: the class of the second matter of issue 24.
 describe('what entries take from a store that is restored again and again', () => {
@@ -54,24 +49,13 @@
       const random = new SeededRandom(seed);
       const store = new MemoryStore(timers, random);
       store.setFaults({ latencyMs: [2, 8] });
-      const copies: Copy[] = [];
-      const tick = (): void => {
-        store.tick();
-        setTimeout(tick, STORE_TICK_MS);
-      };
-      tick();
-      const keepCopies = (): void => {
-        copies.push(store.takeCopy());
-        if (copies.length > MAX_COPIES) copies.shift();
-        setTimeout(keepCopies, COPY_INTERVAL_MS);
-      };
-      keepCopies();
+      const copies = new SimCopies(store, MAX_COPIES);
       const writers = new SimWriters(store, random);
       const views = Array.from({ length: VIEWS }, () => new SimView(timers, random, store));
       const drawTarget = (): string => `t${Math.floor(random.next() * TARGETS)}`;
       let outages = 0;
       const restore = (): void => {
-        const copy = copies[Math.floor(random.next() * copies.length)];
+        const copy = copies.draw(random);
         if (copy === undefined || outages > 0) return;
         outages += 1;
         store.setFaults({ outage: 'down' });
